Add: [core] Types, error table, messages and the interfaces of the decision machines

Cause: an empty repository; packages need agreed headers before they can grow side by side. Change: workspace, formatter and linter settings, ids, units, messages, inputs and outputs of entry and agent, the dispatcher's interface, design and at-most-one-start pages.

--- /dev/null
+++ b/core/include/sycamoremoor/core/entry_settings_type.h
@@ -0,0 +1,35 @@
+// What an entry is told at its start.
+#pragma once
+
+#include <sycamoremoor/core/endpoint_type.h>
+#include <sycamoremoor/core/id_type.h>
+#include <sycamoremoor/core/time_type.h>
+#include <sycamoremoor/core/unit_type.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace Sycamoremoor {
+
+/** Settings of an entry process. Times that must agree between processes say so. */
+struct EntrySettings {
+    EntryName name;
+    Incarnation incarnation;
+    Endpoint endpoint; ///< where peers and agents reach it
+    ZoneName zone;
+    RegionName region;
+    std::vector<Endpoint> peerSeeds; ///< entries to ask for roster and configuration when the platform is down
+
+    Duration headReadInterval = std::chrono::milliseconds(1'500); ///< between reads of roster and configuration head
+    Duration peerHeartbeatInterval = std::chrono::seconds(1);
+    Duration agentHeartbeatInterval = std::chrono::seconds(1); ///< same at agents
+    Duration failureTimeout = std::chrono::seconds(3);         ///< silence after which a peer is removed, or an agent gets no new work
+    Duration servingLease = std::chrono::seconds(4);           ///< how long a proof of membership holds; same at all entries
+    Duration agentLostTimeout = std::chrono::seconds(15);      ///< silence after which an agent's tasks are unknown
+    Duration clockSkew = std::chrono::seconds(2);     ///< bound between the wall clocks of any two processes or callers; same everywhere
+    Duration keyMaxAge = std::chrono::minutes(10);    ///< older keys are refused; same everywhere
+    Duration drainTimeout = std::chrono::seconds(30); ///< a planned stop ends by then
+    Duration queryDelay = std::chrono::seconds(1);    ///< how long a task may be missing at its agent before it is asked about
+};
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/core/include/sycamoremoor/core/table/metric_table.h
@@ -0,0 +1,49 @@
+// Names, help and units of what is measured. Rows stand in the order of the enums.
+#pragma once
+
+#include <sycamoremoor/core/step_type.h>
+
+#include <array>
+#include <string_view>
+
+namespace Sycamoremoor {
+
+/** One row of a metric table. */
+struct MetricRow {
+    std::string_view name; ///< OpenMetrics name without suffix
+    std::string_view help;
+};
+
+inline constexpr std::array<MetricRow, static_cast<std::size_t>(HistogramMetric::End)> HistogramTable{{
+    // clang-format off
+    {"sycamoremoor_job_seconds",        "Time from receipt of a job to its answer at the owner"},
+    {"sycamoremoor_queue_seconds",      "Time from admission of a task to its sending"},
+    {"sycamoremoor_task_run_seconds",   "Run time of a task by the agent's clock"},
+    {"sycamoremoor_round_trip_seconds", "Time from sending a task to its report, less its run time"},
+    {"sycamoremoor_takeover_seconds",   "Time from learning of an owner slot to acting for it"},
+    // clang-format on
+}};
+
+inline constexpr std::array<MetricRow, static_cast<std::size_t>(CounterMetric::End)> CounterTable{{
+    // clang-format off
+    {"sycamoremoor_jobs_accepted",     "Jobs taken"},
+    {"sycamoremoor_jobs_complete",     "Jobs answered with every result"},
+    {"sycamoremoor_jobs_failed",       "Jobs that were taken and failed"},
+    {"sycamoremoor_jobs_refused",      "Submissions refused before they were taken"},
+    {"sycamoremoor_jobs_resubmitted",  "Submissions of a key that was known"},
+    {"sycamoremoor_tasks_sent",        "Tasks sent to agents"},
+    {"sycamoremoor_tasks_reported",    "Reports of tasks that changed what was known"},
+    {"sycamoremoor_tasks_refused",     "Tasks sent to an agent and not started there"},
+    {"sycamoremoor_tasks_unknown",     "Tasks whose run ended as unknown"},
+    {"sycamoremoor_task_queries",      "Tasks that an agent was asked about"},
+    {"sycamoremoor_reports_duplicate", "Reports that changed nothing"},
+    {"sycamoremoor_tombstones_set",    "Tasks promised never to start"},
+    {"sycamoremoor_fenced_starts",     "Starts refused for an old token"},
+    {"sycamoremoor_stale_starts",      "Starts refused for their age"},
+    {"sycamoremoor_workers_ejected",   "Workers set aside"},
+    {"sycamoremoor_roster_changes",    "Changes of the roster"},
+    {"sycamoremoor_config_changes",    "Revisions of configuration that came into force"},
+    // clang-format on
+}};
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/core/include/sycamoremoor/core/unit_type.h
@@ -0,0 +1,17 @@
+// Units of what workers offer and tasks use.
+#pragma once
+
+#include <sycamoremoor/core/strong_type.h>
+
+#include <cstdint>
+
+namespace Sycamoremoor {
+
+using MilliCores = StrongAmount<struct MilliCoresTag, std::int64_t>;     ///< thousandths of a processor core
+using Megabytes = StrongAmount<struct MegabytesTag, std::int64_t>;       ///< memory, 2^20 bytes
+using Accelerators = StrongAmount<struct AcceleratorsTag, std::int64_t>; ///< whole accelerators
+using Slots = StrongAmount<struct SlotsTag, std::int64_t>;               ///< tasks an upstream runs side by side
+using Connections = StrongAmount<struct ConnectionsTag, std::int64_t>;   ///< connections an upstream accepts
+using ByteCount = StrongAmount<struct ByteCountTag, std::int64_t>;       ///< bytes
+
+} // namespace Sycamoremoor
