Add: [core] Agent machine: start rules, reports, heartbeats, upstream failures, draining

Cause: the at-most-one-start promise of docs/ONCE.md rests on the agent's ledger. Change: AgentMachine with a ledger, slot tokens, reports numbered per owner, heartbeats, upstream life and ledger reports to new owners. LedgerRules switches single rules off, for tests only. Libraries take sources from subfolders of src.

--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -1,9 +1,9 @@
 # Helpers that give each package the same layout: include/, src/, tests/.
 
-# Declares library sycamoremoor_<name> from src/*.cpp with public headers in include/.
+# Declares library sycamoremoor_<name> from src/**.cpp with public headers in include/.
 # Further arguments are the libraries it uses.
 function(sycamoremoor_library name)
-    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
+    file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
     add_library(sycamoremoor_${name} STATIC ${sources})
     target_include_directories(sycamoremoor_${name} PUBLIC ${CMAKE_CURRENT_SOURCE_DIR}/include)
     target_link_libraries(sycamoremoor_${name} PUBLIC ${ARGN})
--- a/core/include/sycamoremoor/core/agent_machine.h
+++ b/core/include/sycamoremoor/core/agent_machine.h
@@ -9,6 +9,8 @@
 
 namespace Sycamoremoor {
 
+struct LedgerRules;
+
 /**
  * An agent without sockets, clocks or threads.
  *
@@ -19,6 +21,9 @@
 {
 public:
     explicit AgentMachine(AgentSettings settings);
+
+    /** For tests: an agent that keeps only some of the ledger's rules. */
+    AgentMachine(AgentSettings settings, const LedgerRules &rules);
     ~AgentMachine();
 
     AgentMachine(AgentMachine &&) noexcept;
--- /dev/null
+++ b/core/src/agent/heartbeat_controller.cpp
@@ -0,0 +1,243 @@
+// Heartbeats: to the home entry, to owners that wait for reports, and to others while the home is silent.
+#include "heartbeat_controller.h"
+
+#include <sycamoremoor/core/roster_func.h>
+
+#include <algorithm>
+
+namespace Sycamoremoor {
+
+namespace {
+
+constexpr int HurryDivisor = 4; ///< part of the interval after which a heartbeat is sent early
+
+} // namespace
+
+HeartbeatController::HeartbeatController(AgentState &state, ReportController &reports)
+    : m_state(state)
+    , m_reports(reports)
+{
+}
+
+bool HeartbeatController::replied(AgentStep &step, const HeartbeatReplyReceived &input)
+{
+    const auto &reply = input.reply;
+    m_silentSince.reset();
+    m_leavingIsKnown = m_leavingIsKnown || m_saidLeaving;
+    if (const auto owner = m_state.owners.find(reply.entry, reply.incarnation); owner != NoOwner) {
+        m_reports.acknowledge(owner, reply.acknowledged);
+    }
+    const bool newer = reply.roster && (!m_state.roster || reply.roster->epoch > m_state.roster->epoch);
+    if (newer) {
+        adoptRoster(step, reply.roster);
+    }
+    if (reply.config && (!m_state.config || reply.config->revision > m_state.config->revision)) {
+        adoptConfig(step, reply.config);
+    }
+    aimAtHome();
+    if (newer) {
+        hurry(step);
+    }
+    return newer;
+}
+
+void HeartbeatController::adoptRoster(AgentStep &step, const std::shared_ptr<const RosterRecord> &roster)
+{
+    AuditRecord record;
+    record.at = step.context.wall;
+    record.kind = AuditKind::RosterChange;
+    record.before = m_state.roster ? m_state.roster->epoch.value() : 0;
+    record.after = roster->epoch.value();
+    step.outputs.emplace_back(record);
+    m_state.audit.push_back(std::move(record));
+    m_state.roster = roster;
+    if (m_state.rules.fenceByLedgerReport) {
+        m_state.tokens.raise(*roster);
+    }
+    for (const auto &slot : roster->slots) {
+        m_state.owners.add(slot.owner, slot.incarnation);
+    }
+    m_state.owners.updateFrom(*roster);
+}
+
+void HeartbeatController::adoptConfig(AgentStep &step, const std::shared_ptr<const ConfigSet> &config)
+{
+    AuditRecord record;
+    record.at = step.context.wall;
+    record.kind = AuditKind::ConfigInForce;
+    record.actor = config->author;
+    record.before = m_state.config ? m_state.config->revision.value() : 0;
+    record.after = config->revision.value();
+    step.outputs.emplace_back(record);
+    m_state.audit.push_back(std::move(record));
+    m_state.config = config;
+    m_state.configSince = step.context.wall;
+}
+
+const RosterMember *HeartbeatController::home() const
+{
+    if (!m_state.roster) {
+        return nullptr;
+    }
+    const auto &settings = m_state.settings;
+    const auto slot = homeSlot(*m_state.roster, settings.name, settings.zone, settings.region);
+    return slot ? ownerOf(*m_state.roster, *slot) : nullptr;
+}
+
+void HeartbeatController::aimAtHome()
+{
+    if (const auto *entry = home(); entry != nullptr) {
+        m_target = entry->endpoint;
+    }
+}
+
+std::vector<Endpoint> HeartbeatController::candidates() const
+{
+    std::vector<Endpoint> entries;
+    if (m_state.roster) {
+        for (const auto &member : m_state.roster->members) {
+            entries.push_back(member.endpoint);
+        }
+    }
+    for (const auto &seed : m_state.settings.entrySeeds) {
+        if (std::ranges::find(entries, seed) == entries.end()) {
+            entries.push_back(seed);
+        }
+    }
+    return entries;
+}
+
+void HeartbeatController::aimAtNext()
+{
+    const auto entries = candidates();
+    if (entries.empty()) {
+        return;
+    }
+    const auto current = std::ranges::find(entries, m_target);
+    m_target = current == entries.end() || current + 1 == entries.end() ? entries.front() : *(current + 1);
+    m_silentSince.reset();
+}
+
+void HeartbeatController::failed(AgentStep &step, const Endpoint &entry)
+{
+    if (entry == m_target) {
+        aimAtNext();
+        hurry(step);
+    }
+}
+
+void HeartbeatController::hurry(AgentStep &step)
+{
+    const auto now = step.context.now;
+    const auto earliest = m_lastSent ? *m_lastSent + m_state.settings.heartbeatInterval / HurryDivisor : now;
+    m_nextAt = std::min(m_nextAt, std::max(earliest, now));
+}
+
+void HeartbeatController::tick(AgentStep &step)
+{
+    const auto now = step.context.now;
+    if (m_target == Endpoint{}) {
+        aimAtNext();
+    }
+    if (m_silentSince && now - *m_silentSince >= m_state.settings.failureTimeout) {
+        aimAtNext();
+    }
+    if (m_state.upstreamHealthy != m_saidHealthy || m_state.isLeaving() != m_saidLeaving) {
+        m_nextAt = now;
+    }
+    if (m_nextAt <= now) {
+        m_nextAt = now + m_state.settings.heartbeatInterval;
+        sendToTarget(step);
+    }
+    for (auto &owner : m_state.owners.owners()) {
+        if (needsOwnHeartbeat(owner) && dueAt(owner) <= now) {
+            send(step, owner.endpoint);
+        }
+    }
+}
+
+void HeartbeatController::sendToTarget(AgentStep &step)
+{
+    if (m_target == Endpoint{}) {
+        return;
+    }
+    m_lastSent = step.context.now;
+    m_silentSince = m_silentSince.value_or(step.context.now);
+    m_saidHealthy = m_state.upstreamHealthy;
+    m_saidLeaving = m_state.isLeaving();
+    send(step, m_target);
+}
+
+bool HeartbeatController::needsOwnHeartbeat(const Owner &owner) const
+{
+    return owner.inRoster && owner.endpoint != m_target && (owner.held > 0 || !owner.unacknowledged.empty());
+}
+
+MonotonicTime HeartbeatController::dueAt(const Owner &owner) const
+{
+    const auto byInterval = owner.toldAt ? *owner.toldAt + m_state.settings.heartbeatInterval : MonotonicTime::min();
+    return owner.held > 0 ? byInterval : std::max(byInterval, m_reports.nextDue(owner));
+}
+
+void HeartbeatController::send(AgentStep &step, const Endpoint &entry)
+{
+    const auto receiver = ownerAt(entry);
+    if (receiver != NoOwner) {
+        m_state.owners.at(receiver).toldAt = step.context.now;
+    }
+    step.outputs.emplace_back(SendHeartbeat{entry, heartbeatFor(step, receiver)});
+}
+
+OwnerIndex HeartbeatController::ownerAt(const Endpoint &entry) const
+{
+    const auto &owners = m_state.owners.owners();
+    const auto found = std::ranges::find_if(owners, [&entry](const Owner &owner) { return owner.inRoster && owner.endpoint == entry; });
+    return found == owners.end() ? NoOwner : static_cast<OwnerIndex>(found - owners.begin());
+}
+
+AgentHeartbeat HeartbeatController::heartbeatFor(AgentStep &step, OwnerIndex receiver)
+{
+    const auto &settings = m_state.settings;
+    AgentHeartbeat heartbeat;
+    heartbeat.agent = settings.name;
+    heartbeat.incarnation = settings.incarnation;
+    heartbeat.startedAt = m_state.startedAt;
+    heartbeat.endpoint = settings.endpoint;
+    heartbeat.zone = settings.zone;
+    heartbeat.region = settings.region;
+    heartbeat.service = settings.service;
+    heartbeat.upstream = settings.upstream;
+    heartbeat.capacity = settings.capacity;
+    heartbeat.usage = m_state.usage;
+    heartbeat.stamp = AgentStamp(step.context.now.time_since_epoch().count());
+    heartbeat.rosterEpoch = m_state.roster ? m_state.roster->epoch : Epoch();
+    heartbeat.configRevision = m_state.config ? m_state.config->revision : Revision();
+    heartbeat.configSince = m_state.configSince;
+    heartbeat.leaving = m_state.isLeaving();
+    heartbeat.upstreamHealthy = m_state.upstreamHealthy;
+    heartbeat.queued = static_cast<std::uint32_t>(m_state.queue.size());
+    heartbeat.running = m_state.running;
+    if (receiver != NoOwner) {
+        heartbeat.heldForOwner = m_state.owners.at(receiver).held;
+        heartbeat.unacknowledged = m_reports.takeDue(step, receiver);
+    }
+    return heartbeat;
+}
+
+MonotonicTime HeartbeatController::nextWake() const
+{
+    auto wake = m_nextAt;
+    for (const auto &owner : m_state.owners.owners()) {
+        if (needsOwnHeartbeat(owner)) {
+            wake = std::min(wake, dueAt(owner));
+        }
+    }
+    return wake;
+}
+
+bool HeartbeatController::leavingIsKnown() const
+{
+    return m_leavingIsKnown;
+}
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/core/src/agent/task_controller.cpp
@@ -0,0 +1,326 @@
+// The start rules, the queue for slots, and the end of tasks.
+#include "task_controller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Sycamoremoor {
+
+namespace {
+
+constexpr Duration FirstAskDelay = std::chrono::seconds(2); ///< beyond the declared run time
+
+/** Returns the report of a task of which nothing certain is known. */
+TaskReport unknownReport(const TaskId &task, TaskState state, ErrorKind error)
+{
+    TaskReport report;
+    report.task = task;
+    report.state = state;
+    report.ran = RunState::Unknown;
+    report.error = error;
+    return report;
+}
+
+MonotonicTime stampTime(AgentStamp stamp)
+{
+    return MonotonicTime(Duration(stamp.value()));
+}
+
+} // namespace
+
+TaskController::TaskController(AgentState &state, ReportController &reports)
+    : m_state(state)
+    , m_reports(reports)
+{
+}
+
+OwnerIndex TaskController::sender(const OwnerRight &right)
+{
+    const auto index = m_state.owners.add(right.owner, right.incarnation);
+    if (m_state.roster) {
+        m_state.owners.updateFrom(*m_state.roster);
+    }
+    return index;
+}
+
+void TaskController::learnToken(const OwnerRight &right)
+{
+    m_state.tokens.raise(right.slot, right.token, right.owner, right.incarnation);
+}
+
+bool TaskController::isMeantForOtherLife(Incarnation incarnation) const
+{
+    return m_state.rules.checkIncarnation && incarnation != m_state.settings.incarnation;
+}
+
+bool TaskController::isFenced(const OwnerRight &right) const
+{
+    return m_state.rules.checkToken && right.token < m_state.tokens.highest(right.slot);
+}
+
+bool TaskController::isStale(AgentStep &step, AgentStamp stamp) const
+{
+    const auto made = stampTime(stamp);
+    const auto now = step.context.now;
+    return m_state.rules.checkStamp && (made < m_state.firstStep || made > now || now - made > m_state.settings.startMaxAge);
+}
+
+void TaskController::startTasks(AgentStep &step, StartTasks message)
+{
+    const auto owner = sender(message.right);
+    if (isMeantForOtherLife(message.agentIncarnation)) {
+        refuseAll(step, owner, message, ErrorKind::WrongIncarnation);
+        return;
+    }
+    m_reports.acknowledge(owner, message.acknowledged);
+    if (isFenced(message.right)) {
+        step.outputs.emplace_back(Count{CounterMetric::FencedStarts, message.tasks.size()});
+        refuseAll(step, owner, message, ErrorKind::OwnerFenced);
+        return;
+    }
+    learnToken(message.right);
+    if (isStale(step, message.stamp)) {
+        step.outputs.emplace_back(Count{CounterMetric::StaleStarts, message.tasks.size()});
+        refuseAll(step, owner, message, ErrorKind::StaleMessage);
+        return;
+    }
+    // An owner sends nothing to an agent that was silent for the failure timeout: it cannot have been sent later.
+    const auto sentBy = std::min(step.context.now, stampTime(message.stamp) + m_state.settings.failureTimeout);
+    for (auto &task : message.tasks) {
+        const auto startBy = sentBy + task.deadline;
+        startOne(step, owner, message.right, std::move(task), startBy);
+    }
+    fillSlots(step);
+}
+
+void TaskController::refuseAll(AgentStep &step, OwnerIndex owner, const StartTasks &message, ErrorKind error)
+{
+    for (const auto &task : message.tasks) {
+        if (const auto *record = m_state.ledger.find(task.task); record != nullptr) {
+            m_reports.answer(owner, task.task, *record);
+        } else if (error == ErrorKind::StaleMessage) {
+            tellUnseen(step, owner, message.right.slot, task.task, error);
+        } else if (error == ErrorKind::WrongIncarnation && m_state.rules.unknownAfterNewLife) {
+            // Another copy of the message may have reached the life that was meant.
+            m_reports.answer(owner, unknownReport(task.task, TaskState::Lost, error));
+        } else {
+            m_reports.answer(owner, unknownReport(task.task, TaskState::NeverStarted, error));
+        }
+    }
+}
+
+void TaskController::startOne(AgentStep &step, OwnerIndex owner, const OwnerRight &right, StartTask task, MonotonicTime startBy)
+{
+    if (auto *record = m_state.ledger.find(task.task); record != nullptr && m_state.rules.checkLedger) {
+        m_state.ledger.adopt(*record, owner);
+        m_reports.answer(owner, task.task, *record);
+        return;
+    }
+    if (const auto error = refusal(step, task, startBy); error != ErrorKind::None) {
+        tombstone(step, owner, right.slot, task.task, error);
+        return;
+    }
+    accept(step, owner, right.slot, std::move(task), startBy);
+}
+
+ErrorKind TaskController::refusal(AgentStep &step, const StartTask &task, MonotonicTime startBy) const
+{
+    if (m_state.rules.checkLeaving && m_state.isLeaving()) {
+        return ErrorKind::Draining;
+    }
+    if (m_state.rules.checkDeadline && startBy <= step.context.now) {
+        return ErrorKind::DeadlineUnreachable;
+    }
+    if (m_state.rules.checkRoom && (!m_state.upstreamHealthy || !fits(task))) {
+        return ErrorKind::NoCapacity;
+    }
+    return ErrorKind::None;
+}
+
+bool TaskController::fits(const StartTask &task) const
+{
+    const auto &capacity = m_state.settings.capacity;
+    const auto &size = task.spec.size;
+    const bool sizeFits = size.cores <= capacity.cores && size.memory <= capacity.memory && size.accelerators <= capacity.accelerators;
+    const auto taken = m_state.running + m_state.queue.size();
+    return sizeFits && taken < static_cast<std::size_t>(capacity.slots.value()) + queueLimit();
+}
+
+std::size_t TaskController::queueLimit() const
+{
+    return m_state.config ? m_state.config->policy.agentQueue : m_state.settings.agentQueue;
+}
+
+void TaskController::accept(AgentStep &step, OwnerIndex owner, OwnerSlotIndex slot, StartTask task, MonotonicTime startBy)
+{
+    LedgerRecord record;
+    record.slot = slot;
+    record.owner = owner;
+    record.state = TaskState::Queued;
+    m_state.ledger.insert(step.context.now, task.task, std::move(record));
+    ActiveTask active;
+    active.expected = task.spec.declaredRunTime;
+    active.spec = std::move(task.spec);
+    active.startBy = startBy;
+    m_state.active[task.task] = std::move(active);
+    m_state.queue.push_back(task.task);
+}
+
+void TaskController::tombstone(AgentStep &step, OwnerIndex owner, OwnerSlotIndex slot, const TaskId &task, ErrorKind error)
+{
+    LedgerRecord record;
+    record.slot = slot;
+    record.owner = owner;
+    record.error = error;
+    if (!m_state.rules.tombstoneRefused && error != ErrorKind::Tombstoned) {
+        m_reports.answer(owner, task, record);
+        return;
+    }
+    step.outputs.emplace_back(Count{CounterMetric::TombstonesSet, 1});
+    m_reports.announce(step, task, m_state.ledger.insert(step.context.now, task, std::move(record)));
+}
+
+void TaskController::tellUnseen(AgentStep &step, OwnerIndex owner, OwnerSlotIndex slot, const TaskId &task, ErrorKind error)
+{
+    if (m_state.rules.doubtForgotten && m_state.ledger.mayHaveForgotten(task)) {
+        m_reports.answer(owner, unknownReport(task, TaskState::Lost, ErrorKind::AgentLost));
+        return;
+    }
+    if (!m_state.rules.tombstoneQueried) {
+        m_reports.answer(owner, task, LedgerRecord{});
+        return;
+    }
+    tombstone(step, owner, slot, task, error);
+}
+
+void TaskController::stopTasks(AgentStep &step, const StopTasks &message)
+{
+    const auto owner = sender(message.right);
+    learnToken(message.right);
+    for (const auto &task : message.tasks) {
+        stopOne(step, owner, message, task);
+    }
+    fillSlots(step);
+}
+
+void TaskController::stopOne(AgentStep &step, OwnerIndex owner, const StopTasks &message, const TaskId &task)
+{
+    auto *record = m_state.ledger.find(task);
+    if (record == nullptr) {
+        if (isMeantForOtherLife(message.agentIncarnation)) {
+            m_reports.answer(owner, unknownReport(task, TaskState::Lost, ErrorKind::WrongIncarnation));
+        } else if (isFenced(message.right)) {
+            m_reports.answer(owner, unknownReport(task, TaskState::NeverStarted, ErrorKind::OwnerFenced));
+        } else {
+            tellUnseen(step, owner, message.right.slot, task, message.reason);
+        }
+        return;
+    }
+    if (isFinal(record->state) || isFenced(message.right)) {
+        m_reports.answer(owner, task, *record);
+        return;
+    }
+    m_state.ledger.adopt(*record, owner);
+    auto &active = m_state.active.at(task);
+    active.stopReason = message.reason;
+    if (record->state == TaskState::Queued) {
+        neverStart(step, task, message.reason);
+        return;
+    }
+    step.outputs.emplace_back(StopOnUpstream{task});
+    m_reports.answer(owner, task, *record);
+}
+
+void TaskController::queryTasks(AgentStep &step, const QueryTasks &message)
+{
+    const auto owner = sender(message.right);
+    learnToken(message.right);
+    for (const auto &task : message.tasks) {
+        if (auto *record = m_state.ledger.find(task); record != nullptr) {
+            if (!isFenced(message.right)) {
+                m_state.ledger.adopt(*record, owner);
+            }
+            m_reports.answer(owner, task, *record);
+        } else if (isMeantForOtherLife(message.agentIncarnation)) {
+            m_reports.answer(owner, unknownReport(task, TaskState::Lost, ErrorKind::WrongIncarnation));
+        } else if (isFenced(message.right)) {
+            m_reports.answer(owner, unknownReport(task, TaskState::NeverStarted, ErrorKind::OwnerFenced));
+        } else {
+            tellUnseen(step, owner, message.right.slot, task, ErrorKind::Tombstoned);
+        }
+    }
+}
+
+void TaskController::fillSlots(AgentStep &step)
+{
+    const auto slots = static_cast<std::uint32_t>(m_state.settings.capacity.slots.value());
+    const bool startable = m_state.upstreamHealthy && !m_state.upstreamLeaving;
+    for (std::size_t position = 0; position < m_state.queue.size();) {
+        const auto task = m_state.queue[position];
+        if (m_state.rules.checkDeadline && m_state.active.at(task).startBy <= step.context.now) {
+            neverStart(step, task, ErrorKind::DeadlineUnreachable);
+        } else if (!startable) {
+            neverStart(step, task, m_state.upstreamLeaving ? ErrorKind::Draining : ErrorKind::NoCapacity);
+        } else if (m_state.running < slots || !m_state.rules.checkRoom) {
+            handToUpstream(step, task);
+        } else {
+            ++position;
+        }
+    }
+}
+
+void TaskController::neverStart(AgentStep &step, const TaskId &task, ErrorKind error)
+{
+    std::erase(m_state.queue, task);
+    m_state.active.erase(task);
+    auto &record = *m_state.ledger.find(task);
+    TaskReport end;
+    end.error = error;
+    m_state.ledger.finish(step.context.now, task, record, end);
+    m_reports.announce(step, task, record);
+}
+
+void TaskController::handToUpstream(AgentStep &step, const TaskId &task)
+{
+    std::erase(m_state.queue, task);
+    auto &record = *m_state.ledger.find(task);
+    record.state = TaskState::Running;
+    record.ran = RunState::Unknown;
+    record.startedAt = step.context.wall;
+    auto &active = m_state.active.at(task);
+    active.startedAt = step.context.now;
+    active.askDelay = FirstAskDelay;
+    active.askAt = step.context.now + active.expected + active.askDelay;
+    ++m_state.running;
+    step.outputs.emplace_back(StartOnUpstream{task, std::exchange(active.spec, {})});
+}
+
+void TaskController::finish(AgentStep &step, const TaskId &task, const TaskReport &end)
+{
+    const auto active = m_state.active.find(task);
+    auto *found = m_state.ledger.find(task);
+    if (active == m_state.active.end() || found == nullptr || found->state != TaskState::Running) {
+        return;
+    }
+    auto &record = *found;
+    if (end.ran == RunState::Ran) {
+        const std::chrono::duration<double> seconds = step.context.now - active->second.startedAt;
+        step.outputs.emplace_back(Observation{HistogramMetric::TaskRunSeconds, seconds.count()});
+    }
+    m_state.active.erase(active);
+    --m_state.running;
+    m_state.ledger.finish(step.context.now, task, record, end);
+    m_reports.announce(step, task, record);
+    fillSlots(step);
+}
+
+MonotonicTime TaskController::nextWake() const
+{
+    auto wake = MonotonicTime::max();
+    for (const auto &task : m_state.queue) {
+        wake = std::min(wake, m_state.active.at(task).startBy);
+    }
+    return wake;
+}
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/core/src/agent/upstream_controller.cpp
@@ -0,0 +1,248 @@
+// What is known of the upstream: its health, its life, and the truth about tasks whose exchange broke.
+#include "upstream_controller.h"
+
+#include <algorithm>
+
+namespace Sycamoremoor {
+
+namespace {
+
+constexpr Duration RetryAskDelay = std::chrono::seconds(1);
+constexpr Duration MaxAskDelay = std::chrono::seconds(10);
+constexpr std::uint32_t MaxDenials = 3;                            ///< a start may still be under way when the first answer is made
+constexpr Duration UpstreamLostTimeout = std::chrono::seconds(15); ///< silence after which its tasks are lost
+
+/** Returns the report of a task that reached its end at the upstream. */
+TaskReport endReport(AgentStep &step, TaskState state, ErrorKind error, std::string result)
+{
+    TaskReport end;
+    end.state = state;
+    end.ran = RunState::Ran;
+    end.error = error;
+    end.result = std::move(result);
+    end.finishedAt = step.context.wall;
+    return end;
+}
+
+} // namespace
+
+UpstreamController::UpstreamController(AgentState &state, TaskController &tasks)
+    : m_state(state)
+    , m_tasks(tasks)
+{
+}
+
+bool UpstreamController::isRunning(const TaskId &task) const
+{
+    const auto *record = m_state.ledger.find(task);
+    return record != nullptr && record->state == TaskState::Running && m_state.active.contains(task);
+}
+
+void UpstreamController::taskEnded(AgentStep &step, const UpstreamTaskEnded &input)
+{
+    if (!isRunning(input.task)) {
+        return;
+    }
+    const auto reason = m_state.active.at(input.task).stopReason;
+    if (input.stopped) {
+        const auto error = reason == ErrorKind::None ? ErrorKind::Cancelled : reason;
+        m_tasks.finish(step, input.task, endReport(step, TaskState::Stopped, error, input.result));
+    } else if (input.succeeded) {
+        m_tasks.finish(step, input.task, endReport(step, TaskState::Succeeded, ErrorKind::None, input.result));
+    } else {
+        m_tasks.finish(step, input.task, endReport(step, TaskState::Failed, ErrorKind::TaskFailed, input.result));
+    }
+}
+
+void UpstreamController::startFailed(AgentStep &step, const UpstreamStartFailed &input)
+{
+    m_probeAt = step.context.now;
+    if (!isRunning(input.task)) {
+        return;
+    }
+    if (input.delivery == Delivery::NotSent || !m_state.rules.lostIsNeverNotRun) {
+        m_state.upstreamHealthy = m_state.upstreamHealthy && input.delivery != Delivery::NotSent;
+        TaskReport end;
+        end.error = ErrorKind::UpstreamLost;
+        m_state.ledger.find(input.task)->startedAt = WallTime{};
+        m_tasks.finish(step, input.task, end);
+        return;
+    }
+    askSoon(step, input.task);
+}
+
+void UpstreamController::taskState(AgentStep &step, const UpstreamTaskState &input)
+{
+    enterLife(step, input.upstream);
+    if (!isRunning(input.task)) {
+        return;
+    }
+    auto &active = m_state.active.at(input.task);
+    if (!input.known) {
+        if (++active.denials >= MaxDenials) {
+            lose(step, input.task);
+        }
+        return;
+    }
+    active.denials = 0;
+    active.surelyStarted = true;
+    if (input.running) {
+        return;
+    }
+    UpstreamTaskEnded end;
+    end.task = input.task;
+    end.succeeded = input.succeeded;
+    end.stopped = !input.succeeded && active.stopReason != ErrorKind::None;
+    end.result = input.result;
+    taskEnded(step, end);
+}
+
+void UpstreamController::health(AgentStep &step, const UpstreamHealth &input)
+{
+    enterLife(step, input.upstream);
+    m_healthyAt = step.context.now;
+    m_refusedSince.reset();
+    m_state.upstreamHealthy = true;
+    m_state.upstreamLeaving = input.leaving;
+    m_state.usage = input.usage;
+    m_tasks.fillSlots(step);
+}
+
+void UpstreamController::unreachable(AgentStep &step, const UpstreamUnreachable &input)
+{
+    if (input.delivery == Delivery::NotSent) {
+        m_refusedSince = m_refusedSince.value_or(step.context.now);
+        m_state.upstreamHealthy = false;
+        m_tasks.fillSlots(step);
+    }
+}
+
+void UpstreamController::enterLife(AgentStep &step, Incarnation life)
+{
+    if (life == m_state.upstreamLife) {
+        return;
+    }
+    const bool restarted = m_state.upstreamLife != Incarnation();
+    m_state.upstreamLife = life;
+    if (!restarted) {
+        return;
+    }
+    step.outputs.emplace_back(LogLine{Severity::Warning, "agent", "The upstream has restarted."});
+    for (auto &[task, active] : m_state.active) {
+        // The new life may have been given it already; it is lost if the new life does not know it.
+        if (isRunning(task)) {
+            active.denials = 0;
+            askSoon(step, task);
+        }
+    }
+}
+
+void UpstreamController::askSoon(AgentStep &step, const TaskId &task)
+{
+    auto &active = m_state.active.at(task);
+    active.askAt = step.context.now;
+    active.askDelay = RetryAskDelay;
+}
+
+void UpstreamController::tick(AgentStep &step)
+{
+    const auto now = step.context.now;
+    if (m_healthyAt == MonotonicTime{}) {
+        m_healthyAt = now;
+    }
+    if (m_probeAt <= now) {
+        m_probeAt = now + m_state.settings.upstreamProbeInterval;
+        step.outputs.emplace_back(ProbeUpstream{});
+    }
+    if (m_state.upstreamHealthy && now - m_healthyAt > m_state.settings.failureTimeout) {
+        m_state.upstreamHealthy = false;
+        step.outputs.emplace_back(LogLine{Severity::Warning, "agent", "The upstream does not answer."});
+        m_tasks.fillSlots(step);
+    }
+    if (giveUpAt() <= now) {
+        giveUpAll(step);
+    }
+    for (auto &[task, active] : m_state.active) {
+        checkTask(step, task, active);
+    }
+}
+
+void UpstreamController::checkTask(AgentStep &step, const TaskId &task, ActiveTask &active)
+{
+    if (!isRunning(task)) {
+        return;
+    }
+    const auto now = step.context.now;
+    if (active.stopReason == ErrorKind::None && runLimit(active) <= now) {
+        active.stopReason = ErrorKind::DeadlineUnreachable;
+        step.outputs.emplace_back(StopOnUpstream{task});
+    }
+    if (active.askAt > now) {
+        return;
+    }
+    active.askDelay = active.denials > 0 ? RetryAskDelay : std::min(2 * active.askDelay, MaxAskDelay);
+    active.askAt = now + active.askDelay;
+    if (active.stopReason != ErrorKind::None) {
+        step.outputs.emplace_back(StopOnUpstream{task});
+    }
+    step.outputs.emplace_back(AskUpstream{task});
+}
+
+MonotonicTime UpstreamController::runLimit(const ActiveTask &active) const
+{
+    if (!m_state.config) {
+        return MonotonicTime::max();
+    }
+    const auto service = m_state.config->services.find(m_state.settings.service);
+    return service == m_state.config->services.end() ? MonotonicTime::max() : active.startedAt + service->second.maxRunTime;
+}
+
+MonotonicTime UpstreamController::giveUpAt() const
+{
+    if (m_state.running == 0) {
+        return MonotonicTime::max();
+    }
+    const auto silent = m_healthyAt + UpstreamLostTimeout;
+    return m_refusedSince ? std::min(silent, *m_refusedSince + m_state.settings.failureTimeout) : silent;
+}
+
+void UpstreamController::giveUpAll(AgentStep &step)
+{
+    std::vector<TaskId> lost;
+    for (const auto &[task, active] : m_state.active) {
+        if (isRunning(task)) {
+            lost.push_back(task);
+        }
+    }
+    std::ranges::sort(lost);
+    for (const auto &task : lost) {
+        lose(step, task);
+    }
+}
+
+void UpstreamController::lose(AgentStep &step, const TaskId &task)
+{
+    auto end = endReport(step, TaskState::Lost, ErrorKind::UpstreamLost, {});
+    end.ran = m_state.active.at(task).surelyStarted ? RunState::Ran : RunState::Unknown;
+    m_tasks.finish(step, task, end);
+}
+
+MonotonicTime UpstreamController::nextWake() const
+{
+    auto wake = std::min(m_probeAt, giveUpAt());
+    if (m_state.upstreamHealthy) {
+        wake = std::min(wake, m_healthyAt + m_state.settings.failureTimeout + Duration(1));
+    }
+    for (const auto &[task, active] : m_state.active) {
+        if (!isRunning(task)) {
+            continue;
+        }
+        wake = std::min(wake, active.askAt);
+        if (active.stopReason == ErrorKind::None) {
+            wake = std::min(wake, runLimit(active));
+        }
+    }
+    return wake;
+}
+
+} // namespace Sycamoremoor
