Add: [core] Bounded ledger: records and results are let go within stated bounds, and the agent says so

Cause: an agent has 128 MB for everything, and must not call forgotten tasks never started. Change: ended records over ledgerRecords are let go after twice startMaxAge; the ledger report's start moves up to the newest key let go.

--- a/core/include/sycamoremoor/core/agent_settings_type.h
+++ b/core/include/sycamoremoor/core/agent_settings_type.h
@@ -26,6 +26,7 @@
     Duration resultRetention = std::chrono::seconds(60);  ///< results of ended tasks are kept at least this long, memory permitting
     ByteCount resultBytes{16LL << 20};                    ///< bytes of results kept
     Duration ledgerRetention = std::chrono::minutes(11);  ///< above the entries' key age limit plus clock skew
+    std::uint32_t ledgerRecords = 200'000; ///< ended tasks remembered; older ones are let go early, but not before late starts are refused
     Duration upstreamProbeInterval = std::chrono::seconds(1);
     Duration drainTimeout = std::chrono::seconds(60); ///< a planned stop ends by then
     std::uint32_t agentQueue = 1;                     ///< until a configuration says otherwise
--- a/core/src/agent/agent_state.h
+++ b/core/src/agent/agent_state.h
@@ -39,7 +39,7 @@
     explicit AgentState(AgentSettings agentSettings, const LedgerRules &ledgerRules)
         : settings(std::move(agentSettings))
         , rules(ledgerRules)
-        , ledger(settings, owners)
+        , ledger(settings, rules, owners)
     {
     }
 
--- a/core/src/agent/ledger.cpp
+++ b/core/src/agent/ledger.cpp
@@ -21,9 +21,11 @@
     return report;
 }
 
-Ledger::Ledger(const AgentSettings &settings, OwnerTable &owners)
+Ledger::Ledger(const AgentSettings &settings, const LedgerRules &rules, OwnerTable &owners)
     : m_owners(owners)
-    , m_retention(settings.ledgerRetention)
+    , m_retention(rules.keepBeyondStartMaxAge ? settings.ledgerRetention : Duration(0))
+    , m_minRetention(2 * settings.startMaxAge)
+    , m_maxEnded(settings.ledgerRecords)
     , m_resultRetention(settings.resultRetention)
     , m_maxResultBytes(static_cast<std::size_t>(settings.resultBytes.value()))
 {
@@ -86,13 +88,22 @@
 
 void Ledger::release(MonotonicTime now)
 {
-    while (!m_ended.empty() && m_ended.front().at + m_retention <= now) {
+    while (mustForgetOldest(now)) {
         forget(m_ended.front().task);
         m_ended.pop_front();
     }
     releaseResults(now);
 }
 
+bool Ledger::mustForgetOldest(MonotonicTime now) const
+{
+    if (m_ended.empty()) {
+        return false;
+    }
+    const auto endedAt = m_ended.front().at;
+    return endedAt + m_retention <= now || (m_ended.size() > m_maxEnded && endedAt + m_minRetention <= now);
+}
+
 bool Ledger::mayHaveForgotten(const TaskId &task) const
 {
     return task.submission.created() <= m_forgottenUpTo;
--- a/core/src/agent/ledger.h
+++ b/core/src/agent/ledger.h
@@ -4,6 +4,7 @@
 #include "owner_table.h"
 
 #include <sycamoremoor/core/agent_settings_type.h>
+#include <sycamoremoor/core/ledger_rules_type.h>
 #include <sycamoremoor/core/task_type.h>
 
 #include <cstddef>
@@ -35,7 +36,7 @@
 class Ledger
 {
 public:
-    Ledger(const AgentSettings &settings, OwnerTable &owners);
+    Ledger(const AgentSettings &settings, const LedgerRules &rules, OwnerTable &owners);
 
     /** Returns the record, or nullptr. */
     LedgerRecord *find(const TaskId &task);
@@ -76,11 +77,14 @@
     void beginRetention(MonotonicTime now, const TaskId &task, LedgerRecord &record);
     void dropResult(LedgerRecord &record);
     void releaseResults(MonotonicTime now);
+    [[nodiscard]] bool mustForgetOldest(MonotonicTime now) const;
     void forget(const TaskId &task);
     void countHeld(const LedgerRecord &record, int by);
 
     OwnerTable &m_owners;
     Duration m_retention;
+    Duration m_minRetention; ///< also kept when there are too many
+    std::size_t m_maxEnded;
     Duration m_resultRetention;
     std::size_t m_maxResultBytes;
     std::size_t m_resultBytes = 0;
