Add: [core] Reports and heartbeats name the life of the owner that their sequence numbers count for

Cause: a report under way to an entry that restarted, or began a new life after it was removed from the roster, carries a number of the earlier life; counted by the new one it makes a later report with that number look like a duplicate. Change: TaskReports::owner and AgentHeartbeat::receiver, set by the agent. Tested: core_tests pass; entry and codec do not read the fields yet.

--- a/core/include/sycamoremoor/core/agent_message_type.h
+++ b/core/include/sycamoremoor/core/agent_message_type.h
@@ -66,6 +66,7 @@
     bool upstreamHealthy = true;            ///< the upstream answers its health check
     std::uint32_t queued = 0;               ///< tasks that wait for a slot, of all owners
     std::uint32_t running = 0;              ///< tasks handed to the upstream, of all owners
+    Incarnation receiver;                   ///< life of the entry that the next two fields are for; zero if not known
     std::uint32_t heldForOwner = 0;         ///< tasks of the receiver's slots that were accepted and have not ended
     std::vector<TaskReport> unacknowledged; ///< reports that the receiver did not acknowledge in time, oldest first, bounded
 };
@@ -121,6 +122,7 @@
 struct TaskReports {
     AgentName agent;
     Incarnation incarnation;
+    Incarnation owner;         ///< life of the owner that the sequence numbers count for; another life must not count them
     std::uint32_t queued = 0;  ///< tasks that wait for a slot at the agent now
     std::uint32_t running = 0; ///< tasks that run there now
     std::vector<TaskReport> reports;
--- a/core/src/agent/heartbeat_controller.cpp
+++ b/core/src/agent/heartbeat_controller.cpp
@@ -218,6 +218,7 @@
     heartbeat.queued = static_cast<std::uint32_t>(m_state.queue.size());
     heartbeat.running = m_state.running;
     if (receiver != NoOwner) {
+        heartbeat.receiver = m_state.owners.at(receiver).incarnation;
         heartbeat.heldForOwner = m_state.owners.at(receiver).held;
         heartbeat.unacknowledged = m_reports.takeDue(step, receiver);
     }
--- a/core/src/agent/report_controller.cpp
+++ b/core/src/agent/report_controller.cpp
@@ -98,6 +98,7 @@
         TaskReports reports;
         reports.agent = m_state.settings.name;
         reports.incarnation = m_state.settings.incarnation;
+        reports.owner = owner.incarnation;
         reports.queued = static_cast<std::uint32_t>(m_state.queue.size());
         reports.running = m_state.running;
         reports.reports = std::exchange(owner.batch, {});
