Add: [wire] JSON of every message and of the callers' interface

Each message lists its fields once; a writer appends them straight to the text and a reader moves strings out of the parsed tree. Unknown fields of messages are passed over, missing or impossible values are errors. Bodies of callers are read strictly, within limits, and refused by field name.

--- /dev/null
+++ b/wire/src/message_codec.cpp
@@ -0,0 +1,84 @@
+// JSON of the messages between processes, of the roster, and of what processes tell operators.
+#include <sycamoremoor/wire/message_codec.h>
+
+#include "json_reader.h"
+#include "json_text.h"
+#include "json_writer.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Sycamoremoor {
+
+template<typename Message>
+std::string encode(const Message &message)
+{
+    std::string text;
+    JsonWriter::writeObject(text, message);
+    return text;
+}
+
+template<typename Message>
+std::optional<DecodeError> decode(std::string_view json, Message &message)
+{
+    if (!nestsWithin(json, MaxJsonDepth)) {
+        return DecodeError{ErrorKind::MalformedBody, "the JSON nests too deep"};
+    }
+    auto tree = nlohmann::json::parse(json, nullptr, false);
+    if (tree.is_discarded()) {
+        return DecodeError{ErrorKind::MalformedBody, "the text is no JSON"};
+    }
+    std::optional<DecodeError> error;
+    JsonReader::readObject(tree, message, "message", error);
+    return error;
+}
+
+template std::string encode(const RosterRecord &);
+template std::optional<DecodeError> decode(std::string_view, RosterRecord &);
+template std::string encode(const ConfigSet &);
+template std::optional<DecodeError> decode(std::string_view, ConfigSet &);
+template std::string encode(const JobAnswer &);
+template std::optional<DecodeError> decode(std::string_view, JobAnswer &);
+template std::string encode(const JobStatus &);
+template std::optional<DecodeError> decode(std::string_view, JobStatus &);
+template std::string encode(const StatusReply &);
+template std::optional<DecodeError> decode(std::string_view, StatusReply &);
+template std::string encode(const AccountReply &);
+template std::optional<DecodeError> decode(std::string_view, AccountReply &);
+template std::string encode(const ProcessStatus &);
+template std::optional<DecodeError> decode(std::string_view, ProcessStatus &);
+template std::string encode(const AgentHeartbeat &);
+template std::optional<DecodeError> decode(std::string_view, AgentHeartbeat &);
+template std::string encode(const AgentHeartbeatReply &);
+template std::optional<DecodeError> decode(std::string_view, AgentHeartbeatReply &);
+template std::string encode(const StartTasks &);
+template std::optional<DecodeError> decode(std::string_view, StartTasks &);
+template std::string encode(const StopTasks &);
+template std::optional<DecodeError> decode(std::string_view, StopTasks &);
+template std::string encode(const QueryTasks &);
+template std::optional<DecodeError> decode(std::string_view, QueryTasks &);
+template std::string encode(const TaskReports &);
+template std::optional<DecodeError> decode(std::string_view, TaskReports &);
+template std::string encode(const LedgerReport &);
+template std::optional<DecodeError> decode(std::string_view, LedgerReport &);
+template std::string encode(const LedgerReportReply &);
+template std::optional<DecodeError> decode(std::string_view, LedgerReportReply &);
+template std::string encode(const PeerHeartbeat &);
+template std::optional<DecodeError> decode(std::string_view, PeerHeartbeat &);
+template std::string encode(const PeerHeartbeatReply &);
+template std::optional<DecodeError> decode(std::string_view, PeerHeartbeatReply &);
+template std::string encode(const OwnerQuery &);
+template std::optional<DecodeError> decode(std::string_view, OwnerQuery &);
+template std::string encode(const OwnerQueryReply &);
+template std::optional<DecodeError> decode(std::string_view, OwnerQueryReply &);
+template std::string encode(const Handover &);
+template std::optional<DecodeError> decode(std::string_view, Handover &);
+template std::string encode(const HandoverReply &);
+template std::optional<DecodeError> decode(std::string_view, HandoverReply &);
+template std::string encode(const ForwardJob &);
+template std::optional<DecodeError> decode(std::string_view, ForwardJob &);
+template std::string encode(const ForwardCancel &);
+template std::optional<DecodeError> decode(std::string_view, ForwardCancel &);
+template std::string encode(const ForwardQuery &);
+template std::optional<DecodeError> decode(std::string_view, ForwardQuery &);
+
+} // namespace Sycamoremoor
