--- a/wire/src/describe_func.h
+++ b/wire/src/describe_func.h
@@ -297,6 +297,7 @@
     archive("upstream_healthy", heartbeat.upstreamHealthy);
     archive("queued", heartbeat.queued);
     archive("running", heartbeat.running);
+    archive("receiver", heartbeat.receiver);
     archive("held_for_owner", heartbeat.heldForOwner);
     archive("unacknowledged", heartbeat.unacknowledged);
 }
@@ -350,6 +351,7 @@
 {
     archive("agent", message.agent);
     archive("incarnation", message.incarnation);
+    archive("owner", message.owner);
     archive("queued", message.queued);
     archive("running", message.running);
     archive("reports", message.reports);
