Add: [core] Starts and ledger reports carry the digest of the job's body

Cause: found by the property world: a key sent with two bodies, the owner lost, and the second body first at the new owner: it took the first body's results out of the ledgers and answered with them. Change: StartTask and TaskReport have the digest; the agent keeps it and hands it back. Tested: core_tests pass.

--- a/core/include/sycamoremoor/core/agent_message_type.h
+++ b/core/include/sycamoremoor/core/agent_message_type.h
@@ -86,7 +86,8 @@
 struct StartTask {
     TaskId task;
     TaskSpec spec;
-    Duration deadline{}; ///< time left when the message was sent; it must not be started later
+    std::uint64_t digest = 0; ///< of the job's body; handed back in reports, so that a new owner knows which body ran
+    Duration deadline{};      ///< time left when the message was sent; it must not be started later
 
     friend bool operator==(const StartTask &, const StartTask &) = default;
 };
--- a/core/include/sycamoremoor/core/task_type.h
+++ b/core/include/sycamoremoor/core/task_type.h
@@ -63,7 +63,8 @@
 /** What an agent tells an owner about one task. */
 struct TaskReport {
     TaskId task;
-    ReportSequence sequence; ///< zero on answers to queries of unfinished tasks
+    ReportSequence sequence;  ///< zero on answers to queries of unfinished tasks
+    std::uint64_t digest = 0; ///< of the body of the job that the task was started for; zero if the agent does not know it
     TaskState state = TaskState::NeverStarted;
     RunState ran = RunState::NotRun;   ///< Lost is Ran or Unknown, never NotRun
     ErrorKind error = ErrorKind::None; ///< why it did not succeed
--- a/core/src/agent/ledger.cpp
+++ b/core/src/agent/ledger.cpp
@@ -11,6 +11,7 @@
     TaskReport report;
     report.task = task;
     report.sequence = sequence;
+    report.digest = record.digest;
     report.state = record.state;
     report.ran = record.ran;
     report.error = record.error;
--- a/core/src/agent/ledger.h
+++ b/core/src/agent/ledger.h
@@ -18,6 +18,7 @@
 struct LedgerRecord {
     WallTime startedAt{};
     WallTime finishedAt{};
+    std::uint64_t digest = 0; ///< of the job's body
     std::string result;
     OwnerSlotIndex slot; ///< that the start named
     OwnerIndex owner = NoOwner;
--- a/core/src/agent/task_controller.cpp
+++ b/core/src/agent/task_controller.cpp
@@ -156,6 +156,7 @@
     LedgerRecord record;
     record.slot = slot;
     record.owner = owner;
+    record.digest = task.digest;
     record.state = TaskState::Queued;
     m_state.ledger.insert(step.context.now, task.task, std::move(record));
     ActiveTask active;
