Change: [core] Order jobs by the work they have waiting, with ageing, longest task first

Cause: in order of arrival a job of one task waits behind jobs of hundreds. Change: a job's turn is its arrival plus 50 times what all slots need for its waiting tasks, at the latest shortly before its deadline. Result: tests of core pass, one for each rule of order.

--- a/core/src/dispatch/dispatcher_private.h
+++ b/core/src/dispatch/dispatcher_private.h
@@ -19,12 +19,6 @@
 class Dispatcher::Private
 {
 public:
-    /** Workers and queue of one service. */
-    struct Service {
-        WorkerPool pool;
-        ServiceQueue queue;
-    };
-
     /** A task that was placed and has not come back. */
     struct PlacedTask {
         JobEntry *entry = nullptr;
@@ -43,6 +37,7 @@
     void countWaiting(JobEntry &entry, const WaitingTask &task, std::int32_t sign);
     void removeWaiting(JobEntry &entry, std::size_t position);
     std::vector<TaskIndex> removeAllWaiting(JobEntry &entry);
+    [[nodiscard]] JobRank rankOf(JobEntry &entry) const;
     void refresh(JobEntry &entry);
     void releaseIfDone(JobEntry &entry);
 
--- a/core/src/dispatch/job_entry.h
+++ b/core/src/dispatch/job_entry.h
@@ -12,6 +12,7 @@
 namespace Sycamoremoor {
 
 class ServiceQueue;
+struct Service;
 
 /** A task that waits to be placed. */
 struct WaitingTask {
@@ -44,6 +45,7 @@
 /** A job with tasks that wait or are placed. */
 struct JobEntry {
     JobSpecPointer job;
+    Service *service = nullptr;
     ServiceQueue *queue = nullptr;
     TeamUse *team = nullptr;
     MonotonicTime arrival;
--- a/core/src/dispatch/service_queue.h
+++ b/core/src/dispatch/service_queue.h
@@ -74,4 +74,10 @@
     Duration m_waitingWork{};
 };
 
+/** Workers and queue of one service. */
+struct Service {
+    WorkerPool pool;
+    ServiceQueue queue;
+};
+
 } // namespace Sycamoremoor
--- a/core/src/dispatch_state.cpp
+++ b/core/src/dispatch_state.cpp
@@ -7,6 +7,12 @@
 
 namespace {
 
+/** A job goes behind jobs that arrive later by up to so many times the time that all slots need for what it has waiting. */
+constexpr double WorkFactor = 50;
+
+/** A job's turn comes before its deadline by so many times the time that it needs on all slots, and its longest task. */
+constexpr double UrgencyFactor = 2;
+
 /** Tells whether @p left is placed after @p right: shorter ones later, equal ones by index. */
 bool goesLater(const WaitingTask &left, const WaitingTask &right)
 {
@@ -21,7 +27,8 @@
     auto &entry = found->second;
     if (isNew) {
         entry.job = job;
-        entry.queue = &services[job->service].queue;
+        entry.service = &services[job->service];
+        entry.queue = &entry.service->queue;
         entry.team = &quotas.use(job->team);
         entry.arrival = now;
     }
@@ -63,9 +70,19 @@
     return tasks;
 }
 
+JobRank Dispatcher::Private::rankOf(JobEntry &entry) const
+{
+    const auto slots = std::max<std::int64_t>(1, entry.service->pool.slots());
+    const auto share = static_cast<double>(entry.work.count()) / static_cast<double>(slots);
+    const auto longest = entry.waiting.empty() ? Duration::zero() : entry.waiting.back().expected;
+    const auto byWork = entry.arrival + Duration(static_cast<std::int64_t>(WorkFactor * share));
+    const auto byDeadline = entry.deadline - longest - Duration(static_cast<std::int64_t>(UrgencyFactor * share));
+    return {std::min(byWork, byDeadline), entry.job->key, &entry};
+}
+
 void Dispatcher::Private::refresh(JobEntry &entry)
 {
-    entry.queue->refresh(entry, {entry.arrival, entry.job->key, &entry});
+    entry.queue->refresh(entry, rankOf(entry));
     const JobRank expiry{entry.deadline, entry.job->key, &entry};
     if (entry.expiry.entry != nullptr && (entry.waiting.empty() || entry.expiry.at != expiry.at)) {
         expiries.erase(entry.expiry);
--- /dev/null
+++ b/core/tests/dispatch_order_test.cpp
@@ -0,0 +1,133 @@
+// Order of placement: jobs, the tasks of a job, teams, zones and sizes.
+#include "dispatch_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+namespace Sycamoremoor {
+
+namespace {
+
+constexpr TaskSize Small{MilliCores(1'000), Megabytes(256), Accelerators(0)};
+constexpr TaskSize Whole{MilliCores(30'000), Megabytes(256), Accelerators(0)};
+
+/** Fills the only worker, so that what is submitted later waits. Returns the job. */
+JobSpecPointer fill(DispatchFixture &fixture)
+{
+    fixture.addWorkers(1);
+    auto job = fixture.submit(8, Small);
+    EXPECT_EQ(fixture.dispatcher.place(fixture.now, 1).size(), 8U);
+    return job;
+}
+
+/** Ends the first task of @p job and returns what is placed then. */
+std::vector<Placement> freeOne(DispatchFixture &fixture, const JobSpecPointer &job, std::uint32_t index)
+{
+    fixture.end({job->key, TaskIndex(index)}, PlacementEnd::Kind::Succeeded);
+    return fixture.dispatcher.place(fixture.now, 1);
+}
+
+} // namespace
+
+TEST(DispatchOrder, SmallJobsGoBeforeLargeOnes)
+{
+    DispatchFixture fixture;
+    const auto first = fill(fixture);
+    fixture.submit(100, Small);
+    const auto small = fixture.submit(1, Small);
+    const auto placed = freeOne(fixture, first, 0);
+    ASSERT_EQ(placed.size(), 1U);
+    EXPECT_EQ(placed.front().task.submission, small->key);
+}
+
+TEST(DispatchOrder, LargeJobsDoNotStarveBehindAStreamOfSmallOnes)
+{
+    DispatchFixture fixture;
+    const auto first = fill(fixture);
+    const auto large = fixture.submit(40, Small);
+    std::vector<TaskId> running;
+    for (std::uint32_t index = 0; index < 8; ++index) {
+        running.push_back({first->key, TaskIndex(index)});
+    }
+    std::set<TaskIndex> started;
+    const auto until = fixture.now + fixture.deadline;
+    while (fixture.now < until && started.size() < large->tasks.size()) {
+        fixture.submit(8, Small);
+        for (const auto &task : running) {
+            fixture.end(task, PlacementEnd::Kind::Succeeded);
+        }
+        running.clear();
+        for (const auto &placement : fixture.dispatcher.place(fixture.now, 1)) {
+            running.push_back(placement.task);
+            if (placement.task.submission == large->key) {
+                started.insert(placement.task.index);
+            }
+        }
+        fixture.now += std::chrono::milliseconds(100);
+    }
+    EXPECT_EQ(started.size(), large->tasks.size());
+}
+
+TEST(DispatchOrder, TheLongestTaskOfAJobGoesFirst)
+{
+    DispatchFixture fixture;
+    const auto first = fill(fixture);
+    auto job = fixture.makeJob(3, Small);
+    job.tasks[1].declaredRunTime = std::chrono::seconds(2);
+    fixture.enqueue(job);
+    const auto placed = freeOne(fixture, first, 0);
+    ASSERT_EQ(placed.size(), 1U);
+    EXPECT_EQ(placed.front().task.index, TaskIndex(1));
+}
+
+TEST(DispatchOrder, TasksOfAJobSpreadOverWorkers)
+{
+    DispatchFixture fixture;
+    fixture.addWorkers(8);
+    fixture.submit(16, Small);
+    std::map<AgentName, int> perWorker;
+    for (const auto &placement : fixture.dispatcher.place(fixture.now, 1)) {
+        ++perWorker[placement.agent];
+    }
+    for (const auto &[agent, tasks] : perWorker) {
+        EXPECT_LE(tasks, 4) << agent.value();
+    }
+}
+
+TEST(DispatchOrder, TheOwnZoneGoesFirstWhileItIsIdle)
+{
+    DispatchFixture fixture;
+    fixture.addWorkers(2);
+    fixture.submit(1, Small);
+    const auto placed = fixture.dispatcher.place(fixture.now, 1);
+    ASSERT_EQ(placed.size(), 1U);
+    EXPECT_EQ(placed.front().agent, fixture.worker(0).agent);
+}
+
+TEST(DispatchOrder, TeamsShareSlotsByWeight)
+{
+    DispatchFixture fixture;
+    fixture.config->teams[TeamName("couriers")].weight = 3;
+    fixture.dispatcher.configure(fixture.config, 1);
+    fixture.addWorkers(1);
+    fixture.submit(20, Small, "intake");
+    const auto couriers = fixture.submit(20, Small, "couriers");
+    int ofCouriers = 0;
+    for (const auto &placement : fixture.dispatcher.place(fixture.now, 1)) {
+        ofCouriers += placement.task.submission == couriers->key ? 1 : 0;
+    }
+    EXPECT_EQ(ofCouriers, 6);
+}
+
+TEST(DispatchOrder, ATaskThatFitsNowhereNowDoesNotHoldUpOthers)
+{
+    DispatchFixture fixture;
+    const auto first = fill(fixture);
+    fixture.submit(1, Whole);
+    fixture.submit(2, Small);
+    EXPECT_EQ(freeOne(fixture, first, 0).size(), 1U);
+}
+
+} // namespace Sycamoremoor
