Add: [core] Learn run times by service and kind

Cause: declared run times are off by factors, so the order by work is wrong. Change: two predictors a kind, the usual run time and the usual ratio to the declaration, as moving means of the logarithm; the one with the lesser error counts. At most 2,000 kinds; the one unused for longest is forgotten.

--- a/core/src/dispatch/dispatcher_private.h
+++ b/core/src/dispatch/dispatcher_private.h
@@ -3,6 +3,7 @@
 
 #include "job_entry.h"
 #include "quota_ledger.h"
+#include "run_time_estimator.h"
 #include "service_queue.h"
 #include "worker.h"
 #include "worker_pool.h"
@@ -54,6 +55,7 @@
     DispatcherHooks hooks;
     std::shared_ptr<const ConfigSet> config;
     QuotaLedger quotas;
+    RunTimeEstimator estimator;
     std::map<ServiceName, Service> services;
     std::unordered_map<AgentName, Worker> workers;
     std::unordered_map<SubmissionKey, JobEntry> jobs;
--- a/core/src/dispatch_state.cpp
+++ b/core/src/dispatch_state.cpp
@@ -38,7 +38,7 @@
 void Dispatcher::Private::addWaiting(JobEntry &entry, TaskIndex task)
 {
     const auto &spec = entry.job->tasks[task.value()];
-    const WaitingTask waiting{task, spec.declaredRunTime};
+    const WaitingTask waiting{task, estimator.expected(entry.job->service, spec.kind, spec.declaredRunTime)};
     entry.waiting.insert(std::ranges::upper_bound(entry.waiting, waiting, goesLater), waiting);
     countWaiting(entry, waiting, 1);
 }
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -116,6 +116,10 @@
     auto &entry = *placed.entry;
     d->placed.erase(found);
     d->countEnded(placed);
+    if (end.kind == PlacementEnd::Kind::Succeeded && end.runTime > Duration::zero()) {
+        const auto &spec = entry.job->tasks[task.index.value()];
+        d->estimator.learn(entry.job->service, spec.kind, spec.declaredRunTime, end.runTime);
+    }
     const bool mayGoBack = end.kind == PlacementEnd::Kind::NotStarted && !placed.adopted && !entry.cancelled;
     const bool goesBack = mayGoBack && entry.deadline > now;
     if (goesBack) {
@@ -126,9 +130,9 @@
     return goesBack;
 }
 
-Duration Dispatcher::expectedRunTime(const ServiceName & /*service*/, const TaskKind & /*kind*/, Duration declared) const
+Duration Dispatcher::expectedRunTime(const ServiceName &service, const TaskKind &kind, Duration declared) const
 {
-    return declared;
+    return d->estimator.expected(service, kind, declared);
 }
 
 std::optional<MonotonicTime> Dispatcher::nextWake() const
--- /dev/null
+++ b/core/tests/dispatch_run_time_estimator_test.cpp
@@ -0,0 +1,88 @@
+// Learned run times, held against declarations that are far off.
+#include "../src/dispatch/run_time_estimator.h"
+
+#include <gtest/gtest.h>
+
+namespace Sycamoremoor {
+
+namespace {
+
+const ServiceName Service("reclaim-desk");
+const TaskKind Kind("assess");
+constexpr std::size_t MostKindsRemembered = 2'000;
+
+struct EstimateCase {
+    const char *name;
+    int samples;
+    Duration declared;
+    Duration observed;
+    Duration least;
+    Duration most;
+};
+
+constexpr Duration ms(std::int64_t count)
+{
+    return std::chrono::milliseconds(count);
+}
+
+} // namespace
+
+class RunTimeEstimatorTest : public testing::TestWithParam<EstimateCase>
+{
+};
+
+TEST_P(RunTimeEstimatorTest, MovesFromTheDeclarationToWhatWasObserved)
+{
+    const auto &row = GetParam();
+    RunTimeEstimator estimator;
+    for (int sample = 0; sample < row.samples; ++sample) {
+        estimator.learn(Service, Kind, row.declared, row.observed);
+    }
+    const auto expected = estimator.expected(Service, Kind, row.declared);
+    EXPECT_GE(expected, row.least);
+    EXPECT_LE(expected, row.most);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases,
+                         RunTimeEstimatorTest,
+                         testing::Values(EstimateCase{"Unknown", 0, ms(500), ms(0), ms(500), ms(500)},
+                                         EstimateCase{"FirstSample", 1, ms(500), ms(50), ms(200), ms(400)},
+                                         EstimateCase{"DeclaredTooLong", 200, ms(5'000), ms(50), ms(45), ms(60)},
+                                         EstimateCase{"DeclaredTooShort", 200, ms(5), ms(800), ms(700), ms(900)},
+                                         EstimateCase{"NothingDeclared", 50, ms(0), ms(300), ms(290), ms(310)}),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+TEST(RunTimeEstimator, UsesTheDeclarationWhereItTellsTasksApart)
+{
+    RunTimeEstimator estimator;
+    for (int sample = 0; sample < 100; ++sample) {
+        estimator.learn(Service, Kind, ms(100), ms(200));
+        estimator.learn(Service, Kind, ms(1'000), ms(2'000));
+    }
+    EXPECT_LT(estimator.expected(Service, Kind, ms(100)), ms(300));
+    EXPECT_GT(estimator.expected(Service, Kind, ms(1'000)), ms(1'500));
+}
+
+TEST(RunTimeEstimator, ForgetsTheKindUnusedForLongest)
+{
+    RunTimeEstimator estimator;
+    for (std::size_t kind = 0; kind < 2 * MostKindsRemembered; ++kind) {
+        estimator.learn(Service, TaskKind(std::to_string(kind)), ms(100), ms(200));
+    }
+    EXPECT_EQ(estimator.size(), MostKindsRemembered);
+    EXPECT_EQ(estimator.expected(Service, TaskKind("0"), ms(7)), ms(7));
+}
+
+TEST(RunTimeEstimator, TellsNoLeastRunTimeBeforeItKnowsEnough)
+{
+    RunTimeEstimator estimator;
+    estimator.learn(Service, Kind, ms(100), ms(200));
+    EXPECT_EQ(estimator.least(Service, Kind, ms(100)), Duration::zero());
+    for (int sample = 0; sample < 100; ++sample) {
+        estimator.learn(Service, Kind, ms(100), ms(200));
+    }
+    EXPECT_GT(estimator.least(Service, Kind, ms(100)), ms(150));
+    EXPECT_LE(estimator.least(Service, Kind, ms(100)), ms(200));
+}
+
+} // namespace Sycamoremoor
