--- a/bench/dispatch_simulate.cpp
+++ b/bench/dispatch_simulate.cpp
@@ -95,7 +95,7 @@
             WorkloadSettings workload;
             workload.jobs = jobs;
             workload.load = load;
-           
+
             const auto work = makeWorkload(workload);
             const auto ideal = idealResponses(work, workload.slots);
             for (const auto &policy : PolicyTable) {
