--- a/ctl/src/commands.h
+++ b/ctl/src/commands.h
@@ -23,6 +23,7 @@
 ExitCode configHistoryCommand(const Options &options);
 ExitCode configShowCommand(const Options &options);
 ExitCode configWatchCommand(const Options &options);
+ExitCode loadCommand(const Options &options);
 
 /** Returns the table of all commands. */
 const std::vector<CommandRow> &commandTable();
--- a/ctl/src/entry_directory.cpp
+++ b/ctl/src/entry_directory.cpp
@@ -83,6 +83,7 @@
 {
     const auto entries = findEntries(options);
     std::vector<Endpoint> endpoints;
+    endpoints.reserve(entries.size());
     for (const auto &entry : entries) {
         endpoints.push_back(entry.endpoint);
     }
--- a/ctl/src/options.cpp
+++ b/ctl/src/options.cpp
@@ -72,6 +72,7 @@
 std::vector<option> getoptRows(const std::vector<OptionRow> &rows)
 {
     std::vector<option> options;
+    options.reserve(rows.size() + 2);
     for (const auto &row : rows) {
         options.push_back({row.name.data(), row.kind == OptionKind::Switch ? no_argument : required_argument, nullptr, 0});
     }
@@ -113,6 +114,7 @@
     std::vector<std::string> words{std::string(command.name)};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char *> pointers;
+    pointers.reserve(words.size() + 1);
     for (auto &word : words) {
         pointers.push_back(word.data());
     }
