--- a/core/tests/entry_fleet.h
+++ b/core/tests/entry_fleet.h
@@ -83,8 +83,8 @@
     ConnectionId submit(const std::string &entry, const JobSpecPointer &job);
     void input(const std::string &entry, EntryInput input);
 
-    /** Ends the tasks that an agent holds. */
-    void release(std::size_t agent);
+    /** Ends the tasks that an agent holds. @param owner who is told; by default the owner that the agent knows */
+    void release(std::size_t agent, const std::optional<EntryName> &owner = std::nullopt);
 
     [[nodiscard]] JobAnswerPointer answerTo(ConnectionId connection) const;
     [[nodiscard]] EntryMachine &machine(const std::string &name);
--- a/core/tests/entry_fleet_agents.cpp
+++ b/core/tests/entry_fleet_agents.cpp
@@ -190,7 +190,7 @@
          TaskReportsReceived{TaskReports{agent.name, agent.incarnation, m_nodes.at(to).settings.incarnation, 0, 0, std::move(reports)}});
 }
 
-void EntryFleet::release(std::size_t index)
+void EntryFleet::release(std::size_t index, const std::optional<EntryName> &owner)
 {
     auto &agent = agents[index];
     agent.holds = false;
@@ -200,8 +200,8 @@
             reports.push_back(endTask(agent, id));
         }
     }
-    const EntryName owner = agent.roster == nullptr ? EntryName() : agent.roster->slots.front().owner;
-    agentTells(agent, owner, std::move(reports));
+    const EntryName known = agent.roster == nullptr ? EntryName() : agent.roster->slots.front().owner;
+    agentTells(agent, owner.value_or(known), std::move(reports));
 }
 
 } // namespace Sycamoremoor
