Fix: [core] Count a key's freshness from the moment the owner acts, not from the roster write

Cause: a new owner took keys as new that were made more than twice the clock skew after the roster was written. The former owner's last proof of membership can outlast that write by the serving lease, so it could have taken and started such a key: a second start on resubmission. Ruled out: the agents' tokens, which refuse late starts but do not undo the earlier one. Change: the bound counts from the wall time at which no former owner can act any more. Tested: a key made 3.9 s after that moment, with agents that give no ledger, started at once before (1 of 4 rows of the new table failed); all 4 rows pass now, 93 of 93 tests in core.

--- a/core/src/entry/roster_controller.cpp
+++ b/core/src/entry/roster_controller.cpp
@@ -428,7 +428,6 @@
         Tenure taken;
         taken.slot = OwnerSlotIndex(index);
         taken.token = slot.token;
-        taken.since = slot.since;
         taken.learnedAt = step.now();
         taken.former = slot.former;
         next.push_back(std::move(taken));
@@ -462,6 +461,7 @@
         if (!waits && (!needsMajority || leaseOver)) {
             held.exclusive = true;
             held.exclusiveAt = step.now();
+            held.exclusiveSince = step.wall();
             step.log(Severity::Info, Part, "acting for owner slot " + std::to_string(held.slot.value()));
             step.emit(Observation{HistogramMetric::TakeoverSeconds, toSeconds(step.now() - held.learnedAt)});
         }
--- a/core/src/entry/roster_controller.h
+++ b/core/src/entry/roster_controller.h
@@ -27,13 +27,13 @@
 struct Tenure {
     OwnerSlotIndex slot;
     Epoch token;
-    WallTime since{};
     MonotonicTime learnedAt;
     std::vector<FormerOwner> former;
     std::optional<MonotonicTime> provenAt;   ///< when the newest linearizable read that names us was sent
     std::optional<MonotonicTime> majorityAt; ///< when enough members were found to know the token
     bool exclusive = false;                  ///< no former owner can act any more
     MonotonicTime exclusiveAt;
+    WallTime exclusiveSince{}; ///< the same moment by the wall clock
 };
 
 /** Keeps the roster and decides whether this entry may act for its owner slots. */
--- a/core/src/entry/takeover_controller.cpp
+++ b/core/src/entry/takeover_controller.cpp
@@ -25,7 +25,8 @@
     if (tenure.former.empty()) {
         return false;
     }
-    return key.created() <= tenure.since + 2 * m_parts.settings.clockSkew;
+    // Until then a former owner could take keys as far ahead of its clock as the skew bound allows.
+    return key.created() <= tenure.exclusiveSince + 2 * m_parts.settings.clockSkew;
 }
 
 void TakeoverController::prove(EntryStep &step, const Submission &submission, OwnerSlotIndex slot)
