--- a/ctl/src/load_cmd.cpp
+++ b/ctl/src/load_cmd.cpp
@@ -21,7 +21,6 @@
 namespace {
 
 constexpr std::string_view StartPath = "/internal/v1/start-tasks";
-constexpr std::string_view ReportPath = "/internal/v1/task-reports";
 
 /** Everything that was measured. */
 struct Measured {
@@ -72,20 +71,29 @@
     return report;
 }
 
-/** Counts a request and its response as two; a start's response is the reports that stream back. Heartbeats are apart. */
+/**
+ * Returns how many messages the requests of one path were. A request and its response are two, but a start's response is
+ * the reports that stream back, each received one being counted at its own path.
+ */
+double messagesOf(const std::string &path, double requests, const std::map<std::string, double> &streamed)
+{
+    if (path == StartPath) {
+        return requests;
+    }
+    const auto found = streamed.find(path);
+    const auto streams = found == streamed.end() ? 0 : std::min(requests, found->second);
+    return streams + (2 * (requests - streams));
+}
+
+/** Heartbeats are told, and left out of the sums. */
 Json messageReport(const Measured &measured)
 {
     Json byKind = Json::object();
     double total = 0;
-    for (const auto &[path, count] : measured.messages.byPath) {
-        byKind[path] = path == StartPath ? count : 2 * count;
-        total += path.find("heartbeat") == std::string::npos ? byKind[path].get<double>() : 0;
-    }
-    for (const auto &[path, count] : measured.messages.reports) {
-        if (path == ReportPath) {
-            byKind["streamed " + path] = count;
-            total += count;
-        }
+    for (const auto &[path, requests] : measured.messages.byPath) {
+        const auto messages = messagesOf(path, requests, measured.messages.reports);
+        byKind[path] = messages;
+        total += path.find("heartbeat") == std::string::npos ? messages : 0;
     }
     const auto counter = [&measured](const std::string &name) {
         const auto found = measured.messages.counters.find("sycamoremoor_" + name + "_total");
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -166,18 +166,19 @@
             time.sleep(0.1)
 
     def _is_ready(self):
-        if any(http(entry.port, "/readyz")[0] != 200 for entry in self.of_role("entry")):
+        statuses = self.entry_statuses()
+        if len(statuses) < len(self.entry_zones):
             return False
-        return len(self.reachable_agents()) == len(self.placements)
+        rosters = [status.get("roster") or {} for status in statuses]
+        if any(len(roster.get("members", [])) != len(self.entry_zones) for roster in rosters):
+            return False
+        agents = {worker["agent"] for status in statuses for worker in status["workers"] if worker["reachable"]}
+        return all(status["ready"] for status in statuses) and len(agents) == len(self.placements)
 
-    def reachable_agents(self):
-        """Returns the names of agents that some entry may place tasks on."""
-        names = set()
-        for entry in self.of_role("entry"):
-            status, body = http(entry.port, "/v1/status")
-            if status == 200:
-                names |= {worker["agent"] for worker in json.loads(body)["workers"] if worker["reachable"]}
-        return names
+    def entry_statuses(self):
+        """Returns what each entry that answers says of itself."""
+        replies = [http(entry.port, "/v1/status") for entry in self.of_role("entry")]
+        return [json.loads(body) for status, body in replies if status == 200]
 
     def ctl(self, *words, check=False, text=None):
         """Runs sycamorectl against this fleet."""
@@ -189,8 +190,8 @@
         return result
 
     def stop(self):
-        """Ends everything by SIGTERM, entries first; raises if a process does not end well by itself."""
-        for role in ("entry", "agent", "runner", "platform"):
+        """Ends everything by SIGTERM, agents first, so that they can still report; raises if a process does not end well by itself."""
+        for role in ("agent", "entry", "runner", "platform"):
             processes = self.of_role(role)
             for process in processes:
                 process.signal(signal.SIGTERM)
