Add: [net] HTTP server and client on libevent, and the tasks that drive entry and agent

Each task owns its sockets and its machine on one event loop; parts are joined by sigc++ signals and other threads write to the loop's mailbox. Reading stops while an answer is pending and a hang-up is noticed by the socket's closing, since evhttp ends the process on a second request that comes early. A request that does not arrive whole in time is answered 408. A failed call is 'not sent' only if no byte left the output buffer.

Tested: 15 tests of server and client pass, bad and slow senders among them.

--- /dev/null
+++ b/net/include/sycamoremoor/net/http_client.h
@@ -0,0 +1,51 @@
+// A client of HTTP on an event loop, with a pool of connections to each endpoint.
+#pragma once
+
+#include <sycamoremoor/net/http_type.h>
+#include <sycamoremoor/net/timer.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace Sycamoremoor {
+
+class ClientConnection;
+class EventLoop;
+
+/** Sends requests, one at a time on each connection. */
+class HttpClient
+{
+public:
+    using Done = std::function<void(ClientResult)>;
+
+    explicit HttpClient(EventLoop &loop);
+    /** Drops every open call without calling its hook. */
+    ~HttpClient();
+
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    /** Sends a request. @param done called once, never from within this call */
+    void send(ClientCall call, Done done);
+
+    /** Returns how many connections are open or kept for reuse. */
+    [[nodiscard]] std::size_t connections() const;
+
+private:
+    using Connections = std::vector<std::unique_ptr<ClientConnection>>;
+
+    void finished(ClientConnection *connection, bool reusable);
+    void discardIdle(const Endpoint &endpoint);
+    void sweep();
+    ClientConnection *connectionFor(const ClientCall &call);
+
+    EventLoop &m_loop;
+    std::map<Endpoint, Connections> m_connections;
+    Connections m_discarded;
+    Timer m_freeDiscarded;
+    Timer m_sweep;
+};
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/net/include/sycamoremoor/net/log_func.h
@@ -0,0 +1,31 @@
+// The log: short sentences with the prefix of the part that speaks.
+#pragma once
+
+#include <sycamoremoor/core/step_type.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Sycamoremoor {
+
+/** How log lines are written. */
+enum class LogFormat {
+    Text, ///< time, level, part, sentence
+    Json, ///< one object a line
+    End,
+};
+
+/** Sets up the log of this process, on standard error. */
+void startLog(Severity level, LogFormat format);
+
+/** Writes one line. */
+void writeLog(const LogLine &line);
+
+/** Returns the level called debug, info, warning or error. */
+std::optional<Severity> severityFromName(std::string_view name);
+
+/** Returns the format called text or json. */
+std::optional<LogFormat> logFormatFromName(std::string_view name);
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/net/include/sycamoremoor/net/machine_driver.h
@@ -0,0 +1,103 @@
+// Feeds a decision machine with time, randomness and inputs, one at a time, and has its outputs carried out.
+#pragma once
+
+#include <sycamoremoor/core/account_type.h>
+#include <sycamoremoor/core/entry_input_type.h>
+#include <sycamoremoor/core/step_type.h>
+#include <sycamoremoor/net/clock_func.h>
+#include <sycamoremoor/net/log_func.h>
+#include <sycamoremoor/net/metric_registry.h>
+#include <sycamoremoor/net/timer.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace Sycamoremoor {
+
+/** Writes an audit record to the log. */
+void logAudit(const AuditRecord &record);
+
+/**
+ * Drives one machine.
+ *
+ * @tparam Task carries out the outputs that are not common to all machines, by an overload of carryOut() for each
+ */
+template<typename Machine, typename Input, typename Output, typename Task>
+class MachineDriver
+{
+public:
+    MachineDriver(EventLoop &loop, Machine machine, MetricRegistry &metrics, std::function<std::uint64_t()> randomBits, Task &task)
+        : m_machine(std::move(machine))
+        , m_metrics(metrics)
+        , m_randomBits(std::move(randomBits))
+        , m_task(task)
+        , m_timer(loop, [this] { feed(Tick{}); })
+    {
+    }
+
+    /** Takes an input, at once or after the ones before it. */
+    void feed(Input input)
+    {
+        m_inputs.push_back(std::move(input));
+        if (m_stepping) {
+            return;
+        }
+        m_stepping = true;
+        while (!m_inputs.empty()) {
+            step();
+        }
+        m_stepping = false;
+    }
+
+    [[nodiscard]] const Machine &machine() const
+    {
+        return m_machine;
+    }
+
+private:
+    static constexpr Duration LongestTimer = std::chrono::hours(1);
+
+    void step()
+    {
+        auto input = std::move(m_inputs.front());
+        m_inputs.pop_front();
+        std::vector<Output> outputs;
+        m_machine.step({monotonicNow(), wallNow(), m_randomBits()}, std::move(input), outputs);
+        for (const auto &output : outputs) {
+            std::visit([this](const auto &content) { carryOut(content); }, output);
+        }
+    }
+
+    template<typename Content>
+    void carryOut(const Content &content)
+    {
+        if constexpr (std::is_same_v<Content, SetTimer>) {
+            const auto now = monotonicNow();
+            m_timer.start(content.at <= now ? Duration::zero() : std::min(LongestTimer, content.at - now));
+        } else if constexpr (std::is_same_v<Content, LogLine>) {
+            writeLog(content);
+        } else if constexpr (std::is_same_v<Content, AuditRecord>) {
+            logAudit(content);
+        } else if constexpr (std::is_same_v<Content, Observation> || std::is_same_v<Content, Count>) {
+            m_metrics.add(content);
+        } else {
+            m_task.carryOut(content);
+        }
+    }
+
+    Machine m_machine;
+    MetricRegistry &m_metrics;
+    std::function<std::uint64_t()> m_randomBits;
+    Task &m_task;
+    Timer m_timer;
+    std::deque<Input> m_inputs;
+    bool m_stepping = false;
+};
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/net/src/http_exchange.cpp
@@ -0,0 +1,157 @@
+// One request that a server has received, until its reply is sent.
+#include <sycamoremoor/net/http_exchange.h>
+
+#include <sycamoremoor/net/http_server.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include <string>
+#include <utility>
+
+namespace Sycamoremoor {
+
+namespace {
+
+void addHeader(evhttp_request *handle, const char *name, const std::string &value)
+{
+    evhttp_add_header(evhttp_request_get_output_headers(handle), name, value.c_str());
+}
+
+} // namespace
+
+HttpExchange::HttpExchange(HttpServer &server, evhttp_request *handle, ServerRequest request)
+    : m_server(server)
+    , m_handle(handle)
+    , m_request(std::move(request))
+{
+    watchHangUp();
+}
+
+HttpExchange::~HttpExchange()
+{
+    if (m_hangUp != nullptr) {
+        event_free(m_hangUp);
+    }
+}
+
+const ServerRequest &HttpExchange::request() const
+{
+    return m_request;
+}
+
+void HttpExchange::onGone(std::function<void()> hook)
+{
+    m_gone = std::move(hook);
+}
+
+void HttpExchange::reply(const ServerReply &reply)
+{
+    if (m_handle == nullptr) {
+        return;
+    }
+    addHeader(m_handle, "Content-Type", std::string(reply.contentType));
+    for (const auto &[name, value] : reply.headers) {
+        addHeader(m_handle, name.c_str(), value);
+    }
+    addConnectionHeader();
+    auto *body = evbuffer_new();
+    evbuffer_add(body, reply.body.data(), reply.body.size());
+    auto *handle = m_handle;
+    finish();
+    evhttp_send_reply(handle, reply.status, nullptr, body);
+    evbuffer_free(body);
+}
+
+void HttpExchange::stream(std::string_view part)
+{
+    if (m_handle == nullptr) {
+        return;
+    }
+    startStream();
+    auto *chunk = evbuffer_new();
+    evbuffer_add(chunk, part.data(), part.size());
+    evhttp_send_reply_chunk(m_handle, chunk);
+    evbuffer_free(chunk);
+}
+
+void HttpExchange::endStream()
+{
+    if (m_handle == nullptr) {
+        return;
+    }
+    startStream();
+    auto *handle = m_handle;
+    finish();
+    evhttp_send_reply_end(handle);
+}
+
+void HttpExchange::startStream()
+{
+    if (!m_streaming) {
+        m_streaming = true;
+        addHeader(m_handle, "Content-Type", "application/x-ndjson");
+        addConnectionHeader();
+        evhttp_send_reply_start(m_handle, HTTP_OK, nullptr);
+    }
+}
+
+void HttpExchange::addConnectionHeader()
+{
+    if (m_server.isDraining()) {
+        addHeader(m_handle, "Connection", "close");
+    }
+}
+
+void HttpExchange::watchHangUp()
+{
+    auto *connection = evhttp_request_get_connection(m_handle);
+    auto *transport = evhttp_connection_get_bufferevent(connection);
+    // Reading on would stop the process when the other end sends a second request before the first is answered.
+    bufferevent_disable(transport, EV_READ);
+    evhttp_connection_set_closecb(connection, &HttpExchange::connectionClosed, this);
+    m_hangUp = event_new(bufferevent_get_base(transport), bufferevent_getfd(transport), EV_CLOSED, &HttpExchange::hungUp, this);
+    event_add(m_hangUp, nullptr);
+}
+
+void HttpExchange::hungUp(int /*socket*/, short /*what*/, void *self)
+{
+    auto *exchange = static_cast<HttpExchange *>(self);
+    if (exchange->m_handle != nullptr) {
+        evhttp_connection_free(evhttp_request_get_connection(exchange->m_handle));
+    }
+}
+
+void HttpExchange::connectionClosed(evhttp_connection *connection, void *self)
+{
+    auto *exchange = static_cast<HttpExchange *>(self);
+    exchange->hangUp();
+    exchange->m_server.closed(exchange, connection);
+}
+
+void HttpExchange::hangUp()
+{
+    auto *handle = std::exchange(m_handle, nullptr);
+    event_del(m_hangUp);
+    const auto gone = std::exchange(m_gone, nullptr);
+    if (handle == nullptr) {
+        return;
+    }
+    if (gone) {
+        gone();
+    }
+    if (evhttp_request_get_connection(handle) == nullptr) {
+        evhttp_request_free(handle);
+    }
+}
+
+void HttpExchange::finish()
+{
+    m_handle = nullptr;
+    m_gone = nullptr;
+    event_del(m_hangUp);
+}
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/net/src/log_func.cpp
@@ -0,0 +1,106 @@
+// The log: short sentences with the prefix of the part that speaks.
+#include <sycamoremoor/net/log_func.h>
+
+#include <sycamoremoor/net/clock_func.h>
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/make_shared.hpp>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <atomic>
+#include <ctime>
+#include <iostream>
+
+namespace Sycamoremoor {
+
+namespace {
+
+namespace logging = boost::log;
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(Severity::End)> SeverityNames{"debug", "info", "warning", "error"};
+constexpr std::array<std::string_view, static_cast<std::size_t>(LogFormat::End)> FormatNames{"text", "json"};
+constexpr std::int64_t MicrosecondsPerSecond = 1'000'000;
+
+std::atomic<LogFormat> currentFormat{LogFormat::Text};
+std::atomic<Severity> currentLevel{Severity::Info};
+
+/** Returns the time in UTC as 2026-01-02T03:04:05.678901Z. */
+std::string timestamp(WallTime time)
+{
+    const auto microseconds = time.time_since_epoch().count();
+    const std::time_t seconds = microseconds / MicrosecondsPerSecond;
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 64> text{};
+    const auto length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::snprintf(text.data() + length, text.size() - length, ".%06lldZ", static_cast<long long>(microseconds % MicrosecondsPerSecond));
+    return text.data();
+}
+
+std::string formatLine(const LogLine &line)
+{
+    const auto severity = SeverityNames.at(static_cast<std::size_t>(line.severity));
+    const auto time = timestamp(wallNow());
+    if (currentFormat == LogFormat::Text) {
+        return time + " " + std::string(severity) + " " + std::string(line.part) + ": " + line.text;
+    }
+    const nlohmann::ordered_json json{{"time", time}, {"level", severity}, {"part", line.part}, {"text", line.text}};
+    return json.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+template<typename Enum, std::size_t Size>
+std::optional<Enum> fromName(const std::array<std::string_view, Size> &names, std::string_view name)
+{
+    for (std::size_t index = 0; index < Size; ++index) {
+        if (names.at(index) == name) {
+            return static_cast<Enum>(index);
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+void startLog(Severity level, LogFormat format)
+{
+    using Backend = logging::sinks::text_ostream_backend;
+    currentLevel = level;
+    currentFormat = format;
+    auto backend = boost::make_shared<Backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream * /*stream*/) {}));
+    backend->auto_flush(true);
+    logging::core::get()->remove_all_sinks();
+    logging::core::get()->add_sink(boost::make_shared<logging::sinks::synchronous_sink<Backend>>(backend));
+}
+
+void writeLog(const LogLine &line)
+{
+    if (line.severity < currentLevel) {
+        return;
+    }
+    static thread_local logging::sources::severity_logger<Severity> logger;
+    if (auto record = logger.open_record(logging::keywords::severity = line.severity); record) {
+        logging::record_ostream stream(record);
+        stream << formatLine(line);
+        stream.flush();
+        logger.push_record(boost::move(record));
+    }
+}
+
+std::optional<Severity> severityFromName(std::string_view name)
+{
+    return fromName<Severity>(SeverityNames, name);
+}
+
+std::optional<LogFormat> logFormatFromName(std::string_view name)
+{
+    return fromName<LogFormat>(FormatNames, name);
+}
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/net/src/socket_func.cpp
@@ -0,0 +1,80 @@
+// Options of TCP sockets.
+#include "socket_func.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+
+namespace Sycamoremoor {
+
+namespace {
+
+constexpr int Backlog = 1'024;
+
+/** Writes the address of @p endpoint; returns its length, or 0 if it is no IP number. */
+socklen_t toAddress(const Endpoint &endpoint, sockaddr_storage &storage)
+{
+    if (auto *ipv4 = reinterpret_cast<sockaddr_in *>(&storage); inet_pton(AF_INET, endpoint.host.c_str(), &ipv4->sin_addr) == 1) {
+        ipv4->sin_family = AF_INET;
+        ipv4->sin_port = htons(endpoint.port);
+        return sizeof(sockaddr_in);
+    }
+    if (auto *ipv6 = reinterpret_cast<sockaddr_in6 *>(&storage); inet_pton(AF_INET6, endpoint.host.c_str(), &ipv6->sin6_addr) == 1) {
+        ipv6->sin6_family = AF_INET6;
+        ipv6->sin6_port = htons(endpoint.port);
+        return sizeof(sockaddr_in6);
+    }
+    return 0;
+}
+
+std::uint16_t boundPort(int socket)
+{
+    sockaddr_storage storage{};
+    socklen_t length = sizeof(storage);
+    getsockname(socket, reinterpret_cast<sockaddr *>(&storage), &length);
+    const bool isIpv6 = storage.ss_family == AF_INET6;
+    return ntohs(isIpv6 ? reinterpret_cast<const sockaddr_in6 *>(&storage)->sin6_port
+                        : reinterpret_cast<const sockaddr_in *>(&storage)->sin_port);
+}
+
+} // namespace
+
+int listenAt(Endpoint &endpoint)
+{
+    sockaddr_storage storage{};
+    const auto length = toAddress(endpoint, storage);
+    if (length == 0) {
+        errno = EINVAL;
+        return -1;
+    }
+    const int listener = socket(storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (listener < 0) {
+        return -1;
+    }
+    const int on = 1;
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    // Linux hands the option on to accepted connections.
+    setsockopt(listener, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    if (bind(listener, reinterpret_cast<const sockaddr *>(&storage), length) != 0 || listen(listener, Backlog) != 0) {
+        const int error = errno;
+        close(listener);
+        errno = error;
+        return -1;
+    }
+    endpoint.port = boundPort(listener);
+    return listener;
+}
+
+void setConnectionOptions(int socket, Duration unacknowledgedLimit)
+{
+    const int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    const auto limit = static_cast<unsigned>(std::chrono::duration_cast<std::chrono::milliseconds>(unacknowledgedLimit).count());
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+}
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/net/src/socket_func.h
@@ -0,0 +1,19 @@
+// Options of TCP sockets.
+#pragma once
+
+#include <sycamoremoor/core/endpoint_type.h>
+#include <sycamoremoor/core/time_type.h>
+
+namespace Sycamoremoor {
+
+/**
+ * Opens a listening socket whose accepted connections have TCP_NODELAY.
+ * @param endpoint where to listen; port 0 is replaced by the one that was chosen
+ * @return the socket, or -1 with errno set
+ */
+int listenAt(Endpoint &endpoint);
+
+/** Sets TCP_NODELAY, and the time after which bytes that nobody acknowledges end the connection. */
+void setConnectionOptions(int socket, Duration unacknowledgedLimit);
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/net/src/stop_watcher.cpp
@@ -0,0 +1,47 @@
+// Waits until the last answers of a stopping process have left.
+#include <sycamoremoor/net/stop_watcher.h>
+
+#include <sycamoremoor/net/http_server.h>
+
+namespace Sycamoremoor {
+
+namespace {
+
+constexpr Duration CheckInterval = std::chrono::milliseconds(100);
+constexpr std::uint32_t QuietChecks = 3;  ///< without an open exchange, so that a request on its way is still answered
+constexpr std::uint32_t MostChecks = 100; ///< an answer that its receiver does not take is given up then
+
+} // namespace
+
+StopWatcher::StopWatcher(EventLoop &loop, HttpServer &server)
+    : m_server(server)
+    , m_timer(loop, [this] { check(); })
+{
+}
+
+void StopWatcher::machineStopped(std::uint32_t cutOff)
+{
+    m_cutOff = cutOff;
+    m_checksLeft = MostChecks;
+    m_timer.start(CheckInterval);
+}
+
+sigc::signal<void(std::uint32_t)> &StopWatcher::signalStopped()
+{
+    return m_stopped;
+}
+
+void StopWatcher::check()
+{
+    --m_checksLeft;
+    const bool busy = m_server.openExchanges() > 0;
+    if (!busy && m_checksLeft > QuietChecks) {
+        m_checksLeft = QuietChecks;
+    } else if (m_checksLeft == 0) {
+        m_stopped.emit(m_cutOff);
+        return;
+    }
+    m_timer.start(CheckInterval);
+}
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/net/tests/http_test.cpp
@@ -0,0 +1,326 @@
+// Server and client of HTTP against each other and against ends that misbehave.
+#include <sycamoremoor/net/clock_func.h>
+#include <sycamoremoor/net/event_loop.h>
+#include <sycamoremoor/net/http_client.h>
+#include <sycamoremoor/net/http_exchange.h>
+#include <sycamoremoor/net/http_server.h>
+#include <sycamoremoor/net/timer.h>
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <string>
+#include <vector>
+
+namespace Sycamoremoor {
+
+namespace {
+
+constexpr Duration TestLimit = std::chrono::seconds(20);
+constexpr Duration PollInterval = std::chrono::milliseconds(2);
+
+/** A plain socket that sends what it is told. */
+class RawClient
+{
+public:
+    explicit RawClient(const Endpoint &server)
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(server.port);
+        inet_pton(AF_INET, server.host.c_str(), &address.sin_addr);
+        m_connected = connect(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
+    }
+
+    ~RawClient()
+    {
+        hangUp();
+    }
+
+    RawClient(const RawClient &) = delete;
+    RawClient &operator=(const RawClient &) = delete;
+
+    void send(const std::string &bytes) const
+    {
+        ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+
+    /** Reads what is there. @return false once the other end closed */
+    bool poll(std::string &received) const
+    {
+        std::string part(4'096, '\0');
+        const auto count = ::recv(m_socket, part.data(), part.size(), MSG_DONTWAIT);
+        if (count > 0) {
+            received.append(part, 0, static_cast<std::size_t>(count));
+        }
+        return count > 0 || (count < 0 && errno == EAGAIN);
+    }
+
+    void hangUp()
+    {
+        if (m_socket >= 0) {
+            close(m_socket);
+        }
+        m_socket = -1;
+    }
+
+    [[nodiscard]] bool connected() const
+    {
+        return m_connected;
+    }
+
+private:
+    int m_socket;
+    bool m_connected = false;
+};
+
+} // namespace
+
+class HttpTest : public testing::Test
+{
+protected:
+    HttpTest()
+    {
+        std::signal(SIGPIPE, SIG_IGN);
+        m_settings.receiveLimit = std::chrono::milliseconds(200);
+        m_settings.maxBodyBytes = 1'000'000;
+        m_server = std::make_unique<HttpServer>(
+            m_loop, Endpoint{"127.0.0.1", 0}, m_settings, [this](const HttpExchangePointer &exchange) { m_handler(exchange); });
+    }
+
+    /** Runs the loop until @p condition holds. @return false if it does not within the limit */
+    bool runUntil(const std::function<bool()> &condition)
+    {
+        const auto end = monotonicNow() + TestLimit;
+        bool held = false;
+        std::function<void()> check;
+        Timer timer(m_loop, [&] { check(); });
+        check = [&] {
+            held = condition();
+            if (held || monotonicNow() > end) {
+                m_loop.stop();
+            } else {
+                timer.start(PollInterval);
+            }
+        };
+        timer.start(Duration::zero());
+        m_loop.run();
+        return held;
+    }
+
+    ClientCall callTo(const std::string &path, const std::string &body = "")
+    {
+        ClientCall call;
+        call.endpoint = m_server->endpoint();
+        call.path = path;
+        call.body = body;
+        return call;
+    }
+
+    /** Sends a call and runs the loop until it ended. */
+    ClientResult ask(ClientCall call)
+    {
+        std::optional<ClientResult> result;
+        m_client.send(std::move(call), [&result](ClientResult ended) { result = std::move(ended); });
+        EXPECT_TRUE(runUntil([&result] { return result.has_value(); }));
+        return result.value_or(ClientResult());
+    }
+
+    EventLoop m_loop;
+    HttpServerSettings m_settings;
+    HttpServer::Handler m_handler = [](const HttpExchangePointer &exchange) {
+        exchange->reply({200, exchange->request().path + ":" + exchange->request().body});
+    };
+    std::unique_ptr<HttpServer> m_server;
+    HttpClient m_client{m_loop};
+};
+
+TEST_F(HttpTest, AnswersAndReusesTheConnection)
+{
+    for (int round = 0; round < 3; ++round) {
+        const auto result = ask(callTo("/path", std::string(100'000, 'x')));
+        EXPECT_TRUE(result.answered);
+        EXPECT_EQ(result.status, 200);
+        EXPECT_EQ(result.body.size(), 100'006U);
+    }
+    EXPECT_EQ(m_client.connections(), 1U);
+}
+
+TEST_F(HttpTest, CallsSideBySideGetTheirOwnAnswers)
+{
+    constexpr int Calls = 50;
+    std::vector<std::string> bodies(Calls);
+    int ended = 0;
+    for (int call = 0; call < Calls; ++call) {
+        m_client.send(callTo("/p", std::to_string(call)), [&, call](ClientResult result) {
+            bodies[static_cast<std::size_t>(call)] = result.body;
+            ++ended;
+        });
+    }
+    ASSERT_TRUE(runUntil([&ended] { return ended == Calls; }));
+    for (int call = 0; call < Calls; ++call) {
+        EXPECT_EQ(bodies[static_cast<std::size_t>(call)], "/p:" + std::to_string(call));
+    }
+}
+
+TEST_F(HttpTest, StreamsPartsAsTheyCome)
+{
+    HttpExchangePointer open;
+    m_handler = [&open](const HttpExchangePointer &exchange) {
+        open = exchange;
+        open->stream("one\n");
+    };
+    std::string received;
+    bool ended = false;
+    auto call = callTo("/stream");
+    call.received = [&received](std::string_view part) {
+        received += part;
+    };
+    m_client.send(std::move(call), [&ended](const ClientResult &result) { ended = result.answered; });
+    ASSERT_TRUE(runUntil([&received] { return received == "one\n"; }));
+    EXPECT_FALSE(ended);
+    open->stream("two\n");
+    open->endStream();
+    ASSERT_TRUE(runUntil([&ended] { return ended; }));
+    EXPECT_EQ(received, "one\ntwo\n");
+    EXPECT_EQ(m_server->openExchanges(), 0U);
+}
+
+TEST_F(HttpTest, RefusedConnectionIsProvablyNotSent)
+{
+    auto call = callTo("/");
+    call.endpoint.port = 1;
+    const auto result = ask(std::move(call));
+    EXPECT_FALSE(result.answered);
+    EXPECT_EQ(result.delivery, Delivery::NotSent);
+}
+
+TEST_F(HttpTest, SilentServerEndsAsUnknownAtTheTimeLimit)
+{
+    HttpExchangePointer open;
+    bool gone = false;
+    m_handler = [&](const HttpExchangePointer &exchange) {
+        open = exchange;
+        open->onGone([&gone] { gone = true; });
+    };
+    auto call = callTo("/");
+    call.timeLimit = std::chrono::milliseconds(50);
+    const auto result = ask(std::move(call));
+    EXPECT_FALSE(result.answered);
+    EXPECT_EQ(result.delivery, Delivery::Unknown);
+    EXPECT_TRUE(runUntil([&gone] { return gone; }));
+    open->reply({}); // without effect
+    EXPECT_EQ(m_client.connections(), 0U);
+}
+
+TEST_F(HttpTest, HangUpOfTheCallerIsNoticedWhileTheAnswerIsPending)
+{
+    HttpExchangePointer open;
+    bool gone = false;
+    m_handler = [&](const HttpExchangePointer &exchange) {
+        open = exchange;
+        open->onGone([&gone] { gone = true; });
+    };
+    RawClient raw(m_server->endpoint());
+    raw.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(runUntil([&open] { return open != nullptr; }));
+    raw.hangUp();
+    EXPECT_TRUE(runUntil([&gone] { return gone; }));
+    EXPECT_EQ(m_server->openExchanges(), 0U);
+}
+
+TEST_F(HttpTest, SecondRequestBeforeTheFirstAnswerWaits)
+{
+    std::vector<HttpExchangePointer> open;
+    m_handler = [&open](const HttpExchangePointer &exchange) {
+        open.push_back(exchange);
+    };
+    RawClient raw(m_server->endpoint());
+    raw.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(runUntil([&open] { return open.size() == 1; }));
+    raw.send("GET /3 HTTP/1.1\r\nHost: a\r\n\r\n");
+    open.front()->reply({200, "first"});
+    ASSERT_TRUE(runUntil([&open] { return open.size() == 2; }));
+    open.back()->reply({200, "second"});
+    ASSERT_TRUE(runUntil([&open] { return open.size() == 3; }));
+    open.back()->reply({200, "third"});
+    std::string received;
+    EXPECT_TRUE(runUntil([&] {
+        raw.poll(received);
+        return received.ends_with("third");
+    }));
+}
+
+struct SlowSender {
+    const char *name;
+    const char *begin;
+    const char *drip; ///< sent again and again
+};
+
+class SlowSenderTest : public HttpTest, public testing::WithParamInterface<SlowSender>
+{
+};
+
+TEST_P(SlowSenderTest, IsAnsweredAndCutOff)
+{
+    RawClient raw(m_server->endpoint());
+    raw.send(GetParam().begin);
+    std::string received;
+    EXPECT_TRUE(runUntil([&] {
+        raw.send(GetParam().drip);
+        return !raw.poll(received);
+    }));
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 408 ")) << received;
+    EXPECT_NE(received.find("request_timeout"), std::string::npos);
+    EXPECT_TRUE(ask(callTo("/still")).answered);
+}
+
+INSTANTIATE_TEST_SUITE_P(Senders,
+                         SlowSenderTest,
+                         testing::Values(SlowSender{"HalfLine", "GET / HT", ""},
+                                         SlowSender{"HalfHeaders", "GET / HTTP/1.1\r\nHost: a\r\n", ""},
+                                         SlowSender{"HalfBody", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 900000\r\n\r\nabc", ""},
+                                         SlowSender{"DrippingBody", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 900000\r\n\r\n", "x"}),
+                         [](const auto &test) { return test.param.name; });
+
+TEST_F(HttpTest, OversizeBodyIsRefused)
+{
+    EXPECT_EQ(ask(callTo("/", std::string(m_settings.maxBodyBytes + 1, 'x'))).status, 413);
+    EXPECT_EQ(ask(callTo("/")).status, 200);
+}
+
+struct BadRequest {
+    const char *name;
+    std::string bytes;
+    const char *status;
+};
+
+class BadRequestTest : public HttpTest, public testing::WithParamInterface<BadRequest>
+{
+};
+
+TEST_P(BadRequestTest, IsRefusedAndTheServerGoesOn)
+{
+    RawClient raw(m_server->endpoint());
+    raw.send(GetParam().bytes);
+    std::string received;
+    EXPECT_TRUE(runUntil([&] { return !raw.poll(received) || received.find("\r\n\r\n") != std::string::npos; }));
+    EXPECT_TRUE(received.starts_with(GetParam().status)) << received;
+    EXPECT_TRUE(ask(callTo("/still")).answered);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests,
+    BadRequestTest,
+    testing::Values(BadRequest{"NotHttp", "hello\r\n\r\n", "HTTP/1.1 400 "},
+                    BadRequest{"OversizeNeverSent", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n", "HTTP/1.1 408 "},
+                    BadRequest{"LongHeader", "GET / HTTP/1.1\r\nX: " + std::string(100'000, 'x') + "\r\n\r\n", "HTTP/1.1 400 "}),
+    [](const auto &test) { return test.param.name; });
+
+} // namespace Sycamoremoor
