--- /dev/null
+++ b/daemon/src/option_value_func.cpp
@@ -0,0 +1,91 @@
+// Reading the values of settings. Each function returns whether the text is allowed.
+#include "option_value_func.h"
+
+#include <sycamoremoor/wire/text_codec.h>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace Sycamoremoor {
+
+namespace {
+
+constexpr std::size_t MaxNameBytes = 128;
+constexpr std::int64_t MaxMilliseconds = 86'400'000;
+constexpr std::int64_t MaxCores = 4'096;
+constexpr std::int64_t MilliCoresPerCore = 1'000;
+
+bool isNameCharacter(char character)
+{
+    return std::isalnum(static_cast<unsigned char>(character)) != 0 || character == '.' || character == '-' || character == '_';
+}
+
+} // namespace
+
+bool readRole(const std::string &text, DaemonRole &role)
+{
+    if (text == "entry") {
+        role = DaemonRole::Entry;
+    } else if (text == "agent") {
+        role = DaemonRole::Agent;
+    } else {
+        return false;
+    }
+    return true;
+}
+
+bool readName(const std::string &text, std::string &name)
+{
+    name = text;
+    return !text.empty() && text.size() <= MaxNameBytes && std::ranges::all_of(text, isNameCharacter);
+}
+
+bool readEndpoint(const std::string &text, Endpoint &endpoint)
+{
+    return assignIf(endpointFromString(text), endpoint);
+}
+
+bool readEndpoints(const std::string &text, std::vector<Endpoint> &endpoints)
+{
+    endpoints.clear();
+    std::size_t begin = 0;
+    while (begin <= text.size()) {
+        const auto end = std::min(text.find(',', begin), text.size());
+        if (!readEndpoint(text.substr(begin, end - begin), endpoints.emplace_back())) {
+            return false;
+        }
+        begin = end + 1;
+    }
+    return true;
+}
+
+bool readDuration(const std::string &text, Duration &duration)
+{
+    const auto milliseconds = readWhole(text, 1, MaxMilliseconds);
+    if (milliseconds) {
+        duration = std::chrono::milliseconds(*milliseconds);
+    }
+    return milliseconds.has_value();
+}
+
+bool readCores(const std::string &text, MilliCores &cores)
+{
+    const auto count = readWhole(text, 1, MaxCores);
+    if (count) {
+        cores = MilliCores(*count * MilliCoresPerCore);
+    }
+    return count.has_value();
+}
+
+std::optional<std::int64_t> readWhole(const std::string &text, std::int64_t least, std::int64_t most)
+{
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size() || value < least || value > most) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/daemon/tests/option_reader_test.cpp
@@ -0,0 +1,137 @@
+// Settings: every wrong value is refused by flag, value and what is allowed.
+#include "option_reader.h"
+#include "table/option_table.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Sycamoremoor {
+
+namespace {
+
+using Variables = std::map<std::string, std::string>;
+
+const std::vector<std::string> EntryFlags{
+    "--role=entry", "--name=entry-1", "--listen=127.0.0.1:8001", "--zone=trnava-a", "--region=sk-west", "--platform=127.0.0.1:2379"};
+const std::vector<std::string> AgentFlags{"--role=agent",
+                                          "--name=agent-1",
+                                          "--listen=127.0.0.1:8002",
+                                          "--zone=trnava-a",
+                                          "--region=sk-west",
+                                          "--entries=127.0.0.1:8001",
+                                          "--upstream=127.0.0.1:8003",
+                                          "--service=reclaim-desk"};
+
+std::vector<std::string> readArguments(std::vector<std::string> arguments, const Variables &variables, DaemonSettings &settings)
+{
+    arguments.insert(arguments.begin(), "sycamoremoord");
+    std::vector<char *> pointers;
+    pointers.reserve(arguments.size());
+    for (auto &argument : arguments) {
+        pointers.push_back(argument.data());
+    }
+    const auto environment = [&variables](const std::string &name) {
+        const auto found = variables.find(name);
+        return found == variables.end() ? std::nullopt : std::optional<std::string>(found->second);
+    };
+    return readSettings(static_cast<int>(pointers.size()), pointers.data(), environment, settings);
+}
+
+std::string joined(const std::vector<std::string> &errors)
+{
+    std::string text;
+    for (const auto &error : errors) {
+        text += error + "\n";
+    }
+    return text;
+}
+
+struct WrongSetting {
+    const char *name;
+    const char *flag;    ///< added to those of an agent
+    const char *message; ///< part of what is told
+};
+
+constexpr std::array WrongSettings{
+    WrongSetting{"Role", "--role=owner", "--role: \"owner\" is not allowed; it must be entry or agent."},
+    WrongSetting{"EmptyName", "--name=", "--name: \"\" is not allowed; it must be 1 to 128 letters"},
+    WrongSetting{"NameWithBlank", "--name=a b", "--name: \"a b\" is not allowed"},
+    WrongSetting{"HostName", "--listen=localhost:80", "--listen: \"localhost:80\" is not allowed; it must be IP:PORT"},
+    WrongSetting{"EmptyEntry", "--entries=127.0.0.1:1,", "--entries: \"127.0.0.1:1,\" is not allowed"},
+    WrongSetting{"SlotsZero", "--slots=0", "--slots: \"0\" is not allowed; it must be a whole number from 1 to 100000."},
+    WrongSetting{"SlotsText", "--slots=8x", "--slots: \"8x\" is not allowed"},
+    WrongSetting{"CoresHuge", "--cores=99999999999999999999", "is not allowed; it must be a whole number from 1 to 4096."},
+    WrongSetting{"Heartbeat", "--heartbeat-ms=0", "--heartbeat-ms: \"0\" is not allowed; it must be a whole number of milliseconds"},
+    WrongSetting{"Order", "--failure-timeout-ms=500", "--failure-timeout-ms must be larger than --heartbeat-ms."},
+    WrongSetting{"Ledger", "--ledger-retention-ms=1000", "--ledger-retention-ms must be larger than --start-max-age-ms."},
+    WrongSetting{"LogLevel", "--log-level=loud", "it must be debug, info, warning or error."},
+    WrongSetting{"LogFormat", "--log-format=xml", "it must be text or json."},
+    WrongSetting{"Unknown", "--colour=red", "--colour=red is no flag"},
+    WrongSetting{"NoFlag", "start", "start is not understood"},
+};
+
+} // namespace
+
+class WrongSettingTest : public testing::TestWithParam<WrongSetting>
+{
+};
+
+TEST_P(WrongSettingTest, IsRefusedByName)
+{
+    auto flags = AgentFlags;
+    flags.emplace_back(GetParam().flag);
+    DaemonSettings settings;
+    const auto errors = joined(readArguments(flags, {}, settings));
+    EXPECT_NE(errors.find(GetParam().message), std::string::npos) << errors;
+}
+
+INSTANTIATE_TEST_SUITE_P(Settings, WrongSettingTest, testing::ValuesIn(WrongSettings), [](const auto &test) { return test.param.name; });
+
+TEST(OptionReaderTest, EachRequiredFlagIsMissedByName)
+{
+    for (const auto &flags : {EntryFlags, AgentFlags}) {
+        DaemonSettings whole;
+        EXPECT_EQ(joined(readArguments(flags, {}, whole)), "");
+        for (std::size_t left = 0; left < flags.size(); ++left) {
+            auto some = flags;
+            some.erase(some.begin() + static_cast<std::ptrdiff_t>(left));
+            DaemonSettings settings;
+            const auto errors = joined(readArguments(some, {}, settings));
+            const auto name = flags[left].substr(0, flags[left].find('='));
+            EXPECT_NE(errors.find(name + " is missing"), std::string::npos) << name << "\n" << errors;
+        }
+    }
+}
+
+TEST(OptionReaderTest, VariablesStandInForFlagsAndFlagsGoFirst)
+{
+    const Variables variables{{"SYCAMOREMOOR_NAME", "from-variable"}, {"SYCAMOREMOOR_FAILURE_TIMEOUT_MS", "4000"}};
+    DaemonSettings settings;
+    auto flags = AgentFlags;
+    flags.erase(flags.begin() + 1);
+    EXPECT_EQ(joined(readArguments(flags, variables, settings)), "");
+    EXPECT_EQ(settings.name, "from-variable");
+    EXPECT_EQ(settings.agent.failureTimeout, std::chrono::seconds(4));
+    EXPECT_EQ(joined(readArguments(AgentFlags, variables, settings)), "");
+    EXPECT_EQ(settings.name, "agent-1");
+}
+
+TEST(OptionReaderTest, WrongVariableIsRefusedByItsName)
+{
+    DaemonSettings settings;
+    const auto errors = joined(readArguments(AgentFlags, {{"SYCAMOREMOOR_SLOTS", "many"}}, settings));
+    EXPECT_NE(errors.find("SYCAMOREMOOR_SLOTS: \"many\" is not allowed"), std::string::npos) << errors;
+}
+
+TEST(OptionReaderTest, HelpNamesEveryFlag)
+{
+    const auto help = helpText();
+    for (const auto &option : OptionTable) {
+        EXPECT_NE(help.find("--" + std::string(option.flag) + "="), std::string::npos) << option.flag;
+    }
+}
+
+} // namespace Sycamoremoor
