Add: [core] Set failing workers aside, and retry within a budget

Cause: a worker that fails at once is always free and so draws the most work; tasks that did not start were queued again without limit or pause. Change: failures in a row of different jobs halve a worker's slots, then set it aside for a doubling time, within a share of the workers; it comes back with one task at a time. Jobs and kinds that fail on three workers count against none. A retry waits a jittered, doubling time and spends a budget earned by starts.

--- a/bench/dispatch_simulate.cpp
+++ b/bench/dispatch_simulate.cpp
@@ -114,6 +114,72 @@
     }
 }
 
+SimulationSettings sulSettings(const WorkloadSettings &workload)
+{
+    const auto &deployment = DeploymentTable.back();
+    SimulationSettings settings;
+    settings.zones = deployment.zones;
+    settings.oneWay = deployment.oneWay;
+    settings.config = makeConfig(ConfigSet().policy.agentQueue, workload.teams);
+    return settings;
+}
+
+/** One worker fails everything at once, with and without ejection. */
+void runFailingWorker(std::size_t jobs)
+{
+    std::printf(
+        "\n| one worker fails all | load | failed tasks | jobs not complete of %zu | ejections |\n| --- | --- | --- | --- | --- |\n", jobs);
+    WorkloadSettings workload;
+    workload.jobs = jobs;
+    const auto work = makeWorkload(workload);
+    for (const bool ejects : {false, true}) {
+        auto settings = sulSettings(workload);
+        settings.config.policy.ejectAfterFailures = ejects ? settings.config.policy.ejectAfterFailures : NoBound;
+        settings.config.policy.maxEjectedPercent = ejects ? settings.config.policy.maxEjectedPercent : 0;
+        settings.outcome = [](std::size_t worker, const TaskId & /*task*/) {
+            return worker == 1 ? PlacementEnd::Kind::Failed : PlacementEnd::Kind::Succeeded;
+        };
+        const auto result = simulate(settings, work);
+        const auto failed = std::ranges::count_if(result.jobs, [](const JobOutcome &job) { return job.error != ErrorKind::None; });
+        std::printf("| %s | %.2f | %llu | %td | %u |\n",
+                    ejects ? "set aside" : "not set aside",
+                    workload.load,
+                    static_cast<unsigned long long>(result.failedTasks),
+                    failed,
+                    result.ejections);
+    }
+}
+
+/** Goodput below, at and above capacity: work of jobs that completed in time over what the slots can do while jobs arrive. */
+void runOverload(std::size_t jobs)
+{
+    std::printf("\n| load | goodput | complete | refused | late or expired | wasted work | most queued |\n| --- | --- | --- | --- | --- | "
+                "--- | --- |\n");
+    for (const double load : {0.7, 0.95, 1.0, 1.5, 2.0, 3.0}) {
+        WorkloadSettings workload;
+        workload.jobs = jobs;
+        workload.load = load;
+        const auto work = makeWorkload(workload);
+        const auto result = simulate(sulSettings(workload), work);
+        const auto span = work.back().arrival - work.front().arrival;
+        const auto capacity = static_cast<double>(span.count()) * static_cast<double>(workload.slots);
+        std::size_t complete = 0;
+        std::size_t refused = 0;
+        for (const auto &job : result.jobs) {
+            complete += job.error == ErrorKind::None ? 1 : 0;
+            refused += job.error != ErrorKind::None && job.response == Duration::zero() ? 1 : 0;
+        }
+        std::printf("| %.2f | %.3f | %zu | %zu | %zu | %.3f | %u |\n",
+                    load,
+                    static_cast<double>(result.usefulWork) / capacity,
+                    complete,
+                    refused,
+                    result.jobs.size() - complete - refused,
+                    static_cast<double>(result.wastedWork) / capacity,
+                    result.mostQueued);
+    }
+}
+
 } // namespace
 
 } // namespace Sycamoremoor
@@ -121,6 +187,9 @@
 int main(int argc, char **argv)
 {
     constexpr std::size_t DefaultJobs = 20'000;
-    Sycamoremoor::run(argc > 1 ? static_cast<std::size_t>(std::strtoul(argv[1], nullptr, 10)) : DefaultJobs);
+    const auto jobs = argc > 1 ? static_cast<std::size_t>(std::strtoul(argv[1], nullptr, 10)) : DefaultJobs;
+    Sycamoremoor::run(jobs);
+    Sycamoremoor::runFailingWorker(jobs);
+    Sycamoremoor::runOverload(jobs);
     return 0;
 }
--- a/core/src/dispatch/dispatcher_private.h
+++ b/core/src/dispatch/dispatcher_private.h
@@ -1,8 +1,10 @@
 // State of the dispatcher: jobs, workers, and what is placed on them.
 #pragma once
 
+#include "ejection_controller.h"
 #include "job_entry.h"
 #include "quota_ledger.h"
+#include "retry_controller.h"
 #include "run_time_estimator.h"
 #include "service_queue.h"
 #include "worker.h"
@@ -20,6 +22,8 @@
 class Dispatcher::Private
 {
 public:
+    Private(ZoneName zone, DispatcherHooks hooks);
+
     /** A task that was placed and has not come back. */
     struct PlacedTask {
         JobEntry *entry = nullptr;
@@ -40,6 +44,9 @@
     std::vector<TaskIndex> removeAllWaiting(JobEntry &entry);
     [[nodiscard]] JobRank rankOf(JobEntry &entry) const;
     void refresh(JobEntry &entry);
+    bool delay(MonotonicTime now, JobEntry &entry, TaskIndex task);
+    void queueDue(MonotonicTime now);
+    void judge(MonotonicTime now, const PlacedTask &placed, TaskIndex task, const PlacementEnd &end);
     void releaseIfDone(JobEntry &entry);
 
     Worker &workerEntry(const AgentName &agent);
@@ -56,11 +63,14 @@
     std::shared_ptr<const ConfigSet> config;
     QuotaLedger quotas;
     RunTimeEstimator estimator;
+    EjectionController ejections;
+    RetryController retries;
     std::map<ServiceName, Service> services;
     std::unordered_map<AgentName, Worker> workers;
     std::unordered_map<SubmissionKey, JobEntry> jobs;
     std::unordered_map<TaskId, PlacedTask> placed;
-    std::set<JobRank> expiries; ///< jobs with waiting tasks by the time at which they are taken out
+    std::set<JobRank> expiries;                         ///< jobs with waiting tasks by the time at which they are taken out
+    std::set<std::pair<MonotonicTime, TaskId>> delayed; ///< tasks that are put off, by their time
     std::uint32_t queuedTasks = 0;
 };
 
--- a/core/src/dispatch/job_entry.h
+++ b/core/src/dispatch/job_entry.h
@@ -7,6 +7,7 @@
 #include <sycamoremoor/core/job_type.h>
 
 #include <cstdint>
+#include <map>
 #include <vector>
 
 namespace Sycamoremoor {
@@ -20,6 +21,12 @@
     Duration expected{}; ///< run time as it was expected when the task was queued
 };
 
+/** A task that is put off before it is tried again. */
+struct DelayedTask {
+    MonotonicTime due;
+    WaitingTask task;
+};
+
 /** Where a job stands in the queue of its service. */
 enum class JobStanding {
     Idle,   ///< no task waits
@@ -50,10 +57,13 @@
     TeamUse *team = nullptr;
     MonotonicTime arrival;
     MonotonicTime deadline;
-    std::vector<WaitingTask> waiting; ///< the next one last
-    Duration work{};                  ///< expected run time of those that wait, together
-    std::uint32_t placed = 0;         ///< placed and not come back
-    bool cancelled = false;           ///< what comes back is not queued again
+    std::vector<WaitingTask> waiting;           ///< the next one last
+    std::vector<DelayedTask> delayed;           ///< wait for their time before they wait for a worker
+    std::map<TaskIndex, std::uint32_t> retries; ///< by task, of those that were sent and did not start
+    std::vector<AgentName> failedOn;            ///< workers on which tasks failed, the first few
+    Duration work{};                            ///< expected run time of those that wait, together
+    std::uint32_t placed = 0;                   ///< placed and not come back
+    bool cancelled = false;                     ///< what comes back is not queued again
     JobStanding standing = JobStanding::Idle;
     JobRank rank;          ///< in the queue
     JobRank expiry;        ///< in the order of expiry, valid while a task waits
--- a/core/src/dispatch/worker.h
+++ b/core/src/dispatch/worker.h
@@ -8,9 +8,18 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <optional>
 
 namespace Sycamoremoor {
 
+/** How a worker's tasks ended lately. */
+struct WorkerHealth {
+    std::uint32_t failures = 0;  ///< in a row, of different jobs
+    SubmissionKey lastFailed;    ///< job of the last failure
+    std::uint32_t ejections = 0; ///< since it last ran at all its slots
+    std::optional<MonotonicTime> ejectedUntil;
+};
+
 /** A worker and what is placed on it. */
 struct Worker {
     WorkerState state;
@@ -19,6 +28,7 @@
     std::uint32_t tasks = 0;      ///< placed and not come back, earlier lives included
     bool known = false;           ///< false once it was removed; it is kept until its tasks came back
     bool ownZone = false;
+    WorkerHealth health;
     std::int64_t slotLimit = std::numeric_limits<std::int64_t>::max(); ///< slots that it may be given at most
     std::size_t position = 0;                                          ///< in the tree of free room
     std::size_t capacityPosition = 0;                                  ///< in the tree of capacities
--- a/core/src/dispatch/worker_pool.h
+++ b/core/src/dispatch/worker_pool.h
@@ -37,6 +37,9 @@
     /** Tells whether any worker has a free slot. */
     [[nodiscard]] bool hasFreeSlot() const;
 
+    /** Returns the number of workers. */
+    [[nodiscard]] std::size_t size() const;
+
     /** Returns the slots of all workers that take tasks. */
     [[nodiscard]] std::int64_t slots() const;
 
--- /dev/null
+++ b/core/src/dispatch_ejection_controller.cpp
@@ -0,0 +1,162 @@
+// Ejection and readmission of workers.
+#include "dispatch/ejection_controller.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Sycamoremoor {
+
+namespace {
+
+constexpr std::int64_t NoLimit = std::numeric_limits<std::int64_t>::max();
+
+/** A job or kind that failed on so many workers is at fault itself. */
+constexpr std::size_t FaultyOnWorkers = 3;
+
+constexpr std::size_t MostKinds = 2'000;
+constexpr std::uint32_t MostDoublings = 6;
+
+/** From so many workers on, one may be set aside whatever the share says. */
+constexpr std::size_t LeastWorkersForOne = 3;
+
+constexpr std::size_t Percent = 100;
+
+std::string kindName(const JobEntry &job, TaskIndex task)
+{
+    return job.job->service.value() + '\n' + job.job->tasks[task.value()].kind.value();
+}
+
+/** Adds a worker to the list unless it is there. Returns the number of workers in the list. */
+std::size_t addWorker(std::vector<AgentName> &workers, const AgentName &agent)
+{
+    if (workers.size() < FaultyOnWorkers && std::ranges::find(workers, agent) == workers.end()) {
+        workers.push_back(agent);
+    }
+    return workers.size();
+}
+
+} // namespace
+
+EjectionController::EjectionController(Event event)
+    : m_event(std::move(event))
+{
+}
+
+void EjectionController::configure(const PolicyRecord &policy)
+{
+    m_policy = policy;
+}
+
+void EjectionController::succeeded(Worker &worker, const JobEntry &job, TaskIndex task)
+{
+    if (!m_kindFailures.empty()) {
+        m_kindFailures.erase(kindName(job, task));
+    }
+    auto &health = worker.health;
+    health.failures = 0;
+    if (health.ejectedUntil || worker.slotLimit == NoLimit) {
+        return;
+    }
+    worker.slotLimit *= 2;
+    if (worker.slotLimit > roomOf(worker.state.capacity).slots) {
+        worker.slotLimit = NoLimit;
+        health.ejections = 0;
+    }
+}
+
+void EjectionController::failed(MonotonicTime now, Worker &worker, JobEntry &job, TaskIndex task, std::size_t workers)
+{
+    auto &health = worker.health;
+    if (health.ejectedUntil || isFaultOfJob(worker, job, task)) {
+        return;
+    }
+    if (health.failures > 0 && health.lastFailed == job.job->key) {
+        return;
+    }
+    health.lastFailed = job.job->key;
+    ++health.failures;
+    const bool onProbation = health.ejections > 0;
+    if ((onProbation || health.failures >= m_policy.ejectAfterFailures) && mayEject(worker.state.service, workers)) {
+        eject(now, worker);
+        return;
+    }
+    const auto limit = std::min(worker.slotLimit, roomOf(worker.state.capacity).slots);
+    worker.slotLimit = std::max<std::int64_t>(1, limit / 2);
+}
+
+void EjectionController::restarted(Worker &worker)
+{
+    if (worker.health.ejectedUntil) {
+        takeBack(worker, "its agent restarted");
+    }
+    worker.health.failures = 0;
+}
+
+void EjectionController::forget(Worker &worker)
+{
+    if (!worker.health.ejectedUntil) {
+        return;
+    }
+    m_due.erase({*worker.health.ejectedUntil, worker.state.agent});
+    m_ejected.erase(worker.state.agent);
+    worker.health.ejectedUntil.reset();
+    worker.slotLimit = 1;
+}
+
+void EjectionController::readmit(MonotonicTime now, const std::function<void(Worker &)> &changed)
+{
+    while (!m_due.empty() && m_due.begin()->first <= now) {
+        auto &worker = *m_ejected.at(m_due.begin()->second);
+        takeBack(worker, "its time is over, one task at a time");
+        changed(worker);
+    }
+}
+
+std::optional<MonotonicTime> EjectionController::nextReadmission() const
+{
+    return m_due.empty() ? std::nullopt : std::optional(m_due.begin()->first);
+}
+
+bool EjectionController::isFaultOfJob(const Worker &worker, JobEntry &job, TaskIndex task)
+{
+    if (m_kindFailures.size() >= MostKinds) {
+        m_kindFailures.clear();
+    }
+    const bool faultyJob = addWorker(job.failedOn, worker.state.agent) >= FaultyOnWorkers;
+    const bool faultyKind = addWorker(m_kindFailures[kindName(job, task)], worker.state.agent) >= FaultyOnWorkers;
+    return faultyJob || faultyKind;
+}
+
+bool EjectionController::mayEject(const ServiceName &service, std::size_t workers) const
+{
+    const auto ofService
+        = std::ranges::count_if(m_ejected, [&service](const auto &ejected) { return ejected.second->state.service == service; });
+    const std::size_t least = workers >= LeastWorkersForOne && m_policy.maxEjectedPercent > 0 ? 1 : 0;
+    const auto most = std::max(least, workers * m_policy.maxEjectedPercent / Percent);
+    return static_cast<std::size_t>(ofService) < most;
+}
+
+void EjectionController::eject(MonotonicTime now, Worker &worker)
+{
+    auto &health = worker.health;
+    const auto doublings = std::min(health.ejections, MostDoublings);
+    health.ejectedUntil = now + m_policy.ejectionTime * (std::int64_t{1} << doublings);
+    ++health.ejections;
+    worker.slotLimit = 0;
+    m_due.emplace(*health.ejectedUntil, worker.state.agent);
+    m_ejected[worker.state.agent] = &worker;
+    if (m_event) {
+        m_event({worker.state.agent, true, std::to_string(health.failures) + " failures in a row of different jobs"});
+    }
+}
+
+void EjectionController::takeBack(Worker &worker, const char *reason)
+{
+    forget(worker);
+    worker.health.failures = 0;
+    if (m_event) {
+        m_event({worker.state.agent, false, reason});
+    }
+}
+
+} // namespace Sycamoremoor
--- a/core/src/dispatch_place.cpp
+++ b/core/src/dispatch_place.cpp
@@ -22,6 +22,8 @@
 
 std::vector<Placement> Dispatcher::place(MonotonicTime now, std::uint64_t entropy)
 {
+    d->queueDue(now);
+    d->ejections.readmit(now, [this](Worker &worker) { d->services[worker.state.service].pool.refresh(worker); });
     std::vector<Placement> placements;
     for (auto &[name, service] : d->services) {
         d->placeService(now, service, entropy, placements);
@@ -65,6 +67,7 @@
             const auto [placedTask, isNew] = placed.try_emplace(id, PlacedTask{&entry, worker, worker->generation, need, now});
             countPlaced(entry, *worker, placedTask->second);
             refresh(entry);
+            retries.countStart();
             placements.push_back({id, worker->state.agent, worker->state.incarnation});
             return true;
         }
--- /dev/null
+++ b/core/src/dispatch_retry_controller.cpp
@@ -0,0 +1,48 @@
+// Retry budget and back-off.
+#include "dispatch/retry_controller.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace Sycamoremoor {
+
+namespace {
+
+/** Retries that may be made at once: the slots of a rack of three workers, twice. */
+constexpr double LargestBudget = 64;
+
+constexpr Duration FirstDelay = std::chrono::milliseconds(10);
+constexpr std::uint32_t MostDoublings = 7;
+constexpr double Percent = 100;
+constexpr std::uint64_t JitterSteps = 1'024;
+
+} // namespace
+
+void RetryController::configure(const PolicyRecord &policy)
+{
+    if (m_perStart == 0) {
+        m_budget = LargestBudget;
+    }
+    m_perStart = policy.retryBudgetPercent / Percent;
+}
+
+void RetryController::countStart()
+{
+    m_budget = std::min(LargestBudget, m_budget + m_perStart);
+}
+
+std::optional<Duration> RetryController::retry(JobEntry &entry, TaskIndex task)
+{
+    if (m_budget < 1) {
+        return std::nullopt;
+    }
+    m_budget -= 1;
+    const auto tries = entry.retries[task]++;
+    const auto delay = FirstDelay * (std::int64_t{1} << std::min(tries, MostDoublings));
+    // Jitter comes from the task's own id, since no random bits are given at the end of a task.
+    const auto bits = (std::hash<TaskId>{}({entry.job->key, task}) + tries) * 0x9E3779B97F4A7C15ULL;
+    const auto step = static_cast<std::int64_t>((bits >> 32U) % JitterSteps);
+    return delay / 2 + delay * step / static_cast<std::int64_t>(JitterSteps);
+}
+
+} // namespace Sycamoremoor
--- a/core/src/dispatch_state.cpp
+++ b/core/src/dispatch_state.cpp
@@ -62,6 +62,12 @@
 std::vector<TaskIndex> Dispatcher::Private::removeAllWaiting(JobEntry &entry)
 {
     std::vector<TaskIndex> tasks;
+    for (const auto &[due, task] : entry.delayed) {
+        tasks.push_back(task.index);
+        delayed.erase({due, {entry.job->key, task.index}});
+        countWaiting(entry, task, -1);
+    }
+    entry.delayed.clear();
     while (!entry.waiting.empty()) {
         tasks.push_back(entry.waiting.back().index);
         removeWaiting(entry, entry.waiting.size() - 1);
@@ -84,19 +90,67 @@
 {
     entry.queue->refresh(entry, rankOf(entry));
     const JobRank expiry{entry.deadline, entry.job->key, &entry};
-    if (entry.expiry.entry != nullptr && (entry.waiting.empty() || entry.expiry.at != expiry.at)) {
+    const bool isQueued = !entry.waiting.empty() || !entry.delayed.empty();
+    if (entry.expiry.entry != nullptr && (!isQueued || entry.expiry.at != expiry.at)) {
         expiries.erase(entry.expiry);
         entry.expiry = {};
     }
-    if (entry.expiry.entry == nullptr && !entry.waiting.empty()) {
+    if (entry.expiry.entry == nullptr && isQueued) {
         entry.expiry = expiry;
         expiries.insert(expiry);
     }
 }
 
+bool Dispatcher::Private::delay(MonotonicTime now, JobEntry &entry, TaskIndex task)
+{
+    const auto wait = retries.retry(entry, task);
+    if (!wait || now + *wait >= entry.deadline) {
+        return false;
+    }
+    const auto &spec = entry.job->tasks[task.value()];
+    const WaitingTask waiting{task, estimator.expected(entry.job->service, spec.kind, spec.declaredRunTime)};
+    entry.delayed.push_back({now + *wait, waiting});
+    delayed.emplace(now + *wait, TaskId{entry.job->key, task});
+    countWaiting(entry, waiting, 1);
+    refresh(entry);
+    return true;
+}
+
+void Dispatcher::Private::queueDue(MonotonicTime now)
+{
+    while (!delayed.empty() && delayed.begin()->first <= now) {
+        const auto id = delayed.begin()->second;
+        delayed.erase(delayed.begin());
+        auto &entry = jobs.at(id.submission);
+        const auto found = std::ranges::find(entry.delayed, id.index, [](const DelayedTask &task) { return task.task.index; });
+        countWaiting(entry, found->task, -1);
+        entry.delayed.erase(found);
+        addWaiting(entry, id.index);
+        refresh(entry);
+    }
+}
+
+void Dispatcher::Private::judge(MonotonicTime now, const PlacedTask &task, TaskIndex index, const PlacementEnd &end)
+{
+    auto &entry = *task.entry;
+    auto &worker = *task.worker;
+    const auto &spec = entry.job->tasks[index.value()];
+    if (end.kind == PlacementEnd::Kind::Succeeded && end.runTime > Duration::zero()) {
+        estimator.learn(entry.job->service, spec.kind, spec.declaredRunTime, end.runTime);
+    }
+    if (!worker.known || task.generation != worker.generation) {
+        return;
+    }
+    if (end.kind == PlacementEnd::Kind::Succeeded) {
+        ejections.succeeded(worker, entry, index);
+    } else if (end.kind != PlacementEnd::Kind::NotStarted && !entry.cancelled) {
+        ejections.failed(now, worker, entry, index, services[worker.state.service].pool.size());
+    }
+}
+
 void Dispatcher::Private::releaseIfDone(JobEntry &entry)
 {
-    if (entry.waiting.empty() && entry.placed == 0) {
+    if (entry.waiting.empty() && entry.delayed.empty() && entry.placed == 0) {
         const auto key = entry.job->key;
         jobs.erase(key);
     }
@@ -113,6 +167,7 @@
 {
     if (worker.known) {
         services[worker.state.service].pool.remove(worker);
+        ejections.forget(worker);
         worker.known = false;
     }
 }
@@ -155,6 +210,7 @@
     const bool sameLife = worker.state.incarnation == state.incarnation || worker.state.incarnation == Incarnation();
     if (!sameLife) {
         ++worker.generation;
+        d->ejections.restarted(worker);
         worker.used = {};
     }
     if (worker.known && (worker.state.service != state.service || worker.state.zone != state.zone)) {
--- a/core/src/dispatch_worker_pool.cpp
+++ b/core/src/dispatch_worker_pool.cpp
@@ -90,6 +90,11 @@
     return side(true).free.largest().slots > 0 || side(false).free.largest().slots > 0;
 }
 
+std::size_t WorkerPool::size() const
+{
+    return m_count;
+}
+
 std::int64_t WorkerPool::slots() const
 {
     return m_slots;
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -15,11 +15,16 @@
 
 } // namespace
 
+Dispatcher::Private::Private(ZoneName ownZone, DispatcherHooks standardHooks)
+    : zone(std::move(ownZone))
+    , hooks(std::move(standardHooks))
+    , ejections(hooks.workerEvent)
+{
+}
+
 Dispatcher::Dispatcher(ZoneName zone, DispatcherHooks hooks)
-    : d(std::make_unique<Private>())
+    : d(std::make_unique<Private>(std::move(zone), std::move(hooks)))
 {
-    d->zone = std::move(zone);
-    d->hooks = std::move(hooks);
 }
 
 Dispatcher::~Dispatcher() = default;
@@ -31,6 +36,8 @@
     d->config = config;
     if (config) {
         d->quotas.configure(*config, ownerShare);
+        d->ejections.configure(config->policy);
+        d->retries.configure(config->policy);
     }
 }
 
@@ -115,17 +122,10 @@
     const auto placed = found->second;
     auto &entry = *placed.entry;
     d->placed.erase(found);
+    d->judge(now, placed, task.index, end);
     d->countEnded(placed);
-    if (end.kind == PlacementEnd::Kind::Succeeded && end.runTime > Duration::zero()) {
-        const auto &spec = entry.job->tasks[task.index.value()];
-        d->estimator.learn(entry.job->service, spec.kind, spec.declaredRunTime, end.runTime);
-    }
     const bool mayGoBack = end.kind == PlacementEnd::Kind::NotStarted && !placed.adopted && !entry.cancelled;
-    const bool goesBack = mayGoBack && entry.deadline > now;
-    if (goesBack) {
-        d->addWaiting(entry, task.index);
-        d->refresh(entry);
-    }
+    const bool goesBack = mayGoBack && d->delay(now, entry, task.index);
     d->releaseIfDone(entry);
     return goesBack;
 }
@@ -137,7 +137,17 @@
 
 std::optional<MonotonicTime> Dispatcher::nextWake() const
 {
-    return d->expiries.empty() ? std::nullopt : std::optional(d->expiries.begin()->at);
+    auto wake = d->ejections.nextReadmission();
+    const auto consider = [&wake](MonotonicTime at) {
+        wake = wake ? std::min(*wake, at) : at;
+    };
+    if (!d->expiries.empty()) {
+        consider(d->expiries.begin()->at);
+    }
+    if (!d->delayed.empty()) {
+        consider(d->delayed.begin()->first);
+    }
+    return wake;
 }
 
 std::uint32_t Dispatcher::queuedTasks() const
@@ -150,9 +160,10 @@
     return static_cast<std::uint32_t>(d->placed.size());
 }
 
-bool Dispatcher::isEjected(const AgentName & /*agent*/) const
+bool Dispatcher::isEjected(const AgentName &agent) const
 {
-    return false;
+    const auto worker = d->workers.find(agent);
+    return worker != d->workers.end() && worker->second.health.ejectedUntil.has_value();
 }
 
 const ServiceRecord *Dispatcher::Private::serviceRecord(const ServiceName &name) const
--- /dev/null
+++ b/core/tests/dispatch_ejection_test.cpp
@@ -0,0 +1,182 @@
+// Workers that fail what they start are set aside and taken back; retries keep to their budget.
+#include "dispatch_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace Sycamoremoor {
+
+namespace {
+
+constexpr TaskSize Small{MilliCores(1'000), Megabytes(256), Accelerators(0)};
+constexpr std::size_t Workers = 11;
+
+struct EjectionCase {
+    const char *name;
+    const char *ends; ///< ends on worker 0 in order: a digit fails a task of that job, '+' succeeds
+    bool ejected;
+};
+
+/** A dispatcher with eleven workers, and jobs whose tasks are adopted on a chosen worker. */
+class EjectionFixture : public DispatchFixture
+{
+public:
+    EjectionFixture()
+        : DispatchFixture({[this](const WorkerEvent &event) { events.push_back(event); }, {}})
+    {
+        addWorkers(Workers);
+        for (int job = 0; job < 10; ++job) {
+            m_jobs.push_back(std::make_shared<const JobSpec>(makeJob(100, Small)));
+        }
+    }
+
+    /** Runs the next task of a job on a worker. */
+    void run(std::size_t job, std::size_t onWorker, PlacementEnd::Kind kind)
+    {
+        const TaskIndex task(m_next++);
+        dispatcher.adopt(now, m_jobs[job], task, worker(onWorker).agent);
+        end({m_jobs[job]->key, task}, kind);
+    }
+
+    /** Fails tasks of different jobs on a worker until it should be set aside. */
+    void breakWorker(std::size_t index)
+    {
+        for (std::size_t job = 0; job < config->policy.ejectAfterFailures; ++job) {
+            run(job, index, PlacementEnd::Kind::Failed);
+            run(job, Workers - 1, PlacementEnd::Kind::Succeeded);
+        }
+    }
+
+    [[nodiscard]] bool isEjected(std::size_t index) const
+    {
+        return dispatcher.isEjected(worker(index).agent);
+    }
+
+    /** Returns how many tasks worker @p index is given when many wait. */
+    std::size_t offered(std::size_t index)
+    {
+        submit(Workers * 8, Small);
+        const auto placements = dispatcher.place(now, 1);
+        return static_cast<std::size_t>(std::ranges::count(placements, worker(index).agent, &Placement::agent));
+    }
+
+    std::vector<WorkerEvent> events;
+
+private:
+    std::vector<JobSpecPointer> m_jobs;
+    std::uint32_t m_next = 0;
+};
+
+} // namespace
+
+class DispatchEjectionTest : public testing::TestWithParam<EjectionCase>
+{
+};
+
+TEST_P(DispatchEjectionTest, JudgesByFailuresInARowOfDifferentJobs)
+{
+    EjectionFixture fixture;
+    for (const auto end : std::string(GetParam().ends)) {
+        if (end == '+') {
+            fixture.run(9, 0, PlacementEnd::Kind::Succeeded);
+        } else {
+            fixture.run(static_cast<std::size_t>(end - '0'), 0, PlacementEnd::Kind::Failed);
+        }
+    }
+    EXPECT_EQ(fixture.isEjected(0), GetParam().ejected);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases,
+                         DispatchEjectionTest,
+                         testing::Values(EjectionCase{"DifferentJobs", "0123", true},
+                                         EjectionCase{"TooFew", "012", false},
+                                         EjectionCase{"OneJob", "00000000", false},
+                                         EjectionCase{"SuccessBetween", "012+123+", false},
+                                         EjectionCase{"AfterSuccess", "+0+1234", true}),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+TEST(DispatchEjection, AKindThatFailsEverywhereSetsNobodyAside)
+{
+    EjectionFixture fixture;
+    for (std::size_t job = 0; job < 9; ++job) {
+        for (std::size_t worker = 0; worker < Workers; ++worker) {
+            fixture.run(job, worker, PlacementEnd::Kind::Failed);
+        }
+    }
+    EXPECT_TRUE(fixture.events.empty());
+}
+
+TEST(DispatchEjection, TheShareSetAsideIsCapped)
+{
+    EjectionFixture fixture;
+    for (std::size_t worker = 0; worker + 1 < Workers; ++worker) {
+        fixture.breakWorker(worker);
+    }
+    std::size_t ejected = 0;
+    for (std::size_t worker = 0; worker < Workers; ++worker) {
+        ejected += fixture.isEjected(worker) ? 1 : 0;
+    }
+    EXPECT_EQ(ejected, Workers * fixture.config->policy.maxEjectedPercent / 100);
+}
+
+TEST(DispatchEjection, AWorkerComesBackWithOneTaskAtATimeAndIsEasedIn)
+{
+    EjectionFixture fixture;
+    fixture.breakWorker(0);
+    ASSERT_TRUE(fixture.isEjected(0));
+    EXPECT_EQ(fixture.offered(0), 0U);
+    fixture.now += fixture.config->policy.ejectionTime;
+    ASSERT_TRUE(fixture.dispatcher.nextWake() && *fixture.dispatcher.nextWake() <= fixture.now);
+    EXPECT_EQ(fixture.offered(0), 1U);
+    EXPECT_FALSE(fixture.isEjected(0));
+    ASSERT_EQ(fixture.events.size(), 2U);
+    EXPECT_FALSE(fixture.events.back().ejected);
+    fixture.run(9, 0, PlacementEnd::Kind::Succeeded);
+    EXPECT_EQ(fixture.offered(0), 1U); // two at a time, one of them runs
+}
+
+TEST(DispatchEjection, AFailureOnProbationSetsAsideForTwiceAsLong)
+{
+    EjectionFixture fixture;
+    fixture.breakWorker(0);
+    const auto first = fixture.config->policy.ejectionTime;
+    fixture.now += first;
+    fixture.dispatcher.place(fixture.now, 1);
+    fixture.run(0, 0, PlacementEnd::Kind::Failed);
+    EXPECT_TRUE(fixture.isEjected(0));
+    EXPECT_EQ(fixture.dispatcher.nextWake(), fixture.now + 2 * first);
+}
+
+TEST(DispatchEjection, AWorkerThatLeavesAndReturnsIsNotLostForEver)
+{
+    EjectionFixture fixture;
+    fixture.breakWorker(0);
+    fixture.dispatcher.removeWorker(fixture.worker(0).agent);
+    fixture.dispatcher.updateWorker(fixture.now, fixture.worker(0));
+    EXPECT_LE(fixture.offered(0), 8U);
+    EXPECT_FALSE(fixture.isEjected(0));
+}
+
+TEST(DispatchRetry, KeepsToItsBudgetAndBacksOff)
+{
+    DispatchFixture fixture;
+    fixture.addWorkers(1);
+    const auto job = fixture.submit(8, Small);
+    std::size_t starts = 0;
+    std::size_t retries = 0;
+    const auto until = fixture.now + fixture.deadline;
+    while (fixture.now < until) {
+        for (const auto &placement : fixture.dispatcher.place(fixture.now, 1)) {
+            ++starts;
+            retries += fixture.end(placement.task, PlacementEnd::Kind::NotStarted) ? 1 : 0;
+        }
+        fixture.now += std::chrono::milliseconds(1);
+    }
+    constexpr std::size_t FirstBudget = 64;
+    EXPECT_GT(retries, 8U);
+    EXPECT_LE(retries, FirstBudget + starts * fixture.config->policy.retryBudgetPercent / 100);
+    EXPECT_EQ(fixture.dispatcher.queuedTasks(), 0U);
+}
+
+} // namespace Sycamoremoor
