--- a/ctl/src/load_cmd.cpp
+++ b/ctl/src/load_cmd.cpp
@@ -20,6 +20,7 @@
 
 namespace {
 
+constexpr std::string_view QueryPath = "/internal/v1/query-tasks";
 constexpr std::string_view StartPath = "/internal/v1/start-tasks";
 
 /** Everything that was measured. */
@@ -85,7 +86,7 @@
     return streams + (2 * (requests - streams));
 }
 
-/** Heartbeats are told, and left out of the sums. */
+/** Wasted are refused tasks with their reports, reports that changed nothing, and queries. Heartbeats are left out of the sums. */
 Json messageReport(const Measured &measured)
 {
     Json byKind = Json::object();
@@ -99,7 +100,9 @@
         const auto found = measured.messages.counters.find("sycamoremoor_" + name + "_total");
         return found == measured.messages.counters.end() ? 0.0 : found->second;
     };
-    const auto wasted = (2 * counter("tasks_refused")) + counter("reports_duplicate") + (2 * counter("task_queries"));
+    const auto queries = measured.messages.byPath.find(std::string(QueryPath));
+    const auto queryMessages = queries == measured.messages.byPath.end() ? 0.0 : 2 * queries->second;
+    const auto wasted = (2 * counter("tasks_refused")) + counter("reports_duplicate") + queryMessages;
     const auto tasks = static_cast<double>(std::max<std::size_t>(measured.starts, 1));
     return {{"per_task", total / tasks}, {"wasted_share", total == 0 ? 0 : wasted / total}, {"total", total}, {"by_kind", byKind}};
 }
