Change: [core] An entry without proof of membership sends its agents to others for the roster

Cause: an owner cut off from the platform and its peers, but not from its agents, kept them as their home, so that they never learned the new owner: its proof gave them up after 15 s and jobs of before failed as unknown. Change: heartbeat answers name no home while the proof of membership has lapsed.

--- a/core/src/entry/entry_private.h
+++ b/core/src/entry/entry_private.h
@@ -79,6 +79,8 @@
     void setTimer(EntryStep &step);
     [[nodiscard]] MonotonicTime nextWake() const;
     [[nodiscard]] bool isHome(const AgentHeartbeat &heartbeat) const;
+    /** Tells whether this entry lost its proof of membership, so that the agent should ask another entry for the roster. */
+    [[nodiscard]] bool isPowerless(MonotonicTime now, const AgentHeartbeat &heartbeat) const;
     [[nodiscard]] OwnerSlotIndex slotOf(const SubmissionKey &key) const;
     std::optional<JobStatus> statusOf(const SubmissionKey &key);
     void forwardStatus(EntryStep &step, ConnectionId connection, const SubmissionKey &key, bool forwarded, bool cancel);
--- a/core/src/entry/roster_controller.cpp
+++ b/core/src/entry/roster_controller.cpp
@@ -463,6 +463,14 @@
             held.exclusiveAt = step.now();
             held.exclusiveSince = step.wall();
             step.log(Severity::Info, Part, "acting for owner slot " + std::to_string(held.slot.value()));
+            AuditRecord record;
+            record.at = step.wall();
+            record.kind = AuditKind::Takeover;
+            record.actor = m_settings.name.value();
+            record.subject = "owner slot " + std::to_string(held.slot.value());
+            record.reason = held.former.empty() ? "no former owner" : "after " + held.former.front().name.value();
+            record.after = held.token.value();
+            step.emit(std::move(record));
             step.emit(Observation{HistogramMetric::TakeoverSeconds, toSeconds(step.now() - held.learnedAt)});
         }
     }
--- a/core/src/entry_inputs.cpp
+++ b/core/src/entry_inputs.cpp
@@ -141,7 +141,7 @@
     AgentHeartbeatReply reply;
     reply.entry = m_settings.name;
     reply.incarnation = m_roster.incarnation();
-    reply.home = home;
+    reply.home = home && !isPowerless(step.now(), heartbeat);
     reply.rosterEpoch = m_roster.epoch();
     reply.roster = heartbeat.rosterEpoch < m_roster.epoch() ? m_roster.roster() : nullptr;
     reply.config = heartbeat.configRevision < m_config.revision() ? m_config.config() : nullptr;
--- a/core/src/entry_machine.cpp
+++ b/core/src/entry_machine.cpp
@@ -257,6 +257,13 @@
     return home && m_roster.tenure(*home) != nullptr;
 }
 
+bool EntryMachine::Private::isPowerless(MonotonicTime now, const AgentHeartbeat &heartbeat) const
+{
+    const auto home = homeSlot(*m_roster.roster(), heartbeat.agent, heartbeat.zone, heartbeat.region);
+    const auto *tenure = home ? m_roster.tenure(*home) : nullptr;
+    return tenure != nullptr && tenure->exclusive && !m_roster.mayServe(now, *home);
+}
+
 OwnerSlotIndex EntryMachine::Private::slotOf(const SubmissionKey &key) const
 {
     const auto &roster = m_roster.roster();
--- a/core/tests/entry_answers_test.cpp
+++ b/core/tests/entry_answers_test.cpp
@@ -31,7 +31,7 @@
 
 void nothing(EntryFleet & /*fleet*/, const JobSpecPointer & /*job*/) { }
 
-const std::array FailureCases{
+const std::array failureCases{
     FailureCase{"TaskFails",
                 [](EntryFleet &fleet) { fleet.agents[0].outcome = TaskState::Failed; },
                 nothing,
@@ -119,7 +119,7 @@
     EXPECT_EQ(std::ranges::count(fleet.answers, caller, &CallerAnswer::connection), 1);
 }
 
-INSTANTIATE_TEST_SUITE_P(Failures, EntryFailureTest, testing::ValuesIn(FailureCases), [](const auto &row) {
+INSTANTIATE_TEST_SUITE_P(Failures, EntryFailureTest, testing::ValuesIn(failureCases), [](const auto &row) {
     return std::string(row.param.name);
 });
 
@@ -179,6 +179,31 @@
     EXPECT_EQ(fleet.startsOf(job->key), 1U);
 }
 
+TEST(EntryAnswers, AFailedMessageIsNoEvidenceThatATaskDidNotStart)
+{
+    EntryFleet fleet(1, 2);
+    holdAll(fleet);
+    fleet.run(seconds(5));
+    const auto job = fleet.newJob(1);
+    const auto caller = fleet.submit("entry-1", job);
+    fleet.run(milliseconds(10));
+    const auto holder = std::ranges::find_if(fleet.agents, [](const FakeAgent &agent) { return !agent.starts.empty(); });
+    ASSERT_NE(holder, fleet.agents.end());
+    const std::vector tasks{TaskId{job->key, TaskIndex(0)}};
+    fleet.input("entry-1", AgentSendFailed{holder->name, holder->incarnation, Delivery::Unknown, tasks});
+    fleet.run(milliseconds(10));
+    EXPECT_EQ(fleet.queryMessages, 1U);
+    fleet.input("entry-1", AgentSendFailed{holder->name, holder->incarnation, Delivery::NotSent, tasks}); // of the query
+    fleet.run(seconds(3));
+    EXPECT_EQ(fleet.startsOf(job->key), 1U);
+    for (std::size_t index = 0; index < fleet.agents.size(); ++index) {
+        fleet.release(index);
+    }
+    fleet.run(milliseconds(10));
+    ASSERT_NE(fleet.answerTo(caller), nullptr);
+    EXPECT_EQ(fleet.answerTo(caller)->error, ErrorKind::None);
+}
+
 TEST(EntryAnswers, SlowTasksAreNotAskedAbout)
 {
     EntryFleet fleet(1, 3);
--- a/core/tests/entry_fleet.h
+++ b/core/tests/entry_fleet.h
@@ -42,6 +42,7 @@
     std::vector<TaskId> starts;
     std::shared_ptr<const RosterRecord> roster; ///< as the entries told it
     Revision configRevision;
+    bool wanders = false; ///< the newest answer named no home
     std::size_t seed = 0; ///< which entry to try next while no home answers
 };
 
--- a/core/tests/entry_fleet_agents.cpp
+++ b/core/tests/entry_fleet_agents.cpp
@@ -16,7 +16,7 @@
 
 EntryName EntryFleet::homeOf(const FakeAgent &agent) const
 {
-    if (agent.roster != nullptr) {
+    if (agent.roster != nullptr && !agent.wanders) {
         if (const auto slot = homeSlot(*agent.roster, agent.name, settings.zone, settings.region)) {
             const auto &owner = agent.roster->slots[slot->value()].owner;
             if (reaches(agent.name.value(), owner) && !m_nodes.at(owner).paused) {
--- a/core/tests/entry_golden_test.cpp
+++ b/core/tests/entry_golden_test.cpp
@@ -63,7 +63,7 @@
     fleet.run(milliseconds(10));
 }
 
-const std::array SessionCases{
+const std::array sessionCases{
     SessionCase{"entry_submit_complete", 1, submitComplete},
     SessionCase{"entry_resubmit", 2, resubmit},
     SessionCase{"entry_owner_change", 3, ownerChange},
@@ -94,7 +94,7 @@
     EXPECT_EQ(session, golden);
 }
 
-INSTANTIATE_TEST_SUITE_P(Sessions, EntrySessionTest, testing::ValuesIn(SessionCases), [](const auto &row) {
+INSTANTIATE_TEST_SUITE_P(Sessions, EntrySessionTest, testing::ValuesIn(sessionCases), [](const auto &row) {
     return std::string(row.param.name);
 });
 
--- a/core/tests/entry_takeover_test.cpp
+++ b/core/tests/entry_takeover_test.cpp
@@ -27,7 +27,7 @@
     bool complete; ///< whether the job must still end complete
 };
 
-const std::array TakeoverCases{
+const std::array takeoverCases{
     TakeoverCase{
         "KilledWhileRunning", [](EntryFleet &fleet) { holdAll(fleet, true); }, [](EntryFleet &fleet) { fleet.kill("entry-1"); }, true},
     TakeoverCase{"KilledAfterTheEnd", [](EntryFleet &) {}, [](EntryFleet &fleet) { fleet.kill("entry-1"); }, true},
@@ -112,7 +112,7 @@
     }
 }
 
-INSTANTIATE_TEST_SUITE_P(Losses, EntryTakeoverTest, testing::ValuesIn(TakeoverCases), [](const auto &row) {
+INSTANTIATE_TEST_SUITE_P(Losses, EntryTakeoverTest, testing::ValuesIn(takeoverCases), [](const auto &row) {
     return std::string(row.param.name);
 });
 
@@ -208,6 +208,40 @@
                                          OutageCase{"TwoGone", {"entry-2", "entry-3"}, false}),
                          [](const auto &row) { return std::string(row.param.name); });
 
+TEST(EntryTakeover, AMemberThatOnePeerStillHearsStays)
+{
+    EntryFleet fleet(3, 3);
+    fleet.run(seconds(6));
+    fleet.cut("entry-1", "entry-2");
+    fleet.run(seconds(30));
+    EXPECT_EQ(fleet.platform.roster->members.size(), 3U);
+    EXPECT_EQ(fleet.ownerName(), "entry-1");
+}
+
+TEST(EntryTakeover, CallersOnBothSidesOfACutAreAnswered)
+{
+    EntryFleet fleet(3, 3);
+    fleet.run(seconds(6));
+    for (const auto *other : {"entry-2", "entry-3", "platform"}) {
+        fleet.cut("entry-1", other);
+    }
+    const auto job = std::make_shared<JobSpec>(*fleet.newJob(3));
+    job->deadline = seconds(200);
+    const auto inside = fleet.submit("entry-1", job);
+    const auto outside = fleet.submit("entry-2", job);
+    fleet.run(seconds(120));
+    for (const auto *other : {"entry-2", "entry-3", "platform"}) {
+        fleet.cut("entry-1", other, false);
+    }
+    fleet.run(seconds(20));
+    for (const auto caller : {inside, outside}) {
+        ASSERT_NE(fleet.answerTo(caller), nullptr);
+        EXPECT_EQ(fleet.answerTo(caller)->results.size(), 3U);
+    }
+    EXPECT_EQ(fleet.mostStarts(), 1U);
+    EXPECT_EQ(fleet.platform.roster->members.size(), 3U);
+}
+
 TEST(EntryTakeover, LostWriteAnswersAreSettledByReading)
 {
     EntryFleet fleet(3, 3);
