Add: [core] Keep a worker free for a task that waits long for room; usage reports bound trust

Cause: a task of a whole worker's size never found room behind a stream of small ones; workers that use more than declared were filled by the declarations. Change: after 1 s without room one worker a service is kept free for the first such task. A worker's cores and memory are divided by reported over declared use.

--- a/bench/dispatch_simulate.cpp
+++ b/bench/dispatch_simulate.cpp
@@ -31,14 +31,14 @@
 /** A policy to compare. */
 struct PolicyRow {
     const char *name;
-    std::uint32_t agentQueue;
-    bool baseline; ///< random worker, queue at the runner
+    bool baseline;  ///< random worker, queue at the runner
+    bool roundTrip; ///< else messages take no time: what hiding the round trip could gain at most
 };
 
 constexpr std::array PolicyTable{
-    PolicyRow{"standard", 1, false},
-    PolicyRow{"no agent queue", 0, false},
-    PolicyRow{"baseline", NoBound, true},
+    PolicyRow{"standard", false, true},
+    PolicyRow{"standard, no round trip", false, false},
+    PolicyRow{"baseline", true, true},
 };
 
 constexpr std::array Loads{0.7, 0.95};
@@ -101,8 +101,9 @@
             for (const auto &policy : PolicyTable) {
                 SimulationSettings settings;
                 settings.zones = deployment.zones;
-                settings.oneWay = deployment.oneWay;
-                settings.config = makeConfig(policy.agentQueue, workload.teams);
+                settings.oneWay = policy.roundTrip ? deployment.oneWay : Duration::zero();
+                settings.oneWayOwnZone = policy.roundTrip ? settings.oneWayOwnZone : Duration::zero();
+                settings.config = makeConfig(policy.baseline ? NoBound : ConfigSet().policy.agentQueue, workload.teams);
                 if (policy.baseline) {
                     settings.hooks.chooseWorker = [](const std::vector<AgentName> & /*candidates*/, std::uint64_t entropy) {
                         return static_cast<std::size_t>(entropy >> 8U);
--- a/core/src/dispatch/dispatcher_private.h
+++ b/core/src/dispatch/dispatcher_private.h
@@ -68,6 +68,9 @@
 
     void placeService(MonotonicTime now, Service &service, std::uint64_t entropy, std::vector<Placement> &placements);
     bool placeNext(MonotonicTime now, Service &service, JobEntry &entry, std::uint64_t entropy, std::vector<Placement> &placements);
+    void reserve(MonotonicTime now, Service &service);
+    void useReservation(MonotonicTime now, Service &service, std::uint64_t entropy, std::vector<Placement> &placements);
+    void endReservation(Service &service);
     Worker *chooseWorker(const Service &service, const WorkerRoom &need, std::uint64_t entropy) const;
 
     ZoneName zone;
--- a/core/src/dispatch/job_entry.h
+++ b/core/src/dispatch/job_entry.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace Sycamoremoor {
@@ -66,9 +67,10 @@
     std::uint32_t placed = 0;                   ///< placed and not come back
     bool cancelled = false;                     ///< what comes back is not queued again
     JobStanding standing = JobStanding::Idle;
-    JobRank rank;          ///< in the queue
-    JobRank expiry;        ///< in the order of expiry, valid while a task waits
-    WorkerRoom parkedNeed; ///< room of the task for which it is parked
+    JobRank rank;                              ///< in the queue
+    JobRank expiry;                            ///< in the order of expiry, valid while a task waits
+    std::optional<MonotonicTime> blockedSince; ///< its next task has fitted no worker since then
+    WorkerRoom parkedNeed;                     ///< room of the task for which it is parked
 };
 
 } // namespace Sycamoremoor
--- a/core/src/dispatch/service_queue.h
+++ b/core/src/dispatch/service_queue.h
@@ -37,6 +37,9 @@
     /** Makes parked jobs ready for which a worker has room now: at most one of each size, for a bounded number of sizes. */
     void unpark(const WorkerPool &pool, std::uint64_t entropy);
 
+    /** Returns the parked job of the lowest rank, or null. */
+    [[nodiscard]] JobEntry *firstParked() const;
+
     /** Tells whether any job is parked. */
     [[nodiscard]] bool hasParked() const;
 
@@ -84,6 +87,8 @@
 struct Service {
     WorkerPool pool;
     ServiceQueue queue;
+    JobEntry *reservedFor = nullptr; ///< job for which a worker is kept free
+    Worker *reservedWorker = nullptr;
 };
 
 } // namespace Sycamoremoor
--- a/core/src/dispatch/worker.h
+++ b/core/src/dispatch/worker.h
@@ -28,6 +28,9 @@
     std::uint32_t tasks = 0;      ///< placed and not come back, earlier lives included
     bool known = false;           ///< false once it was removed; it is kept until its tasks came back
     bool ownZone = false;
+    bool reserved = false;  ///< kept free for a job whose next task has waited long for room
+    double coresRatio = 1;  ///< cores in use over cores declared, at least 1
+    double memoryRatio = 1; ///< memory in use over memory declared, at least 1
     WorkerHealth health;
     std::int64_t slotLimit = std::numeric_limits<std::int64_t>::max(); ///< slots that it may be given at most
     std::size_t position = 0;                                          ///< in the tree of free room
@@ -35,7 +38,10 @@
     std::int64_t countedSlots = 0;                                     ///< in the sum of the pool
 };
 
-/** Returns the room for another task on @p worker; no slots if it takes none. */
+/** Returns the room for another task on @p worker; no slots if it takes none. A reservation is not regarded. */
 WorkerRoom freeRoom(const Worker &worker);
 
+/** Takes in the usage that the worker's agent reports now. */
+void learnUsage(Worker &worker);
+
 } // namespace Sycamoremoor
--- a/core/src/dispatch_place.cpp
+++ b/core/src/dispatch_place.cpp
@@ -33,6 +33,7 @@
 
 void Dispatcher::Private::placeService(MonotonicTime now, Service &service, std::uint64_t entropy, std::vector<Placement> &placements)
 {
+    useReservation(now, service, entropy, placements);
     bool progress = true;
     while (progress && service.queue.waitingTasks() > 0 && (hooks.chooseWorker || service.pool.hasFreeSlot())) {
         progress = false;
@@ -44,11 +45,12 @@
             }
             progress = placeNext(now, service, *entry, mixed(entropy, placements.size()), placements) || progress;
             if (!hooks.chooseWorker && !service.pool.hasFreeSlot()) {
-                return;
+                break;
             }
         }
         progress = progress && service.queue.hasParked();
     }
+    reserve(now, service);
 }
 
 bool Dispatcher::Private::placeNext(
@@ -72,10 +74,12 @@
             countPlaced(entry, *worker, placedTask->second);
             refresh(entry);
             retries.countStart();
+            entry.blockedSince.reset();
             placements.push_back({id, worker->state.agent, worker->state.incarnation});
             return true;
         }
     }
+    entry.blockedSince = entry.blockedSince.value_or(now);
     service.queue.park(entry, roomOf(job.tasks[entry.waiting.back().index.value()].size));
     return false;
 }
--- a/core/src/dispatch_service_queue.cpp
+++ b/core/src/dispatch_service_queue.cpp
@@ -120,6 +120,17 @@
     }
 }
 
+JobEntry *ServiceQueue::firstParked() const
+{
+    const JobRank *first = nullptr;
+    for (const auto &[size, jobs] : m_parked) {
+        if (first == nullptr || *jobs.begin() < *first) {
+            first = &*jobs.begin();
+        }
+    }
+    return first == nullptr ? nullptr : first->entry;
+}
+
 bool ServiceQueue::hasParked() const
 {
     return !m_parked.empty();
--- a/core/src/dispatch_state.cpp
+++ b/core/src/dispatch_state.cpp
@@ -96,6 +96,9 @@
 
 void Dispatcher::Private::refresh(JobEntry &entry)
 {
+    if (entry.waiting.empty() && entry.service->reservedFor == &entry) {
+        endReservation(*entry.service);
+    }
     entry.queue->refresh(entry, rankOf(entry));
     const auto least = entry.waiting.empty() ? Duration::zero() : entry.waiting.back().least;
     const JobRank expiry{entry.deadline - least, entry.job->key, &entry};
@@ -175,7 +178,11 @@
 void Dispatcher::Private::leavePool(Worker &worker)
 {
     if (worker.known) {
-        services[worker.state.service].pool.remove(worker);
+        auto &service = services[worker.state.service];
+        if (service.reservedWorker == &worker) {
+            endReservation(service);
+        }
+        service.pool.remove(worker);
         ejections.forget(worker);
         worker.known = false;
     }
@@ -227,6 +234,7 @@
     }
     worker.state = state;
     worker.ownZone = state.zone == d->zone;
+    learnUsage(worker);
     auto &pool = d->services[state.service].pool;
     if (worker.known) {
         pool.refresh(worker);
--- a/core/src/dispatch_worker_pool.cpp
+++ b/core/src/dispatch_worker_pool.cpp
@@ -10,6 +10,15 @@
 /** The own zone is preferred until another zone's best worker has more than so many times its best worker's free slots. */
 constexpr std::int64_t ZonePreference = 2;
 
+constexpr double UsageWeight = 0.3; ///< of a new report
+constexpr double LargestUsageRatio = 8;
+
+/** Returns the room that may be given away. */
+WorkerRoom offeredRoom(const Worker &worker)
+{
+    return worker.reserved ? WorkerRoom{} : freeRoom(worker);
+}
+
 std::int64_t offeredSlots(const Worker &worker)
 {
     return worker.state.accepting ? std::min(roomOf(worker.state.capacity).slots, worker.slotLimit) : 0;
@@ -21,11 +30,27 @@
 {
     auto free = roomOf(worker.state.capacity);
     free.slots = worker.known && worker.state.accepting ? std::min(free.slots, worker.slotLimit) : 0;
+    if (worker.used.slots > 0) {
+        free.cores = static_cast<std::int64_t>(static_cast<double>(free.cores) / worker.coresRatio);
+        free.memory = static_cast<std::int64_t>(static_cast<double>(free.memory) / worker.memoryRatio);
+    }
     free -= worker.used;
     free.slots -= worker.state.foreign;
     return free;
 }
 
+void learnUsage(Worker &worker)
+{
+    const auto learn = [](double &ratio, std::int64_t inUse, std::int64_t declared) {
+        if (declared > 0) {
+            const auto now = static_cast<double>(inUse) / static_cast<double>(declared);
+            ratio = std::clamp(ratio + UsageWeight * (now - ratio), 1.0, LargestUsageRatio);
+        }
+    };
+    learn(worker.coresRatio, worker.state.usage.cores.value(), worker.used.cores);
+    learn(worker.memoryRatio, worker.state.usage.memory.value(), worker.used.memory);
+}
+
 const WorkerPool::Side &WorkerPool::side(bool ownZone) const
 {
     return m_sides[ownZone ? 1 : 0];
@@ -34,7 +59,7 @@
 void WorkerPool::add(Worker &worker)
 {
     auto &[free, workers] = m_sides[worker.ownZone ? 1 : 0];
-    worker.position = free.insert(freeRoom(worker));
+    worker.position = free.insert(offeredRoom(worker));
     workers.resize(std::max(workers.size(), worker.position + 1));
     workers[worker.position] = &worker;
     worker.capacityPosition = m_capacities.insert(roomOf(worker.state.capacity));
@@ -45,7 +70,7 @@
 
 void WorkerPool::refresh(Worker &worker)
 {
-    m_sides[worker.ownZone ? 1 : 0].free.update(worker.position, freeRoom(worker));
+    m_sides[worker.ownZone ? 1 : 0].free.update(worker.position, offeredRoom(worker));
     if (const auto capacity = roomOf(worker.state.capacity); m_capacities.room(worker.capacityPosition) != capacity) {
         m_capacities.update(worker.capacityPosition, capacity);
     }
--- a/core/tests/dispatch_basic_test.cpp
+++ b/core/tests/dispatch_basic_test.cpp
@@ -117,4 +117,31 @@
     EXPECT_EQ(fixture.dispatcher.queuedTasks(), 0U);
 }
 
+TEST(DispatchWorker, ARestartedWorkerHasAllItsSlotsAndOldTasksFreeNone)
+{
+    DispatchFixture fixture;
+    fixture.addWorkers(1);
+    const auto before = fixture.submit(8, Usual);
+    ASSERT_EQ(fixture.dispatcher.place(fixture.now, 1).size(), 8U);
+    auto restarted = fixture.worker(0);
+    restarted.incarnation = Incarnation(2);
+    fixture.dispatcher.updateWorker(fixture.now, restarted);
+    fixture.submit(12, Usual);
+    EXPECT_EQ(fixture.dispatcher.place(fixture.now, 1).size(), 8U);
+    fixture.end({before->key, TaskIndex(0)}, PlacementEnd::Kind::Lost);
+    EXPECT_EQ(fixture.dispatcher.place(fixture.now, 1).size(), 0U);
+}
+
+TEST(DispatchWorker, ARemovedWorkerThatReturnsStillRunsItsTasks)
+{
+    DispatchFixture fixture;
+    fixture.addWorkers(1);
+    fixture.submit(6, Usual);
+    ASSERT_EQ(fixture.dispatcher.place(fixture.now, 1).size(), 6U);
+    fixture.dispatcher.removeWorker(fixture.worker(0).agent);
+    fixture.addWorkers(1);
+    fixture.submit(8, Usual);
+    EXPECT_EQ(fixture.dispatcher.place(fixture.now, 1).size(), 2U);
+}
+
 } // namespace Sycamoremoor
--- a/core/tests/dispatch_order_test.cpp
+++ b/core/tests/dispatch_order_test.cpp
@@ -130,4 +130,63 @@
     EXPECT_EQ(freeOne(fixture, first, 0).size(), 1U);
 }
 
+TEST(DispatchOrder, ALargeTaskDoesNotStarveBehindAStreamOfSmallOnes)
+{
+    DispatchFixture fixture;
+    fixture.addWorkers(2);
+    std::vector<TaskId> running;
+    for (int round = 0; round < 4; ++round) {
+        fixture.submit(4, Small);
+    }
+    for (const auto &placement : fixture.dispatcher.place(fixture.now, 1)) {
+        running.push_back(placement.task);
+    }
+    const auto whole = fixture.submit(1, Whole);
+    const auto until = fixture.now + fixture.deadline;
+    bool started = false;
+    while (fixture.now < until && !started) {
+        fixture.submit(2, Small);
+        fixture.now += std::chrono::milliseconds(50);
+        for (int ends = 0; ends < 2 && !running.empty(); ++ends) {
+            fixture.end(running.front(), PlacementEnd::Kind::Succeeded);
+            running.erase(running.begin());
+        }
+        for (const auto &placement : fixture.dispatcher.place(fixture.now, 1)) {
+            started = started || placement.task.submission == whole->key;
+            running.push_back(placement.task);
+        }
+    }
+    EXPECT_TRUE(started);
+}
+
+struct UsageCase {
+    const char *name;
+    std::int64_t coresInUse; ///< thousandths, while 4 tasks of 1,000 each run
+    std::size_t placed;      ///< more tasks that are placed then
+};
+
+class DispatchUsageTest : public testing::TestWithParam<UsageCase>
+{
+};
+
+TEST_P(DispatchUsageTest, ReportsBoundHowFarDeclarationsAreTrusted)
+{
+    DispatchFixture fixture;
+    fixture.addWorkers(1);
+    fixture.submit(4, Small);
+    ASSERT_EQ(fixture.dispatcher.place(fixture.now, 1).size(), 4U);
+    auto state = fixture.worker(0);
+    state.usage.cores = MilliCores(GetParam().coresInUse);
+    for (int report = 0; report < 30; ++report) {
+        fixture.dispatcher.updateWorker(fixture.now, state);
+    }
+    fixture.submit(4, Small);
+    EXPECT_EQ(fixture.dispatcher.place(fixture.now, 1).size(), GetParam().placed);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases,
+                         DispatchUsageTest,
+                         testing::Values(UsageCase{"AsDeclared", 4'000, 4}, UsageCase{"Less", 1'000, 4}, UsageCase{"FiveTimes", 20'000, 2}),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 } // namespace Sycamoremoor
