--- a/net/tests/http_test.cpp
+++ b/net/tests/http_test.cpp
@@ -4,6 +4,8 @@
 #include <sycamoremoor/net/http_client.h>
 #include <sycamoremoor/net/http_exchange.h>
 #include <sycamoremoor/net/http_server.h>
+#include <sycamoremoor/net/metric_registry.h>
+#include <sycamoremoor/net/router.h>
 #include <sycamoremoor/net/timer.h>
 
 #include <gtest/gtest.h>
@@ -158,7 +160,7 @@
     std::vector<std::string> bodies(Calls);
     int ended = 0;
     for (int call = 0; call < Calls; ++call) {
-        m_client.send(callTo("/p", std::to_string(call)), [&, call](ClientResult result) {
+        m_client.send(callTo("/p", std::to_string(call)), [&, call](const ClientResult &result) {
             bodies[static_cast<std::size_t>(call)] = result.body;
             ++ended;
         });
@@ -323,4 +325,43 @@
                     BadRequest{"LongHeader", "GET / HTTP/1.1\r\nX: " + std::string(100'000, 'x') + "\r\n\r\n", "HTTP/1.1 400 "}),
     [](const auto &test) { return test.param.name; });
 
+struct RouteCase {
+    const char *name;
+    RequestMethod method;
+    const char *path;
+    int status;
+    const char *code;
+};
+
+class RouterTest : public HttpTest, public testing::WithParamInterface<RouteCase>
+{
+};
+
+TEST_P(RouterTest, AnswersByTheErrorTable)
+{
+    MetricRegistry metrics;
+    Router router(metrics, [] { return 7; });
+    router.add(RequestMethod::Post, "/v1/jobs", [](const RoutedRequest &request) { request.exchange->reply({200, "posted"}); });
+    router.add(RequestMethod::Get, "/v1/jobs/", [](const RoutedRequest &request) { request.exchange->reply({200, request.pathSuffix}); });
+    m_handler = [&router](const HttpExchangePointer &exchange) {
+        router.route(exchange);
+    };
+    auto call = callTo(GetParam().path);
+    call.method = GetParam().method;
+    const auto result = ask(std::move(call));
+    EXPECT_EQ(result.status, GetParam().status);
+    EXPECT_NE(result.body.find(GetParam().code), std::string::npos) << result.body;
+}
+
+INSTANTIATE_TEST_SUITE_P(Routes,
+                         RouterTest,
+                         testing::Values(RouteCase{"Post", RequestMethod::Post, "/v1/jobs", 200, "posted"},
+                                         RouteCase{"Suffix", RequestMethod::Get, "/v1/jobs/some%2Dkey", 200, "some-key"},
+                                         RouteCase{"NoPath", RequestMethod::Get, "/v1", 404, "not_found"},
+                                         RouteCase{"Root", RequestMethod::Get, "/", 404, "not_found"},
+                                         RouteCase{"Deeper", RequestMethod::Get, "/v1/jobs/a/b", 404, "not_found"},
+                                         RouteCase{"WrongMethod", RequestMethod::Delete, "/v1/jobs", 405, "method_not_allowed"},
+                                         RouteCase{"RequestId", RequestMethod::Get, "/x", 404, "0000000000000007"}),
+                         [](const auto &test) { return test.param.name; });
+
 } // namespace Sycamoremoor
