Fix: [core] A refusal says "not run" only when no other copy can be taken

Cause: a forwarded submission that was sent again left two copies on their way. One was refused for a full queue as not run, the other was taken later. An owner that was removed without knowing could tell its callers "not run" of tasks that the new owner had started. Change: an entry that refuses a submission refuses every copy of it that waits there; a forwarder with another copy on its way takes "not run" back to "unknown"; an owner without proof of membership does so too.

--- a/core/src/entry/forward_controller.cpp
+++ b/core/src/entry/forward_controller.cpp
@@ -24,6 +24,17 @@
     return error == ErrorKind::OwnerUnavailable || error == ErrorKind::Draining || error == ErrorKind::OwnerFenced;
 }
 
+/** Returns @p answer with "not run" taken back to "unknown". */
+JobAnswerPointer withoutDenial(const JobAnswerPointer &answer)
+{
+    if (answer->error == ErrorKind::None) {
+        return answer;
+    }
+    auto weaker = std::make_shared<JobAnswer>(*answer);
+    withdrawDenial(*weaker);
+    return weaker;
+}
+
 } // namespace
 
 ForwardController::ForwardController(const EntrySettings &settings, RosterController &roster, ReturnHook takeBack)
@@ -117,6 +128,7 @@
     held.target = target.name;
     held.targetIncarnation = target.incarnation;
     held.inFlight = true;
+    ++held.copies;
     held.checkDelay = FirstCheckDelay;
     held.retryAt = step.now() + held.checkDelay;
     step.emit(SendToPeer{target.name,
@@ -128,6 +140,7 @@
 void ForwardController::check(EntryStep &step, Held &held)
 {
     held.checkDelay *= 2;
+    held.checked = true;
     held.retryAt = step.now() + held.checkDelay;
     const auto *target = m_roster.roster() == nullptr ? nullptr : findMember(*m_roster.roster(), held.target);
     if (target != nullptr) {
@@ -159,14 +172,33 @@
         step.log(Severity::Error, "forward", "an answer came for another submission, ignored");
         return;
     }
+    --held.copies;
     if (isNoAnswer(answered.answer->error) && answered.answer->account.empty()) {
         held.inFlight = false;
         retryLater(step, held);
         reschedule(held);
         return;
     }
+    auto answer = answered.answer;
+    if (held.copies > 0) {
+        answer = withoutDenial(answer); // another copy of the submission may still be taken
+    }
     remove(answered.connection);
-    step.emit(AnswerJob{answered.connection, answered.answer});
+    step.emit(AnswerJob{answered.connection, std::move(answer)});
+}
+
+void ForwardController::answerCopies(EntryStep &step, const JobAnswerPointer &answer)
+{
+    std::vector<ConnectionId> copies;
+    for (const auto &[connection, held] : m_held) {
+        if (held.submission.job->key == answer->key) {
+            copies.push_back(connection);
+        }
+    }
+    for (const auto connection : copies) {
+        remove(connection);
+        step.emit(AnswerJob{connection, answer});
+    }
 }
 
 bool ForwardController::onStatus(EntryStep &step, const ForwardStatusAnswered &answered)
@@ -189,13 +221,16 @@
     return true;
 }
 
-bool ForwardController::onSendFailed(EntryStep &step, ConnectionId connection, Delivery /*delivery*/)
+bool ForwardController::onSendFailed(EntryStep &step, ConnectionId connection, Delivery delivery)
 {
     const auto found = m_held.find(connection);
     if (found == m_held.end()) {
         return false;
     }
     found->second.inFlight = false;
+    if (delivery == Delivery::NotSent && !found->second.checked) {
+        --found->second.copies;
+    }
     retryLater(step, found->second);
     reschedule(found->second);
     return true;
--- a/core/src/entry/forward_controller.h
+++ b/core/src/entry/forward_controller.h
@@ -45,6 +45,9 @@
     /** @return false if no submission of that connection is held */
     bool onSendFailed(EntryStep &step, ConnectionId connection, Delivery delivery);
 
+    /** This entry refused a submission as not run: every other copy of it that waits here gets the same answer. */
+    void answerCopies(EntryStep &step, const JobAnswerPointer &answer);
+
     void onCallerGone(ConnectionId connection);
     void onRosterChanged(EntryStep &step);
     void onTime(EntryStep &step);
@@ -62,6 +65,8 @@
         EntryName target;
         Incarnation targetIncarnation;
         bool inFlight = false;
+        int copies = 0;       ///< sent, and not known to have been looked at or lost
+        bool checked = false; ///< a check was sent, so that a failure may be of that
         int failures = 0;
         MonotonicTime retryAt; ///< of the forward, or of the next check on it while it is in flight
         Duration checkDelay{};
--- a/core/src/entry/job_answer.cpp
+++ b/core/src/entry/job_answer.cpp
@@ -122,6 +122,9 @@
     whole->account = accountOf(job);
     const auto complete = job.error == ErrorKind::None;
     whole->ran = complete ? RunState::Ran : overallRun(whole->account);
+    if (!complete && !m_parts.roster.mayServe(step.now(), job.slot)) {
+        withdrawDenial(*whole); // another owner may have taken the submission meanwhile
+    }
     if (complete) {
         whole->results.reserve(job.tasks.size());
         for (auto &task : job.tasks) {
--- a/core/src/entry/open_job_type.h
+++ b/core/src/entry/open_job_type.h
@@ -12,6 +12,18 @@
 /** After its deadline a job waits so long for the truth about tasks that were sent. */
 inline constexpr Duration EndingGrace = std::chrono::seconds(1);
 
+/** Takes every "not run" in an answer back to "unknown": what could not be proven then. */
+inline void withdrawDenial(JobAnswer &answer)
+{
+    answer.ran = answer.ran == RunState::NotRun ? RunState::Unknown : answer.ran;
+    for (auto &line : answer.account) {
+        if (line.ran == RunState::NotRun) {
+            line.ran = RunState::Unknown;
+            answer.ran = RunState::Unknown;
+        }
+    }
+}
+
 /** Where a task of an open job is. */
 enum class TaskStage {
     Waiting, ///< in the dispatcher's queue
--- a/core/src/entry/submission_filter.cpp
+++ b/core/src/entry/submission_filter.cpp
@@ -5,6 +5,11 @@
 
 namespace Sycamoremoor {
 
+void SubmissionChain::setRefusalHook(RefusalHook refused)
+{
+    m_refused = std::move(refused);
+}
+
 SubmissionChain::Position SubmissionChain::add(SubmissionFilter filter)
 {
     m_filters.push_back(std::move(filter));
@@ -27,7 +32,10 @@
             answer->retryAfter = verdict.retryAfter;
             answer->singleRequest = submission.job->singleRequest;
             step.count(CounterMetric::JobsRefused);
-            step.emit(AnswerJob{submission.connection, std::move(answer)});
+            step.emit(AnswerJob{submission.connection, answer});
+            if (m_refused) {
+                m_refused(step, answer);
+            }
             return;
         }
     }
--- a/core/src/entry/submission_filter.h
+++ b/core/src/entry/submission_filter.h
@@ -49,6 +49,11 @@
     /** Where in the chain a submission enters. */
     using Position = std::size_t;
 
+    /** Told of each refusal, after the submission was answered. */
+    using RefusalHook = std::function<void(EntryStep &step, const JobAnswerPointer &answer)>;
+
+    void setRefusalHook(RefusalHook refused);
+
     /** Appends a filter. Returns the position after it. */
     Position add(SubmissionFilter filter);
 
@@ -57,6 +62,7 @@
 
 private:
     std::vector<SubmissionFilter> m_filters;
+    RefusalHook m_refused;
 };
 
 } // namespace Sycamoremoor
--- a/core/src/entry_submission.cpp
+++ b/core/src/entry_submission.cpp
@@ -30,6 +30,11 @@
 
 void EntryMachine::Private::addFilters()
 {
+    m_chain.setRefusalHook([this](EntryStep &step, const JobAnswerPointer &answer) {
+        if (answer->ran == RunState::NotRun) {
+            m_forwards.answerCopies(step, answer);
+        }
+    });
     m_chain.add([this](EntryStep &, const Submission &submission) { return filterStopped(submission); });
     m_chain.add([this](EntryStep &step, const Submission &submission) { return filterDuplicate(step, submission); });
     m_chain.add([this](EntryStep &step, const Submission &submission) { return filterOwnership(step, submission); });
