--- a/bench/dispatch_benchmark.cpp
+++ b/bench/dispatch_benchmark.cpp
@@ -23,7 +23,8 @@
 class LoadedDispatcher
 {
 public:
-    explicit LoadedDispatcher(std::size_t workers)
+    /** @param split whether nine of ten workers lack cores or memory, by turns */
+    explicit LoadedDispatcher(std::size_t workers, bool split = false)
         : m_dispatcher(ZoneName("trnava-a"), {})
     {
         auto config = std::make_shared<ConfigSet>();
@@ -41,6 +42,10 @@
             worker.incarnation = Incarnation(1);
             worker.zone = ZoneName(index % Zones == 0 ? "trnava-a" : "nitra-b");
             worker.service = ServiceName("reclaim-desk");
+            if (split && index % 10 != 0) {
+                worker.capacity.cores = MilliCores(index % 2 == 0 ? 100 : 30'000);
+                worker.capacity.memory = Megabytes(index % 2 == 0 ? 130'000 : 100);
+            }
             m_dispatcher.updateWorker(m_now, worker);
         }
         while (m_dispatcher.queuedTasks() < BacklogJobs * TasksPerJob) {
@@ -107,7 +112,19 @@
     state.counters["starts/s"] = benchmark::Counter(static_cast<double>(starts), benchmark::Counter::kIsRate);
 }
 
+/** As decide(), where no single resource tells which worker has room. */
+void decideWithSplitRoom(benchmark::State &state)
+{
+    LoadedDispatcher dispatcher(static_cast<std::size_t>(state.range(0)), true);
+    std::size_t starts = 0;
+    for (auto step : state) {
+        starts += dispatcher.step();
+    }
+    state.counters["starts/s"] = benchmark::Counter(static_cast<double>(starts), benchmark::Counter::kIsRate);
+}
+
 BENCHMARK(decide)->Arg(11)->Arg(110)->Arg(1'100)->Arg(4'300);
+BENCHMARK(decideWithSplitRoom)->Arg(11)->Arg(110)->Arg(1'100)->Arg(4'300);
 
 } // namespace
 
--- a/core/src/dispatch/room_tree.h
+++ b/core/src/dispatch/room_tree.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <vector>
 
@@ -13,7 +14,8 @@
 /**
  * A tournament tree: each leaf is the room of one worker, each inner node the greatest of its leaves, resource by resource.
  *
- * An update costs the logarithm of the number of workers. So does a search, but where no single resource decides.
+ * An update costs the logarithm of the number of workers. So does a search, but where no single resource decides;
+ * for that case it can be bounded.
  */
 class RoomTree
 {
@@ -30,9 +32,11 @@
     /**
      * Finds a leaf with room for @p need, preferring many free slots.
      * @param entropy random bits that choose among equals
+     * @param mostNodes nodes to look at; a search that needs more finds nothing
      * @return its position, or nothing if no leaf has the room
      */
-    [[nodiscard]] std::optional<std::size_t> find(const WorkerRoom &need, std::uint64_t entropy) const;
+    [[nodiscard]] std::optional<std::size_t>
+    find(const WorkerRoom &need, std::uint64_t entropy, std::size_t mostNodes = std::numeric_limits<std::size_t>::max()) const;
 
     /** Returns the room of a leaf. */
     [[nodiscard]] const WorkerRoom &room(std::size_t position) const;
@@ -42,7 +46,8 @@
 
 private:
     void grow();
-    [[nodiscard]] std::optional<std::size_t> findBelow(std::size_t node, const WorkerRoom &need, std::uint64_t entropy) const;
+    [[nodiscard]] std::optional<std::size_t>
+    findBelow(std::size_t node, const WorkerRoom &need, std::uint64_t entropy, std::size_t &nodesLeft) const;
 
     std::vector<WorkerRoom> m_nodes; ///< from 1; the children of n are 2n and 2n + 1
     std::size_t m_leaves = 0;        ///< a power of two
--- a/core/src/dispatch/worker_pool.h
+++ b/core/src/dispatch/worker_pool.h
@@ -27,7 +27,7 @@
 
     /**
      * Finds a worker with room for @p need: the one with the most free slots, own zone first while that spreads the load.
-     * @return the worker, or null if none has the room
+     * @return the worker, or null if none has the room or it was not found within bounded work
      */
     [[nodiscard]] Worker *choose(const WorkerRoom &need, std::uint64_t entropy) const;
 
@@ -54,9 +54,12 @@
     };
 
     [[nodiscard]] const Side &side(bool ownZone) const;
+    [[nodiscard]] Worker *chooseByTree(const WorkerRoom &need, std::uint64_t entropy) const;
+    void remember(Worker &worker);
 
     std::array<Side, 2> m_sides; ///< other zones, own zone
     RoomTree m_capacities;
+    std::vector<Worker *> m_changed; ///< workers with room that changed last, newest last; a bounded search may miss them
     std::size_t m_count = 0;
     std::int64_t m_slots = 0;
 };
--- a/core/src/dispatch_room_tree.cpp
+++ b/core/src/dispatch_room_tree.cpp
@@ -43,9 +43,9 @@
     m_unused.push_back(position);
 }
 
-std::optional<std::size_t> RoomTree::find(const WorkerRoom &need, std::uint64_t entropy) const
+std::optional<std::size_t> RoomTree::find(const WorkerRoom &need, std::uint64_t entropy, std::size_t mostNodes) const
 {
-    return m_leaves == 0 ? std::nullopt : findBelow(1, need, entropy);
+    return m_leaves == 0 ? std::nullopt : findBelow(1, need, entropy, mostNodes);
 }
 
 const WorkerRoom &RoomTree::room(std::size_t position) const
@@ -72,8 +72,13 @@
     }
 }
 
-std::optional<std::size_t> RoomTree::findBelow(std::size_t node, const WorkerRoom &need, std::uint64_t entropy) const
+std::optional<std::size_t>
+RoomTree::findBelow(std::size_t node, const WorkerRoom &need, std::uint64_t entropy, std::size_t &nodesLeft) const
 {
+    if (nodesLeft == 0) {
+        return std::nullopt;
+    }
+    --nodesLeft;
     if (!fits(need, m_nodes[node])) {
         return std::nullopt;
     }
@@ -84,10 +89,10 @@
     const auto difference = m_nodes[left].slots - m_nodes[left + 1].slots;
     const bool rightFirst = difference < 0 || (difference == 0 && (entropy & 1U) != 0);
     const auto first = rightFirst ? left + 1 : left;
-    if (const auto found = findBelow(first, need, entropy >> 1U)) {
+    if (const auto found = findBelow(first, need, entropy >> 1U, nodesLeft)) {
         return found;
     }
-    return findBelow(rightFirst ? left : left + 1, need, entropy >> 1U);
+    return findBelow(rightFirst ? left : left + 1, need, entropy >> 1U, nodesLeft);
 }
 
 } // namespace Sycamoremoor
--- a/core/src/dispatch_worker_pool.cpp
+++ b/core/src/dispatch_worker_pool.cpp
@@ -10,6 +10,12 @@
 /** The own zone is preferred until another zone's best worker has more than so many times its best worker's free slots. */
 constexpr std::int64_t ZonePreference = 2;
 
+/** Nodes of a tree that a search looks at. */
+constexpr std::size_t MostNodes = 128;
+
+/** Workers that are remembered for having changed last. */
+constexpr std::size_t RememberedWorkers = 16;
+
 constexpr double UsageWeight = 0.3; ///< of a new report
 constexpr double LargestUsageRatio = 8;
 
@@ -66,6 +72,7 @@
     ++m_count;
     worker.countedSlots = offeredSlots(worker);
     m_slots += worker.countedSlots;
+    remember(worker);
 }
 
 void WorkerPool::refresh(Worker &worker)
@@ -77,6 +84,7 @@
     m_slots -= worker.countedSlots;
     worker.countedSlots = offeredSlots(worker);
     m_slots += worker.countedSlots;
+    remember(worker);
 }
 
 void WorkerPool::remove(Worker &worker)
@@ -85,17 +93,28 @@
     free.remove(worker.position);
     workers[worker.position] = nullptr;
     m_capacities.remove(worker.capacityPosition);
+    std::erase(m_changed, &worker);
     --m_count;
     m_slots -= worker.countedSlots;
 }
 
 Worker *WorkerPool::choose(const WorkerRoom &need, std::uint64_t entropy) const
 {
-    const auto own = side(true).free.find(need, entropy);
+    if (auto *found = chooseByTree(need, entropy); found != nullptr) {
+        return found;
+    }
+    const auto changed
+        = std::find_if(m_changed.rbegin(), m_changed.rend(), [&need](const Worker *worker) { return fits(need, offeredRoom(*worker)); });
+    return changed == m_changed.rend() ? nullptr : *changed;
+}
+
+Worker *WorkerPool::chooseByTree(const WorkerRoom &need, std::uint64_t entropy) const
+{
+    const auto own = side(true).free.find(need, entropy, MostNodes);
     if (own && side(true).free.room(*own).slots * ZonePreference >= side(false).free.largest().slots) {
         return side(true).workers[*own];
     }
-    const auto other = side(false).free.find(need, entropy);
+    const auto other = side(false).free.find(need, entropy, MostNodes);
     if (own && other && side(true).free.room(*own).slots * ZonePreference >= side(false).free.room(*other).slots) {
         return side(true).workers[*own];
     }
@@ -105,6 +124,18 @@
     return own ? side(true).workers[*own] : nullptr;
 }
 
+void WorkerPool::remember(Worker &worker)
+{
+    std::erase(m_changed, &worker);
+    if (offeredRoom(worker).slots <= 0) {
+        return;
+    }
+    if (m_changed.size() >= RememberedWorkers) {
+        m_changed.erase(m_changed.begin());
+    }
+    m_changed.push_back(&worker);
+}
+
 bool WorkerPool::everFits(const WorkerRoom &need) const
 {
     return m_count == 0 || m_capacities.find(need, 0).has_value();
--- a/core/tests/dispatch_order_test.cpp
+++ b/core/tests/dispatch_order_test.cpp
@@ -159,6 +159,23 @@
     EXPECT_TRUE(started);
 }
 
+TEST(DispatchOrder, AWorkerIsFoundAmongManyThatLackOneResourceEach)
+{
+    DispatchFixture fixture;
+    constexpr std::size_t Lacking = 1'000;
+    for (std::size_t index = 0; index < Lacking; ++index) {
+        auto state = fixture.worker(index);
+        state.capacity.cores = MilliCores(index % 2 == 0 ? 100 : 30'000);
+        state.capacity.memory = Megabytes(index % 2 == 0 ? 130'000 : 100);
+        fixture.dispatcher.updateWorker(fixture.now, state);
+    }
+    fixture.dispatcher.updateWorker(fixture.now, fixture.worker(Lacking));
+    const auto job = fixture.submit(9, Small);
+    ASSERT_EQ(fixture.dispatcher.place(fixture.now, 1).size(), 8U);
+    fixture.end({job->key, TaskIndex(0)}, PlacementEnd::Kind::Succeeded);
+    EXPECT_EQ(fixture.dispatcher.place(fixture.now, 1).size(), 1U);
+}
+
 struct UsageCase {
     const char *name;
     std::int64_t coresInUse; ///< thousandths, while 4 tasks of 1,000 each run
