Fix: [core] An old roster no longer makes an entry deaf to a peer's current life

Cause: an entry heard a restarted peer, then read a roster that still named the peer's life before; it took the heard life for a past one and ignored it for good. With all entries restarted no owner ever saw a majority, and callers got no answer. Found by the property world. Change: only a life that was heard and then followed by another heard one counts as past.

--- a/core/src/entry/peer_directory.cpp
+++ b/core/src/entry/peer_directory.cpp
@@ -17,7 +17,8 @@
 
 void PeerDirectory::beginLife(Peer &peer, MonotonicTime now, Incarnation incarnation)
 {
-    if (peer.incarnation != Incarnation()) {
+    // A life that only a roster named may be the one before or the one to come.
+    if (peer.incarnation != Incarnation() && peer.everHeard) {
         if (peer.past.size() >= MaxPastLives) {
             peer.past.erase(peer.past.begin());
         }
@@ -36,7 +37,9 @@
 {
     auto &peer = m_peers[name];
     if (peer.incarnation != incarnation && !peer.past.contains(incarnation)) {
+        const auto former = peer.incarnation;
         beginLife(peer, now, incarnation);
+        peer.past.erase(former); // the roster may be older than what was heard
     }
 }
 
--- a/core/tests/world_faults_test.cpp
+++ b/core/tests/world_faults_test.cpp
@@ -24,6 +24,10 @@
     {"SecondBodyAfterTakeover", 0, {{Kind::Submit, 0, 0}, {Kind::Run, 5, 0}, {Kind::Conflict, 0, 0}, {Kind::Restart, 672, 0}}},
     // An answer that was asked for by key alone went to the caller of the other body.
     {"AnswerAskedForByKey", 12, {{Kind::Submit, 0, 0}, {Kind::Cut, 1281, 0}, {Kind::Conflict, 80, 0}, {Kind::Run, 36, 0}}},
+    // An old roster made entries take the current life of a peer for a past one, and never hear it again.
+    {"AllEntriesRestarted",
+     0,
+     {{Kind::Run, 1, 0}, {Kind::Restart, 992, 0}, {Kind::Submit, 0, 0}, {Kind::Restart, 936, 0}, {Kind::Restart, 0, 0}}},
     {"AnswerAskedForByKeyLater", 83, {{Kind::Cut, 65, 0}, {Kind::Submit, 0, 0}, {Kind::Run, 50, 0}, {Kind::Conflict, 0, 0}}},
 };
 
