Add: [core] Test that a new owner waits out the lease of a removed one

Cause: with the wait switched off no test of the entry failed. Change: a test of the time between the roster that names a new owner and its first start.

--- a/core/tests/entry_takeover_test.cpp
+++ b/core/tests/entry_takeover_test.cpp
@@ -128,6 +128,20 @@
     EXPECT_EQ(fleet.startsOf(job->key), 3U);
 }
 
+TEST(EntryTakeover, ANewOwnerWaitsOutTheLeaseOfARemovedOne)
+{
+    EntryFleet fleet(3, 3);
+    fleet.run(seconds(6));
+    fleet.kill("entry-1");
+    ASSERT_TRUE(fleet.runUntil([&] { return fleet.ownerName() != "entry-1"; }, seconds(10)));
+    const auto job = fleet.newJob(3);
+    fleet.submit("entry-3", job);
+    fleet.run(fleet.settings.servingLease - milliseconds(1));
+    EXPECT_EQ(fleet.startsOf(job->key), 0U);
+    fleet.run(seconds(3));
+    EXPECT_EQ(fleet.startsOf(job->key), 3U);
+}
+
 TEST(EntryTakeover, ResumedOwnerForwardsItsCallersToTheNewOne)
 {
     EntryFleet fleet(3, 3);
