Fix: [core] Ends in a cancelled job teach nothing

Cause: a stopped task comes back as succeeded with a short run time. It reset a failing worker's failures and shortened the expected run time of its kind. Change: the end of a task of a cancelled job is neither judged nor learned.

--- a/core/src/dispatch_state.cpp
+++ b/core/src/dispatch_state.cpp
@@ -146,6 +146,9 @@
 {
     auto &entry = *task.entry;
     auto &worker = *task.worker;
+    if (entry.cancelled) {
+        return; // it may have been stopped, which tells nothing of its run time or its worker
+    }
     const auto &spec = entry.job->tasks[index.value()];
     if (end.kind == PlacementEnd::Kind::Succeeded && end.runTime > Duration::zero()) {
         estimator.learn(entry.job->service, spec.kind, spec.declaredRunTime, end.runTime);
@@ -155,7 +158,7 @@
     }
     if (end.kind == PlacementEnd::Kind::Succeeded) {
         ejections.succeeded(worker, entry, index);
-    } else if (end.kind != PlacementEnd::Kind::NotStarted && !entry.cancelled) {
+    } else if (end.kind != PlacementEnd::Kind::NotStarted) {
         ejections.failed(now, worker, entry, index, services[worker.state.service].pool.size());
     }
 }
--- a/core/tests/dispatch_ejection_test.cpp
+++ b/core/tests/dispatch_ejection_test.cpp
@@ -158,6 +158,24 @@
     EXPECT_FALSE(fixture.isEjected(0));
 }
 
+TEST(DispatchEjection, WhatEndsInACancelledJobTellsNothing)
+{
+    EjectionFixture fixture;
+    const auto job = fixture.submit(1, Small);
+    const auto placements = fixture.dispatcher.place(fixture.now, 1);
+    ASSERT_EQ(placements.size(), 1U);
+    const auto on = static_cast<std::size_t>(std::stoi(placements.front().agent.value().substr(std::string("agent-").size())));
+    for (std::size_t failed = 0; failed + 1 < fixture.config->policy.ejectAfterFailures; ++failed) {
+        fixture.run(failed, on, PlacementEnd::Kind::Failed);
+    }
+    fixture.dispatcher.cancel(job->key);
+    fixture.end(placements.front().task, PlacementEnd::Kind::Succeeded, std::chrono::milliseconds(1));
+    fixture.run(8, on, PlacementEnd::Kind::Failed);
+    EXPECT_TRUE(fixture.isEjected(on));
+    const auto &task = job->tasks.front();
+    EXPECT_EQ(fixture.dispatcher.expectedRunTime(job->service, task.kind, task.declaredRunTime), task.declaredRunTime);
+}
+
 TEST(DispatchRetry, KeepsToItsBudgetAndBacksOff)
 {
     DispatchFixture fixture;
