Change: [core] Brief heartbeats, and fewer of them in a large fleet

Cause: a heartbeat with its answer was 614 bytes of JSON, of which most never changes in a life of the agent; at one a second, 45 workers filled an entry's 28 KB/s for control. Change: an agent leaves out what its receiver knows, and describes itself again when asked; an entry with more than 32 agents asks them to beat less often, every 4 s at most, and judges silence by the same measure. Leaving, a lapse of the upstream's health and overdue reports are still told at once.

--- a/bench/entry_harness.cpp
+++ b/bench/entry_harness.cpp
@@ -99,17 +99,20 @@
     }
 }
 
-AgentHeartbeat EntryHarness::heartbeat(std::size_t index) const
+AgentHeartbeat EntryHarness::heartbeat(std::size_t index, bool brief) const
 {
     AgentHeartbeat heartbeat;
     heartbeat.agent = AgentName(agentName(index));
     heartbeat.incarnation = AgentLife;
-    heartbeat.startedAt = m_wall - std::chrono::hours(1);
-    heartbeat.endpoint = Endpoint{"127.0.0.1", 7100};
-    heartbeat.zone = ZoneName("trnava-a");
-    heartbeat.region = RegionName("sk-west");
-    heartbeat.service = ServiceName("reclaim-desk");
-    heartbeat.upstream = Endpoint{"127.0.0.1", 7200};
+    heartbeat.brief = brief;
+    if (!brief) {
+        heartbeat.startedAt = m_wall - std::chrono::hours(1);
+        heartbeat.endpoint = Endpoint{"127.0.0.1", 7100};
+        heartbeat.zone = ZoneName("trnava-a");
+        heartbeat.region = RegionName("sk-west");
+        heartbeat.service = ServiceName("reclaim-desk");
+        heartbeat.upstream = Endpoint{"127.0.0.1", 7200};
+    }
     heartbeat.stamp = AgentStamp(m_now.time_since_epoch().count());
     heartbeat.rosterEpoch = m_roster->epoch;
     heartbeat.configRevision = m_config->revision;
@@ -118,11 +121,12 @@
 
 std::size_t EntryHarness::heartbeats(std::size_t count)
 {
-    m_sequences.resize(std::max(m_sequences.size(), count));
+    const auto known = m_sequences.size();
+    m_sequences.resize(std::max(known, count));
     m_replyBytes = 0;
     std::size_t bytes = 0;
     for (std::size_t index = 0; index < count; ++index) {
-        const auto json = encode(heartbeat(index));
+        const auto json = encode(heartbeat(index, index < known));
         bytes += json.size();
         AgentHeartbeat received;
         if (!decode(json, received)) {
--- a/bench/entry_harness.h
+++ b/bench/entry_harness.h
@@ -21,7 +21,7 @@
     /** Lets time pass in steps of a millisecond at most. */
     void pass(Duration duration);
 
-    /** Heartbeats of agents 0 to @p count, through their JSON. @return bytes of heartbeats and answers */
+    /** Heartbeats of agents 0 to @p count, brief after the first, through their JSON. @return bytes of heartbeats and answers */
     std::size_t heartbeats(std::size_t count);
 
     /** Submits a job. @param payloadBytes of each task */
@@ -34,7 +34,7 @@
 
 private:
     void answerPlatform(const EntryOutputs &outputs);
-    [[nodiscard]] AgentHeartbeat heartbeat(std::size_t index) const;
+    [[nodiscard]] AgentHeartbeat heartbeat(std::size_t index, bool brief) const;
 
     EntryMachine m_machine;
     MonotonicTime m_now{std::chrono::seconds(1'000)};
--- a/core/include/sycamoremoor/core/agent_message_type.h
+++ b/core/include/sycamoremoor/core/agent_message_type.h
@@ -50,6 +50,7 @@
 struct AgentHeartbeat {
     AgentName agent;
     Incarnation incarnation;
+    bool brief = false;   ///< the receiver knows what does not change; startedAt to capacity are left out
     WallTime startedAt{}; ///< when this incarnation began, with an empty ledger
     Endpoint endpoint;    ///< where entries reach the agent
     ZoneName zone;
@@ -75,6 +76,8 @@
 struct AgentHeartbeatReply {
     EntryName entry;
     Incarnation incarnation;
+    bool describe = false;                      ///< the receiver does not know this life of the agent; the next heartbeat must not be brief
+    Duration interval{};                        ///< until the next heartbeat; zero for the agent's setting
     bool home = true;                           ///< false if the agent should go to another entry by the roster
     std::shared_ptr<const RosterRecord> roster; ///< set if newer than the agent's
     std::shared_ptr<const ConfigSet> config;    ///< set if newer than the agent's
--- a/core/include/sycamoremoor/core/entry_settings_type.h
+++ b/core/include/sycamoremoor/core/entry_settings_type.h
@@ -22,6 +22,8 @@
 
     Duration headReadInterval = std::chrono::milliseconds(1'500); ///< between reads of roster and configuration head
     Duration peerHeartbeatInterval = std::chrono::seconds(1);
+    std::uint32_t agentHeartbeatRate = 32;                     ///< heartbeats a second; with more agents each is asked to beat less often
+    std::uint32_t maxHeartbeatStretch = 4;                     ///< times the interval, at most
     Duration agentHeartbeatInterval = std::chrono::seconds(1); ///< same at agents
     Duration failureTimeout = std::chrono::seconds(3);         ///< silence after which a peer is removed, or an agent gets no new work
     Duration servingLease = std::chrono::seconds(4);           ///< how long a proof of membership holds; same at all entries
--- a/core/src/agent/heartbeat_controller.cpp
+++ b/core/src/agent/heartbeat_controller.cpp
@@ -16,6 +16,7 @@
 HeartbeatController::HeartbeatController(AgentState &state, ReportController &reports)
     : m_state(state)
     , m_reports(reports)
+    , m_interval(state.settings.heartbeatInterval)
 {
 }
 
@@ -24,9 +25,7 @@
     const auto &reply = input.reply;
     m_silentSince.reset();
     m_leavingIsKnown = m_leavingIsKnown || m_saidLeaving;
-    if (const auto owner = m_state.owners.find(reply.entry, reply.incarnation); owner != NoOwner) {
-        m_reports.acknowledge(owner, reply.acknowledged);
-    }
+    noteReceiver(step, reply);
     const bool newer = reply.roster && (!m_state.roster || reply.roster->epoch > m_state.roster->epoch);
     if (newer) {
         adoptRoster(step, reply.roster);
@@ -41,6 +40,22 @@
     return newer;
 }
 
+void HeartbeatController::noteReceiver(AgentStep &step, const AgentHeartbeatReply &reply)
+{
+    if (reply.home) {
+        m_interval = reply.interval > Duration::zero() ? reply.interval : m_state.settings.heartbeatInterval;
+    }
+    const auto index = m_state.owners.find(reply.entry, reply.incarnation);
+    if (index == NoOwner) {
+        return;
+    }
+    m_reports.acknowledge(index, reply.acknowledged);
+    m_state.owners.at(index).described = !reply.describe;
+    if (reply.describe) {
+        hurry(step);
+    }
+}
+
 void HeartbeatController::adoptRoster(AgentStep &step, const std::shared_ptr<const RosterRecord> &roster)
 {
     AuditRecord record;
@@ -145,8 +160,8 @@
     if (m_state.upstreamHealthy != m_saidHealthy || m_state.isLeaving() != m_saidLeaving) {
         m_nextAt = now;
     }
-    if (m_nextAt <= now) {
-        m_nextAt = now + m_state.settings.heartbeatInterval;
+    if (nextToTarget() <= now) {
+        m_nextAt = now + m_interval;
         sendToTarget(step);
     }
     for (auto &owner : m_state.owners.owners()) {
@@ -201,13 +216,16 @@
     AgentHeartbeat heartbeat;
     heartbeat.agent = settings.name;
     heartbeat.incarnation = settings.incarnation;
-    heartbeat.startedAt = m_state.startedAt;
-    heartbeat.endpoint = settings.endpoint;
-    heartbeat.zone = settings.zone;
-    heartbeat.region = settings.region;
-    heartbeat.service = settings.service;
-    heartbeat.upstream = settings.upstream;
-    heartbeat.capacity = settings.capacity;
+    heartbeat.brief = receiver != NoOwner && m_state.owners.at(receiver).described;
+    if (!heartbeat.brief) {
+        heartbeat.startedAt = m_state.startedAt;
+        heartbeat.endpoint = settings.endpoint;
+        heartbeat.zone = settings.zone;
+        heartbeat.region = settings.region;
+        heartbeat.service = settings.service;
+        heartbeat.upstream = settings.upstream;
+        heartbeat.capacity = settings.capacity;
+    }
     heartbeat.usage = m_state.usage;
     heartbeat.stamp = AgentStamp(step.context.now.time_since_epoch().count());
     heartbeat.rosterEpoch = m_state.roster ? m_state.roster->epoch : Epoch();
@@ -225,9 +243,20 @@
     return heartbeat;
 }
 
+MonotonicTime HeartbeatController::nextToTarget() const
+{
+    const auto owner = ownerAt(m_target);
+    if (owner == NoOwner || m_state.owners.at(owner).unacknowledged.empty() || !m_lastSent) {
+        return m_nextAt;
+    }
+    // A report that is overdue does not wait for a stretched interval.
+    const auto soonest = *m_lastSent + m_state.settings.heartbeatInterval;
+    return std::min(m_nextAt, std::max(soonest, m_reports.nextDue(m_state.owners.at(owner))));
+}
+
 MonotonicTime HeartbeatController::nextWake() const
 {
-    auto wake = m_nextAt;
+    auto wake = nextToTarget();
     for (const auto &owner : m_state.owners.owners()) {
         if (needsOwnHeartbeat(owner)) {
             wake = std::min(wake, dueAt(owner));
--- a/core/src/agent/heartbeat_controller.h
+++ b/core/src/agent/heartbeat_controller.h
@@ -44,6 +44,8 @@
     [[nodiscard]] OwnerIndex ownerAt(const Endpoint &entry) const;
     [[nodiscard]] bool needsOwnHeartbeat(const Owner &owner) const;
     [[nodiscard]] MonotonicTime dueAt(const Owner &owner) const;
+    [[nodiscard]] MonotonicTime nextToTarget() const;
+    void noteReceiver(AgentStep &step, const AgentHeartbeatReply &reply);
     void sendToTarget(AgentStep &step);
     void send(AgentStep &step, const Endpoint &entry);
     [[nodiscard]] AgentHeartbeat heartbeatFor(AgentStep &step, OwnerIndex receiver);
@@ -51,6 +53,7 @@
     AgentState &m_state;
     ReportController &m_reports;
     Endpoint m_target;
+    Duration m_interval; ///< as the home asks
     MonotonicTime m_nextAt = MonotonicTime::min();
     std::optional<MonotonicTime> m_lastSent;
     std::optional<MonotonicTime> m_silentSince; ///< first heartbeat to the target without an answer
--- a/core/src/agent/owner_table.h
+++ b/core/src/agent/owner_table.h
@@ -26,8 +26,9 @@
 struct Owner {
     EntryName name;
     Incarnation incarnation;
-    Endpoint endpoint;     ///< port 0 if not known
-    bool inRoster = false; ///< a member of the newest roster
+    Endpoint endpoint;      ///< port 0 if not known
+    bool inRoster = false;  ///< a member of the newest roster
+    bool described = false; ///< it answered a heartbeat that described this agent
     ReportSequence lastSequence;
     std::uint32_t held = 0;    ///< tasks that have not ended
     std::uint32_t records = 0; ///< ledger records that name it
--- a/core/src/entry/worker_directory.cpp
+++ b/core/src/entry/worker_directory.cpp
@@ -2,6 +2,7 @@
 #include "worker_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Sycamoremoor {
 
@@ -10,6 +11,23 @@
 constexpr std::size_t MaxPastLives = 64;
 constexpr std::size_t MaxReportsAhead = 100'000;
 
+/** Replaces @p known by a newer heartbeat; a brief one leaves what does not change as it is. */
+void takeHeartbeat(AgentHeartbeat &known, const AgentHeartbeat &heartbeat)
+{
+    const auto before = std::exchange(known, heartbeat);
+    known.unacknowledged.clear();
+    if (!heartbeat.brief) {
+        return;
+    }
+    known.startedAt = before.startedAt;
+    known.endpoint = before.endpoint;
+    known.zone = before.zone;
+    known.region = before.region;
+    known.service = before.service;
+    known.upstream = before.upstream;
+    known.capacity = before.capacity;
+}
+
 } // namespace
 
 WorkerDirectory::WorkerDirectory(const EntrySettings &settings)
@@ -20,6 +38,13 @@
 HeartbeatChange WorkerDirectory::onHeartbeat(MonotonicTime now, const AgentHeartbeat &heartbeat)
 {
     HeartbeatChange change;
+    if (heartbeat.brief) {
+        const auto *known = find(heartbeat.agent);
+        change.unknown = known == nullptr || known->heartbeat.incarnation != heartbeat.incarnation;
+        if (change.unknown) {
+            return change;
+        }
+    }
     auto &seen = m_arrivals[heartbeat.agent];
     if (seen.past.contains(heartbeat.incarnation)) {
         return change;
@@ -39,8 +64,7 @@
     auto &worker = m_workers[heartbeat.agent];
     const auto late = worker.heartbeat.incarnation == heartbeat.incarnation && worker.heartbeat.stamp > heartbeat.stamp;
     if (!late) {
-        worker.heartbeat = heartbeat;
-        worker.heartbeat.unacknowledged.clear();
+        takeHeartbeat(worker.heartbeat, heartbeat);
         worker.silent = false;
     }
     if (change.replaced) {
@@ -55,6 +79,20 @@
     return change;
 }
 
+std::uint32_t WorkerDirectory::heartbeatStretch() const
+{
+    const auto perInterval
+        = std::max<std::int64_t>(1, m_settings.agentHeartbeatRate * m_settings.agentHeartbeatInterval / std::chrono::seconds(1));
+    const auto needed = (static_cast<std::int64_t>(m_workers.size()) + perInterval - 1) / perInterval;
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(needed, 1, m_settings.maxHeartbeatStretch));
+}
+
+Duration WorkerDirectory::heartbeatInterval() const
+{
+    const auto stretch = heartbeatStretch();
+    return stretch == 1 ? Duration::zero() : stretch * m_settings.agentHeartbeatInterval;
+}
+
 void WorkerDirectory::alive(MonotonicTime now, const AgentName &agent, Incarnation incarnation)
 {
     if (auto *worker = find(agent); worker != nullptr && worker->heartbeat.incarnation == incarnation) {
@@ -97,7 +135,7 @@
     for (auto &[name, worker] : m_workers) {
         if (now - worker.aliveAt > m_settings.agentLostTimeout) {
             silence.lost.emplace_back(name, worker.heartbeat.incarnation);
-        } else if (!worker.silent && now - worker.heardAt > m_settings.failureTimeout) {
+        } else if (!worker.silent && now - worker.heardAt > m_settings.failureTimeout * heartbeatStretch()) {
             worker.silent = true;
             silence.silent.push_back(name);
         }
--- a/core/src/entry/worker_directory.h
+++ b/core/src/entry/worker_directory.h
@@ -23,7 +23,8 @@
 
 /** What a heartbeat changed. */
 struct HeartbeatChange {
-    bool accepted = false;               ///< false for a late heartbeat of an earlier life
+    bool accepted = false;               ///< false for a late heartbeat of an earlier life, or a brief one of an unknown life
+    bool unknown = false;                ///< it was brief, and the agent must describe itself
     std::optional<Incarnation> replaced; ///< the life that ended, if another began
 };
 
@@ -41,6 +42,9 @@
 
     HeartbeatChange onHeartbeat(MonotonicTime now, const AgentHeartbeat &heartbeat);
 
+    /** Returns the interval between heartbeats that the number of agents allows; zero for the agents' setting. */
+    [[nodiscard]] Duration heartbeatInterval() const;
+
     /** Notes a sign of life that is not a heartbeat. */
     void alive(MonotonicTime now, const AgentName &agent, Incarnation incarnation);
 
@@ -74,6 +78,7 @@
 
     Arrivals *arrivals(const AgentName &agent, Incarnation incarnation);
     static void advance(Arrivals &arrivals);
+    [[nodiscard]] std::uint32_t heartbeatStretch() const;
 
     const EntrySettings &m_settings;
     std::map<AgentName, KnownWorker> m_workers;
--- a/core/src/entry_inputs.cpp
+++ b/core/src/entry_inputs.cpp
@@ -126,7 +126,9 @@
         step.log(Severity::Info, "worker", heartbeat.agent.value() + " began another life");
         m_jobs.onAgentLost(step, heartbeat.agent, *change.replaced);
     }
-    const auto home = isHome(heartbeat);
+    const auto *known = m_workers.find(heartbeat.agent);
+    const auto &described = known == nullptr ? heartbeat : known->heartbeat;
+    const auto home = isHome(described);
     if (change.accepted) {
         if (home) {
             m_slotAgents.want(step, heartbeat.agent);
@@ -141,7 +143,9 @@
     AgentHeartbeatReply reply;
     reply.entry = m_settings.name;
     reply.incarnation = m_roster.incarnation();
-    reply.home = home && !isPowerless(step.now(), heartbeat);
+    reply.describe = change.unknown;
+    reply.interval = m_workers.heartbeatInterval();
+    reply.home = home && !isPowerless(step.now(), described);
     reply.rosterEpoch = m_roster.epoch();
     reply.roster = heartbeat.rosterEpoch < m_roster.epoch() ? m_roster.roster() : nullptr;
     reply.config = heartbeat.configRevision < m_config.revision() ? m_config.config() : nullptr;
--- a/wire/src/describe_func.h
+++ b/wire/src/describe_func.h
@@ -281,36 +281,39 @@
 {
     archive("agent", heartbeat.agent);
     archive("incarnation", heartbeat.incarnation);
-    archive("started_at", heartbeat.startedAt);
-    archive("endpoint", heartbeat.endpoint);
-    archive("zone", heartbeat.zone);
-    archive("region", heartbeat.region);
-    archive("service", heartbeat.service);
-    archive("upstream", heartbeat.upstream);
-    archive("capacity", heartbeat.capacity);
-    archive("usage", heartbeat.usage);
+    archive.optional("brief", heartbeat.brief);
+    archive.optional("started_at", heartbeat.startedAt);
+    archive.optional("endpoint", heartbeat.endpoint);
+    archive.optional("zone", heartbeat.zone);
+    archive.optional("region", heartbeat.region);
+    archive.optional("service", heartbeat.service);
+    archive.optional("upstream", heartbeat.upstream);
+    archive.optional("capacity", heartbeat.capacity);
+    archive.optional("usage", heartbeat.usage);
     archive("stamp", heartbeat.stamp);
     archive("roster_epoch", heartbeat.rosterEpoch);
     archive("config_revision", heartbeat.configRevision);
     archive("config_since", heartbeat.configSince);
-    archive("leaving", heartbeat.leaving);
+    archive.optional("leaving", heartbeat.leaving);
     archive("upstream_healthy", heartbeat.upstreamHealthy);
-    archive("queued", heartbeat.queued);
-    archive("running", heartbeat.running);
-    archive("receiver", heartbeat.receiver);
-    archive("held_for_owner", heartbeat.heldForOwner);
-    archive("unacknowledged", heartbeat.unacknowledged);
+    archive.optional("queued", heartbeat.queued);
+    archive.optional("running", heartbeat.running);
+    archive.optional("receiver", heartbeat.receiver);
+    archive.optional("held_for_owner", heartbeat.heldForOwner);
+    archive.optional("unacknowledged", heartbeat.unacknowledged);
 }
 
 void describe(auto &archive, Described<AgentHeartbeatReply> auto &reply)
 {
     archive("entry", reply.entry);
     archive("incarnation", reply.incarnation);
+    archive.optional("describe", reply.describe);
+    archive.optional("interval", reply.interval);
     archive("home", reply.home);
-    archive("roster", reply.roster);
-    archive("config", reply.config);
+    archive.optional("roster", reply.roster);
+    archive.optional("config", reply.config);
     archive("roster_epoch", reply.rosterEpoch);
-    archive("acknowledged", reply.acknowledged);
+    archive.optional("acknowledged", reply.acknowledged);
 }
 
 void describe(auto &archive, Described<StartTask> auto &start)
