Fix: [wire] Refuse durations and times whose sums would overflow

Cause: a message between processes could carry any 64-bit count of microseconds, and the machines add them. Change: beyond 285 years either way the field is refused as out of range.

--- a/wire/src/json_reader.h
+++ b/wire/src/json_reader.h
@@ -174,6 +174,10 @@
     {
         Duration::rep count = 0;
         read(json, count);
+        if (count < -MaxMicroseconds || count > MaxMicroseconds) {
+            failField("is out of range", ErrorKind::InvalidValue);
+            return;
+        }
         value = Duration(count);
     }
 
@@ -260,6 +264,8 @@
         }
     }
 
+    static constexpr Duration::rep MaxMicroseconds = Duration::rep{1} << 53U; ///< some 285 years, so that sums cannot overflow
+
     Json &m_object;
     const std::string &m_path;
     std::string_view m_field;
--- a/wire/tests/message_codec_test.cpp
+++ b/wire/tests/message_codec_test.cpp
@@ -10,6 +10,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <array>
+#include <limits>
 #include <string>
 
 namespace Sycamoremoor {
@@ -163,6 +164,21 @@
     EXPECT_EQ(error->detail, "message.reason has an unknown value");
 }
 
+TEST(MessageCodecTest, RefusesDurationsWhoseSumsWouldOverflow)
+{
+    JobAnswer answer;
+    answer.retryAfter = Duration(Duration::rep{1} << 53U);
+    JobAnswer back;
+    EXPECT_FALSE(decode(encode(answer), back).has_value());
+    for (const auto microseconds : {std::numeric_limits<Duration::rep>::max(), std::numeric_limits<Duration::rep>::min()}) {
+        answer.retryAfter = Duration(microseconds);
+        const auto error = decode(encode(answer), back);
+        ASSERT_TRUE(error.has_value());
+        EXPECT_EQ(error->kind, ErrorKind::InvalidValue);
+        EXPECT_EQ(error->detail, "message.retry_after is out of range");
+    }
+}
+
 TEST(MessageCodecTest, RefusesDeepNestingWithoutRecursion)
 {
     const std::string deep(1'000'000, '[');
