Fix: [core] The test of a bounded search splits the room within a zone

Cause: workers that lacked cores and memory stood in different zones' trees, so one resource decided in each, and the test passed without the last changed workers. Change: both lacks occur in each zone. Result: the test passes, and fails with the look at the last changed workers switched off.

--- a/core/tests/dispatch_order_test.cpp
+++ b/core/tests/dispatch_order_test.cpp
@@ -165,8 +165,8 @@
     constexpr std::size_t Lacking = 1'000;
     for (std::size_t index = 0; index < Lacking; ++index) {
         auto state = fixture.worker(index);
-        state.capacity.cores = MilliCores(index % 2 == 0 ? 100 : 30'000);
-        state.capacity.memory = Megabytes(index % 2 == 0 ? 130'000 : 100);
+        state.capacity.cores = MilliCores(index % 4 < 2 ? 100 : 30'000);
+        state.capacity.memory = Megabytes(index % 4 < 2 ? 130'000 : 100);
         fixture.dispatcher.updateWorker(fixture.now, state);
     }
     fixture.dispatcher.updateWorker(fixture.now, fixture.worker(Lacking));
