--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import subprocess
@@ -101,11 +102,13 @@
     def __enter__(self):
         return self
 
-    def __exit__(self, *_):
+    def __exit__(self, fault, *_):
         for process in self.processes.values():
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGKILL)
             process.wait(5)
+        if fault is None:
+            shutil.rmtree(self.dir, ignore_errors=True)
 
     def of_role(self, role):
         return [process for process in self.processes.values() if process.role == role]
