Change: [core] Agents are sent their own part of the configuration, and only when it changed

Agents use their service's record and the policy. Change: an entry sends the agent's excerpt; where that is the same in every revision seen since the agent's, it sends the newer revision's number alone. A revision that the entry did not see counts as a change. Tested: six rows of revisions at the entry, one case at the agent; core_tests 202 of 202. The fake agent of the entry's tests reads the new field, its checks are as they were.

--- a/core/include/sycamoremoor/core/agent_message_type.h
+++ b/core/include/sycamoremoor/core/agent_message_type.h
@@ -80,7 +80,8 @@
     Duration interval{};                        ///< until the next heartbeat; zero for the agent's setting
     bool home = true;                           ///< false if the agent should go to another entry by the roster
     std::shared_ptr<const RosterRecord> roster; ///< set if newer than the agent's
-    std::shared_ptr<const ConfigSet> config;    ///< set if newer than the agent's
+    Revision configUnchanged;                   ///< if set: what the agent has in force holds as this newer revision, too
+    std::shared_ptr<const ConfigSet> config;    ///< set if newer than the agent's: its service and the policy only
     Epoch rosterEpoch;                          ///< the entry's
     ReportSequence acknowledged;                ///< every report of this agent to this entry up to here arrived
 };
--- a/core/src/agent/heartbeat_controller.cpp
+++ b/core/src/agent/heartbeat_controller.cpp
@@ -33,6 +33,11 @@
     if (reply.config && (!m_state.config || reply.config->revision > m_state.config->revision)) {
         adoptConfig(step, reply.config);
     }
+    if (m_state.config && reply.configUnchanged > m_state.config->revision) {
+        auto same = std::make_shared<ConfigSet>(*m_state.config);
+        same->revision = reply.configUnchanged;
+        adoptConfig(step, same);
+    }
     aimAtHome();
     if (newer) {
         hurry(step);
--- a/core/src/entry_inputs.cpp
+++ b/core/src/entry_inputs.cpp
@@ -148,7 +148,11 @@
     reply.home = home && !isPowerless(step.now(), described);
     reply.rosterEpoch = m_roster.epoch();
     reply.roster = heartbeat.rosterEpoch < m_roster.epoch() ? m_roster.roster() : nullptr;
-    reply.config = heartbeat.configRevision < m_config.revision() ? m_config.config() : nullptr;
+    if (change.accepted) {
+        const auto config = m_config.forAgent(described.service, heartbeat.configRevision);
+        reply.config = config.excerpt;
+        reply.configUnchanged = config.unchanged;
+    }
     reply.acknowledged = m_workers.acknowledged(heartbeat.agent, heartbeat.incarnation);
     step.emit(AnswerAgentHeartbeat{input.connection, std::move(reply)});
 }
--- a/core/tests/entry_fleet.cpp
+++ b/core/tests/entry_fleet.cpp
@@ -229,6 +229,7 @@
         if (heartbeat->reply.config != nullptr) {
             agent.configRevision = heartbeat->reply.config->revision;
         }
+        agent.configRevision = std::max(agent.configRevision, heartbeat->reply.configUnchanged);
     } else if (const auto *peer = std::get_if<AnswerPeerHeartbeat>(&output)) {
         const auto asker = m_peerExchanges.at(peer->connection);
         if (reaches(from.value(), asker)) {
--- a/core/tests/heartbeat_size_test.cpp
+++ b/core/tests/heartbeat_size_test.cpp
@@ -1,4 +1,4 @@
-// Heartbeats that leave out what does not change, and that come less often in a large fleet.
+// Heartbeats and answers that leave out what the receiver knows, and that come less often in a large fleet.
 #include "agent_driver.h"
 
 #include <sycamoremoor/core/entry_machine.h>
@@ -6,7 +6,10 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace Sycamoremoor {
 
@@ -31,6 +34,7 @@
 struct LoneEntry {
     EntryMachine machine{EntrySettings{.name = EntryName("E1"), .incarnation = Incarnation(1)}};
 
+    /** Returns the first output of a kind; any type may be named if none is of interest. */
     template<typename Output>
     Output step(EntryInput input)
     {
@@ -77,8 +81,85 @@
     IntervalCase{500, seconds(4)},
 };
 
+/** A configuration with two services; each number stands for the content of one. */
+std::shared_ptr<const ConfigSet> configOf(std::uint64_t revision, std::uint32_t reclaim, std::uint32_t censo)
+{
+    auto config = std::make_shared<ConfigSet>();
+    config->revision = Revision(revision);
+    for (const auto &[name, content] : {std::pair("reclaim-desk", reclaim), std::pair("censo-gado", censo)}) {
+        ServiceRecord service;
+        service.name = ServiceName(name);
+        service.maxQueueTasks = content;
+        config->services.emplace(service.name, service);
+    }
+    return config;
+}
+
+/** Revisions that the entry learns after revision 1, and what it then tells an agent of reclaim-desk. */
+struct ExcerptCase {
+    const char *name;
+    std::vector<std::shared_ptr<const ConfigSet>> learned;
+    std::uint64_t agentRevision;
+    bool sent;
+    std::uint64_t unchangedAs;
+};
+
+const std::vector<ExcerptCase> ExcerptCases{
+    {"Current", {}, 1, false, 0},
+    {"None", {}, 0, true, 0},
+    {"OwnServiceChanged", {configOf(2, 9, 1)}, 1, true, 0},
+    {"OtherServiceChanged", {configOf(2, 1, 9)}, 1, false, 2},
+    {"ChangedThenOther", {configOf(2, 9, 1), configOf(3, 9, 9)}, 2, false, 3},
+    {"RevisionNotSeenBetween", {configOf(3, 1, 1)}, 2, true, 0},
+};
+
 } // namespace
 
+class ConfigExcerptTest : public testing::TestWithParam<ExcerptCase>
+{
+};
+
+TEST_P(ConfigExcerptTest, IsSentOnlyWhenItChanged)
+{
+    const auto &row = GetParam();
+    LoneEntry entry;
+    entry.step<SetTimer>(ConfigRead{configOf(1, 1, 1)});
+    entry.beat(heartbeatOf(1, 1, false)); // the first to ask
+    for (const auto &config : row.learned) {
+        entry.step<SetTimer>(ConfigRead{config});
+    }
+    auto heartbeat = heartbeatOf(1, 1, true);
+    heartbeat.configRevision = Revision(row.agentRevision);
+    const auto reply = entry.beat(heartbeat);
+    EXPECT_EQ(reply.config != nullptr, row.sent);
+    EXPECT_EQ(reply.configUnchanged, Revision(row.unchangedAs));
+    if (reply.config != nullptr) {
+        EXPECT_EQ(reply.config->services.size(), 1U);
+        EXPECT_TRUE(reply.config->services.contains(ServiceName("reclaim-desk")));
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Revisions, ConfigExcerptTest, testing::ValuesIn(ExcerptCases), [](const auto &row) { return row.param.name; });
+
+TEST(AgentConfigTest, TakesANewerRevisionOfTheSameContent)
+{
+    AgentDriver driver;
+    driver.makeReady();
+    AgentHeartbeatReply reply;
+    reply.entry = EntryName("E1");
+    reply.incarnation = driver.right().incarnation;
+    reply.config = configOf(4, 1, 1);
+    driver.feed(HeartbeatReplyReceived{reply});
+    reply.config = nullptr;
+    reply.configUnchanged = Revision(6);
+    driver.feed(HeartbeatReplyReceived{reply});
+    reply.configUnchanged = Revision(5); // late
+    driver.feed(HeartbeatReplyReceived{reply});
+    driver.pass(seconds(2));
+    ASSERT_FALSE(driver.all<SendHeartbeat>().empty());
+    EXPECT_EQ(driver.all<SendHeartbeat>().back().heartbeat.configRevision, Revision(6));
+}
+
 class BriefHeartbeatTest : public testing::TestWithParam<BriefCase>
 {
 };
--- a/wire/src/describe_func.h
+++ b/wire/src/describe_func.h
@@ -311,6 +311,7 @@
     archive.optional("interval", reply.interval);
     archive("home", reply.home);
     archive.optional("roster", reply.roster);
+    archive.optional("config_unchanged", reply.configUnchanged);
     archive.optional("config", reply.config);
     archive("roster_epoch", reply.rosterEpoch);
     archive.optional("acknowledged", reply.acknowledged);
