Fix: [core] A task that its agent refused goes to another worker

Cause: an agent that says "never started" has tombstoned the task, so the same agent refuses every further copy. The dispatcher could place the task there again until the retry budget was spent, and failed the job with other workers idle. Change: the end of a placement tells a refusal from a message that never left. A refused task avoids the workers that refused it while they live; when none is left, it is not queued again at all. Tested: five new cases fail without the exclusion by construction of their workers; core_tests 215 of 215. The cost of a decision without refusals is a look-up in an empty map.

--- a/core/include/sycamoremoor/core/dispatcher.h
+++ b/core/include/sycamoremoor/core/dispatcher.h
@@ -48,6 +48,7 @@
         Failed,     ///< the upstream says that the task failed
         Lost,       ///< upstream or agent lost it
         NotStarted, ///< provably not started; the task goes back to the queue if the budget allows
+        Refused,    ///< its agent promised never to start it; it goes back to the queue for another worker, if the budget allows
         End,
     };
     Kind kind = Kind::Succeeded;
@@ -112,7 +113,7 @@
 
     /**
      * A placed task came to its end.
-     * @return for NotStarted: whether the task is queued again; false if the retry budget is spent or the job was cancelled
+     * @return for NotStarted and Refused: whether the task is queued again; false if the retry budget is spent or the job was cancelled
      */
     bool ended(MonotonicTime now, const TaskId &task, const PlacementEnd &end);
 
--- a/core/src/dispatch/dispatcher_private.h
+++ b/core/src/dispatch/dispatcher_private.h
@@ -71,7 +71,12 @@
     void reserve(MonotonicTime now, Service &service);
     void useReservation(MonotonicTime now, Service &service, std::uint64_t entropy, std::vector<Placement> &placements);
     void endReservation(Service &service);
-    Worker *chooseWorker(const Service &service, const WorkerRoom &need, std::uint64_t entropy) const;
+    Worker *chooseWorker(Service &service, const JobEntry &entry, TaskIndex task, std::uint64_t entropy);
+    Worker *chooseByHook(const Service &service, std::uint64_t entropy) const;
+    /** Returns the known workers whose present life refused the task. */
+    std::vector<Worker *> refusersOf(const Service &service, const JobEntry &entry, TaskIndex task);
+    /** Notes that a worker refused a task. @return false if no worker is left that did not */
+    bool noteRefusal(const PlacedTask &ended, TaskIndex task);
 
     ZoneName zone;
     DispatcherHooks hooks;
--- a/core/src/dispatch/worker_pool.h
+++ b/core/src/dispatch/worker_pool.h
@@ -22,6 +22,9 @@
     /** Takes over what changed of a worker that was added. */
     void refresh(Worker &worker);
 
+    /** Offers nothing of a worker until its next refresh. */
+    void hide(Worker &worker);
+
     /** Removes a worker that was added. */
     void remove(Worker &worker);
 
--- a/core/src/dispatch_place.cpp
+++ b/core/src/dispatch_place.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include <algorithm>
+
 namespace Sycamoremoor {
 
 namespace {
@@ -67,7 +69,7 @@
         }
         tried = &size;
         const auto need = roomOf(size);
-        if (auto *worker = chooseWorker(service, need, entropy); worker != nullptr) {
+        if (auto *worker = chooseWorker(service, entry, task, entropy); worker != nullptr) {
             removeWaiting(entry, position - 1);
             const TaskId id{job.key, task};
             const auto [placedTask, isNew] = placed.try_emplace(id, PlacedTask{&entry, worker, worker->generation, need, now});
@@ -84,11 +86,49 @@
     return false;
 }
 
-Worker *Dispatcher::Private::chooseWorker(const Service &service, const WorkerRoom &need, std::uint64_t entropy) const
+Worker *Dispatcher::Private::chooseWorker(Service &service, const JobEntry &entry, TaskIndex task, std::uint64_t entropy)
+{
+    const auto refusers = refusersOf(service, entry, task);
+    for (auto *worker : refusers) {
+        service.pool.hide(*worker);
+    }
+    auto *chosen
+        = hooks.chooseWorker ? chooseByHook(service, entropy) : service.pool.choose(roomOf(entry.job->tasks[task.value()].size), entropy);
+    for (auto *worker : refusers) {
+        service.pool.refresh(*worker);
+    }
+    return chosen;
+}
+
+std::vector<Worker *> Dispatcher::Private::refusersOf(const Service &service, const JobEntry &entry, TaskIndex task)
+{
+    std::vector<Worker *> refusers;
+    const auto found = entry.refusals.find(task);
+    if (found == entry.refusals.end()) {
+        return refusers;
+    }
+    for (const auto &[agent, generation] : found->second) {
+        const auto worker = workers.find(agent);
+        const auto isThere = worker != workers.end() && worker->second.known && &services[worker->second.state.service] == &service;
+        if (isThere && worker->second.generation == generation) {
+            refusers.push_back(&worker->second);
+        }
+    }
+    return refusers;
+}
+
+bool Dispatcher::Private::noteRefusal(const PlacedTask &ended, TaskIndex task)
 {
-    if (!hooks.chooseWorker) {
-        return service.pool.choose(need, entropy);
+    auto &entry = *ended.entry;
+    auto &refusals = entry.refusals[task];
+    if (const Refusal refusal{ended.worker->state.agent, ended.generation}; std::ranges::find(refusals, refusal) == refusals.end()) {
+        refusals.push_back(refusal);
     }
+    return refusersOf(*entry.service, entry, task).size() < entry.service->pool.size();
+}
+
+Worker *Dispatcher::Private::chooseByHook(const Service &service, std::uint64_t entropy) const
+{
     const std::int64_t queue = config ? config->policy.agentQueue : 0;
     std::vector<Worker *> candidates;
     std::vector<AgentName> names;
--- a/core/src/dispatch_state.cpp
+++ b/core/src/dispatch_state.cpp
@@ -158,7 +158,7 @@
     }
     if (end.kind == PlacementEnd::Kind::Succeeded) {
         ejections.succeeded(worker, entry, index);
-    } else if (end.kind != PlacementEnd::Kind::NotStarted) {
+    } else if (end.kind == PlacementEnd::Kind::Failed || end.kind == PlacementEnd::Kind::Lost) {
         ejections.failed(now, worker, entry, index, services[worker.state.service].pool.size());
     }
 }
--- a/core/src/dispatch_worker_pool.cpp
+++ b/core/src/dispatch_worker_pool.cpp
@@ -87,6 +87,12 @@
     remember(worker);
 }
 
+void WorkerPool::hide(Worker &worker)
+{
+    m_sides[worker.ownZone ? 1 : 0].free.update(worker.position, WorkerRoom{});
+    std::erase(m_changed, &worker);
+}
+
 void WorkerPool::remove(Worker &worker)
 {
     auto &[free, workers] = m_sides[worker.ownZone ? 1 : 0];
--- a/core/src/entry/job_controller.cpp
+++ b/core/src/entry/job_controller.cpp
@@ -164,7 +164,7 @@
         auto &job = *find(placement.task.submission);
         auto &task = job.tasks[placement.task.index.value()];
         if (job.error != ErrorKind::None || worker == nullptr || worker->heartbeat.incarnation != placement.incarnation) {
-            onNotStarted(step, job, task, ErrorKind::NoCapacity);
+            onNotStarted(step, job, task, ErrorKind::NoCapacity, PlacementEnd::Kind::NotStarted);
             settle(step, placement.task.submission);
             continue;
         }
--- a/core/src/entry/job_controller.h
+++ b/core/src/entry/job_controller.h
@@ -86,7 +86,7 @@
     OpenTask *findTask(const TaskId &id);
     void onReport(EntryStep &step, const AgentName &agent, Incarnation incarnation, const TaskReport &report);
     void onFinalReport(EntryStep &step, OpenJob &job, OpenTask &task, const TaskReport &report);
-    void onNotStarted(EntryStep &step, OpenJob &job, OpenTask &task, ErrorKind error);
+    void onNotStarted(EntryStep &step, OpenJob &job, OpenTask &task, ErrorKind error, PlacementEnd::Kind end);
     void markLost(EntryStep &step, OpenJob &job, OpenTask &task, ErrorKind error);
     void adoptTask(EntryStep &step, OpenJob &job, TaskIndex index, const AdoptedTask &adopted, std::vector<TaskIndex> &fresh);
     void endTask(OpenJob &job, OpenTask &task);
--- a/core/src/entry/job_reports.cpp
+++ b/core/src/entry/job_reports.cpp
@@ -80,7 +80,7 @@
         if (report.error == ErrorKind::OwnerFenced) {
             m_parts.roster.hurry();
         }
-        onNotStarted(step, job, task, report.error);
+        onNotStarted(step, job, task, report.error, PlacementEnd::Kind::Refused);
         return;
     }
     leaveAgent(job, task);
@@ -107,7 +107,7 @@
     }
 }
 
-void JobController::onNotStarted(EntryStep &step, OpenJob &job, OpenTask &task, ErrorKind error)
+void JobController::onNotStarted(EntryStep &step, OpenJob &job, OpenTask &task, ErrorKind error, PlacementEnd::Kind end)
 {
     const TaskId id{job.spec->key, task.account.index};
     leaveAgent(job, task);
@@ -116,7 +116,7 @@
     }
     task.account.state = TaskState::NeverStarted;
     task.account.ran = RunState::NotRun;
-    const auto queuedAgain = m_parts.dispatcher.ended(step.now(), id, PlacementEnd{PlacementEnd::Kind::NotStarted, {}});
+    const auto queuedAgain = m_parts.dispatcher.ended(step.now(), id, PlacementEnd{end, {}});
     if (queuedAgain && job.error == ErrorKind::None) {
         task.stage = TaskStage::Waiting;
         task.queuedAt = step.now();
@@ -161,7 +161,7 @@
             continue;
         }
         if (failure.delivery == Delivery::NotSent && task->onlyStartSent) {
-            onNotStarted(step, *find(id.submission), *task, ErrorKind::NoCapacity);
+            onNotStarted(step, *find(id.submission), *task, ErrorKind::NoCapacity, PlacementEnd::Kind::NotStarted);
             settle(step, id.submission);
         } else {
             const auto askedBefore = task->doubted;
--- /dev/null
+++ b/core/tests/dispatch_refusal_test.cpp
@@ -0,0 +1,82 @@
+// Tasks that an agent promised never to start: they go to another worker.
+#include "dispatch_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <set>
+
+namespace Sycamoremoor {
+
+namespace {
+
+constexpr TaskSize Usual{MilliCores(1'000), Megabytes(256), Accelerators(0)};
+constexpr Duration BackOff = std::chrono::milliseconds(100); ///< above the first retry delays
+
+struct RefusalCase {
+    const char *name;
+    std::size_t workers;
+    std::size_t refusals;
+    bool queuedAgain; ///< after the last refusal
+};
+
+constexpr std::array RefusalCases{
+    RefusalCase{"OnlyWorker", 1, 1, false},
+    RefusalCase{"OneOfTwo", 2, 1, true},
+    RefusalCase{"BothOfTwo", 2, 2, false},
+    RefusalCase{"ThreeOfEleven", 11, 3, true},
+};
+
+} // namespace
+
+class DispatchRefusalTest : public testing::TestWithParam<RefusalCase>
+{
+};
+
+TEST_P(DispatchRefusalTest, IsNotRepeatedAtTheSameWorker)
+{
+    const auto &row = GetParam();
+    DispatchFixture fixture;
+    fixture.addWorkers(row.workers);
+    const auto job = fixture.submit(1, Usual);
+    const TaskId task{job->key, TaskIndex(0)};
+    std::set<AgentName> refusers;
+    bool queued = true;
+    for (std::size_t refusal = 0; refusal < row.refusals; ++refusal) {
+        const auto placements = fixture.dispatcher.place(fixture.now, refusal);
+        ASSERT_EQ(placements.size(), 1U) << refusal;
+        EXPECT_TRUE(refusers.insert(placements.front().agent).second) << refusal;
+        queued = fixture.end(task, PlacementEnd::Kind::Refused);
+        fixture.now += BackOff;
+    }
+    EXPECT_EQ(queued, row.queuedAgain);
+    const auto placements = fixture.dispatcher.place(fixture.now, 1);
+    ASSERT_EQ(placements.size(), row.queuedAgain ? 1U : 0U);
+    EXPECT_TRUE(placements.empty() || !refusers.contains(placements.front().agent));
+}
+
+INSTANTIATE_TEST_SUITE_P(Workers, DispatchRefusalTest, testing::ValuesIn(RefusalCases), [](const auto &row) { return row.param.name; });
+
+TEST(DispatchRefusal, EndsWithTheLifeOfTheWorker)
+{
+    DispatchFixture fixture;
+    fixture.addWorkers(2);
+    const auto job = fixture.submit(1, Usual);
+    const TaskId task{job->key, TaskIndex(0)};
+    const auto first = fixture.dispatcher.place(fixture.now, 1);
+    ASSERT_EQ(first.size(), 1U);
+    ASSERT_TRUE(fixture.end(task, PlacementEnd::Kind::Refused));
+    for (std::size_t index = 0; index < 2; ++index) {
+        auto worker = fixture.worker(index);
+        const auto refused = worker.agent == first.front().agent;
+        worker.incarnation = Incarnation(refused ? 2 : 1);
+        worker.accepting = refused;
+        fixture.dispatcher.updateWorker(fixture.now, worker);
+    }
+    fixture.now += BackOff;
+    const auto second = fixture.dispatcher.place(fixture.now, 1);
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second.front().agent, first.front().agent);
+}
+
+} // namespace Sycamoremoor
