Fix: [core] A late ledger report of an earlier life no longer undoes the present one's

Cause: a new owner kept one ledger per agent, and a report of another life replaced it. A delayed report of an earlier life left the agent unreported for good, and every submission that needed proof waited to its deadline. Change: ledgers are kept by agent and life. How far back they reach is judged by the youngest life that reported.

--- a/core/src/entry/takeover_controller.cpp
+++ b/core/src/entry/takeover_controller.cpp
@@ -80,11 +80,7 @@
         return LedgerReportReply{report.slot, tenure == nullptr ? Epoch() : tenure->token, report.part};
     }
     auto &proof = proofOf(*tenure);
-    auto &ledger = proof.ledgers[report.agent];
-    if (ledger.incarnation != report.incarnation) {
-        ledger = AgentLedger();
-        ledger.incarnation = report.incarnation;
-    }
+    auto &ledger = proof.ledgers[{report.agent, report.incarnation}];
     ledger.startedAt = report.startedAt;
     ledger.parts = report.parts;
     if (ledger.arrived.insert(report.part).second) {
@@ -264,24 +260,36 @@
 
 bool TakeoverController::isReported(const SlotProof &proof, const AgentName &agent, MonotonicTime exclusiveAt) const
 {
-    const auto found = proof.ledgers.find(agent);
-    if (found == proof.ledgers.end() || found->second.parts == 0 || found->second.arrived.size() < found->second.parts) {
+    // A life of the agent that began while the former owner could still act may hold tasks that an earlier life's ledger lacks.
+    const auto *worker = m_parts.workers.find(agent);
+    if (worker == nullptr || worker->heardAt < exclusiveAt) {
         return false;
     }
-    // A life of the agent that began while the former owner could still act may hold tasks that this ledger lacks.
-    const auto *worker = m_parts.workers.find(agent);
-    return worker != nullptr && worker->heartbeat.incarnation == found->second.incarnation && worker->heardAt >= exclusiveAt;
+    const auto found = proof.ledgers.find({agent, worker->heartbeat.incarnation});
+    return found != proof.ledgers.end() && found->second.parts != 0 && found->second.arrived.size() >= found->second.parts;
 }
 
 bool TakeoverController::reachesBack(const SlotProof &proof, OwnerSlotIndex slot, WallTime created) const
 {
     const auto *recorded = m_parts.slotAgents.inherited(slot);
     return recorded != nullptr && proof.givenUp.empty() && std::ranges::all_of(*recorded, [&](const AgentName &agent) {
-               const auto ledger = proof.ledgers.find(agent);
-               return ledger != proof.ledgers.end() && ledger->second.startedAt + m_parts.settings.clockSkew < created;
+               return beganBefore(proof, agent, created - m_parts.settings.clockSkew);
            });
 }
 
+bool TakeoverController::beganBefore(const SlotProof &proof, const AgentName &agent, WallTime bound)
+{
+    bool isReported = false;
+    for (auto ledger = proof.ledgers.lower_bound({agent, Incarnation()}); ledger != proof.ledgers.end() && ledger->first.first == agent;
+         ++ledger) {
+        isReported = true;
+        if (ledger->second.startedAt >= bound) {
+            return false;
+        }
+    }
+    return isReported;
+}
+
 std::vector<AdoptedTask> TakeoverController::recall(const JobSpec &job, const SlotProof &proof, OwnerSlotIndex slot) const
 {
     const auto reaches = reachesBack(proof, slot, job.key.created());
--- a/core/src/entry/takeover_controller.h
+++ b/core/src/entry/takeover_controller.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Sycamoremoor {
@@ -64,9 +65,8 @@
     [[nodiscard]] std::optional<MonotonicTime> nextWake() const;
 
 private:
-    /** What one agent's ledger has of a slot. */
+    /** How much of the ledger of one life of an agent has arrived. */
     struct AgentLedger {
-        Incarnation incarnation;
         WallTime startedAt{};
         std::uint32_t parts = 0;
         std::set<std::uint32_t> arrived;
@@ -82,7 +82,7 @@
     /** Ledgers of one slot under one token. */
     struct SlotProof {
         Epoch token;
-        std::map<AgentName, AgentLedger> ledgers;
+        std::map<std::pair<AgentName, Incarnation>, AgentLedger> ledgers; ///< a late report of an earlier life changes no later one
         std::map<TaskId, std::vector<LedgerEntry>> entries;
         std::set<AgentName> givenUp;
         std::optional<MonotonicTime> waitingSince;
@@ -103,6 +103,8 @@
     void advance(EntryStep &step, const SubmissionKey &key);
     bool updateProof(MonotonicTime now, OwnerSlotIndex slot);
     [[nodiscard]] bool isReported(const SlotProof &proof, const AgentName &agent, MonotonicTime exclusiveAt) const;
+    /** Tells whether the agent reported, and all lives of it that did began before @p bound. */
+    [[nodiscard]] static bool beganBefore(const SlotProof &proof, const AgentName &agent, WallTime bound);
     [[nodiscard]] bool reachesBack(const SlotProof &proof, OwnerSlotIndex slot, WallTime created) const;
     [[nodiscard]] std::vector<AdoptedTask> recall(const JobSpec &job, const SlotProof &proof, OwnerSlotIndex slot) const;
     [[nodiscard]] AdoptedTask recallTask(const TaskId &id, const SlotProof &proof, bool ledgersReachBack) const;
--- a/core/tests/entry_takeover_test.cpp
+++ b/core/tests/entry_takeover_test.cpp
@@ -270,4 +270,31 @@
     EXPECT_EQ(fleet.answerTo(caller)->error, ErrorKind::None);
 }
 
+// Found by a random fleet: the late report replaced the later one, and the proof never completed.
+TEST(EntryTakeover, ALateLedgerOfAnEarlierLifeUndoesNothing)
+{
+    EntryFleet fleet(3, 4);
+    fleet.run(std::chrono::seconds(5));
+    const auto earlier = fleet.agents.front().incarnation;
+    fleet.restartAgent(0);
+    fleet.run(std::chrono::seconds(5));
+    const auto job = fleet.newJob(2);
+    const auto epoch = fleet.platform.roster->epoch;
+    fleet.kill(fleet.ownerName());
+    ASSERT_TRUE(fleet.runUntil([&] { return fleet.platform.roster->epoch > epoch; }, std::chrono::seconds(10)));
+    const auto heir = fleet.ownerName();
+    const auto caller = fleet.submit(heir, job);
+    fleet.run(std::chrono::seconds(3)); // the agents have reported, the lease is not over
+    ASSERT_EQ(fleet.answerTo(caller), nullptr);
+    LedgerReport late;
+    late.agent = fleet.agents.front().name;
+    late.incarnation = earlier;
+    late.token = fleet.platform.roster->slots.front().token;
+    fleet.input(heir, LedgerReportReceived{ConnectionId(1), late});
+    fleet.run(std::chrono::seconds(10));
+    ASSERT_NE(fleet.answerTo(caller), nullptr);
+    EXPECT_NE(fleet.answerTo(caller)->error, ErrorKind::OwnerUnavailable);
+    EXPECT_EQ(fleet.mostStarts(), 1U);
+}
+
 } // namespace Sycamoremoor
