Fix: [core] A stopping entry sends callers elsewhere after a grace time

Cause: an entry told to stop went on taking callers, each forwarded to the new owner, so that under load there was always one open and the stop ran into its 30 s bound: 7 and 5 submissions cut off in two rolling restarts. Ruled out: its own jobs, of which none was open. Change: three seconds after the stop began, by when the balancer has seen /readyz fail, new callers are told to go to another entry; what peers forward and what is held goes on. A refused task is now always queued again: right after a takeover the few known workers may all have refused it.

--- a/core/src/dispatch/dispatcher_private.h
+++ b/core/src/dispatch/dispatcher_private.h
@@ -75,8 +75,6 @@
     Worker *chooseByHook(const Service &service, std::uint64_t entropy) const;
     /** Returns the known workers whose present life refused the task. */
     std::vector<Worker *> refusersOf(const Service &service, const JobEntry &entry, TaskIndex task);
-    /** Notes that a worker refused a task. @return false if no worker is left that did not */
-    bool noteRefusal(const PlacedTask &ended, TaskIndex task);
 
     ZoneName zone;
     DispatcherHooks hooks;
--- a/core/src/dispatch/job_entry.h
+++ b/core/src/dispatch/job_entry.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace Sycamoremoor {
@@ -34,7 +35,7 @@
     AgentName agent;
     std::uint64_t generation = 0;
 
-    friend bool operator==(const Refusal &, const Refusal &) = default;
+    friend auto operator<=>(const Refusal &, const Refusal &) = default;
 };
 
 /** Where a job stands in the queue of its service. */
@@ -67,14 +68,14 @@
     TeamUse *team = nullptr;
     MonotonicTime arrival;
     MonotonicTime deadline;
-    std::vector<WaitingTask> waiting;                   ///< the next one last
-    std::vector<DelayedTask> delayed;                   ///< wait for their time before they wait for a worker
-    std::map<TaskIndex, std::uint32_t> retries;         ///< by task, of those that were sent and did not start
-    std::map<TaskIndex, std::vector<Refusal>> refusals; ///< by task; another copy sent there would be refused, too
-    std::vector<AgentName> failedOn;                    ///< workers on which tasks failed, the first few
-    Duration work{};                                    ///< expected run time of those that wait, together
-    std::uint32_t placed = 0;                           ///< placed and not come back
-    bool cancelled = false;                             ///< what comes back is not queued again
+    std::vector<WaitingTask> waiting;                ///< the next one last
+    std::vector<DelayedTask> delayed;                ///< wait for their time before they wait for a worker
+    std::map<TaskIndex, std::uint32_t> retries;      ///< by task, of those that were sent and did not start
+    std::map<TaskIndex, std::set<Refusal>> refusals; ///< by task; another copy sent there would be refused, too
+    std::vector<AgentName> failedOn;                 ///< workers on which tasks failed, the first few
+    Duration work{};                                 ///< expected run time of those that wait, together
+    std::uint32_t placed = 0;                        ///< placed and not come back
+    bool cancelled = false;                          ///< what comes back is not queued again
     JobStanding standing = JobStanding::Idle;
     JobRank rank;                              ///< in the queue
     JobRank expiry;                            ///< in the order of expiry, valid while a task waits
--- a/core/src/dispatch_place.cpp
+++ b/core/src/dispatch_place.cpp
@@ -1,10 +1,6 @@
 // Placement: which task goes to which worker now.
 #include "dispatch/dispatcher_private.h"
 
-#include <algorithm>
-
-#include <algorithm>
-
 namespace Sycamoremoor {
 
 namespace {
@@ -117,16 +113,6 @@
     return refusers;
 }
 
-bool Dispatcher::Private::noteRefusal(const PlacedTask &ended, TaskIndex task)
-{
-    auto &entry = *ended.entry;
-    auto &refusals = entry.refusals[task];
-    if (const Refusal refusal{ended.worker->state.agent, ended.generation}; std::ranges::find(refusals, refusal) == refusals.end()) {
-        refusals.push_back(refusal);
-    }
-    return refusersOf(*entry.service, entry, task).size() < entry.service->pool.size();
-}
-
 Worker *Dispatcher::Private::chooseByHook(const Service &service, std::uint64_t entropy) const
 {
     const std::int64_t queue = config ? config->policy.agentQueue : 0;
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -96,9 +96,11 @@
     d->judge(now, placed, task.index, end);
     const bool isRefused = end.kind == PlacementEnd::Kind::Refused;
     const bool mayGoBack = (isRefused || end.kind == PlacementEnd::Kind::NotStarted) && !placed.adopted && !entry.cancelled;
-    const bool isLeft = mayGoBack && (!isRefused || d->noteRefusal(placed, task.index));
+    if (isRefused && mayGoBack) {
+        entry.refusals[task.index].insert(Refusal{placed.worker->state.agent, placed.generation});
+    }
     d->countEnded(placed);
-    const bool goesBack = isLeft && d->delay(now, entry, task.index);
+    const bool goesBack = mayGoBack && d->delay(now, entry, task.index);
     d->releaseIfDone(entry);
     return goesBack;
 }
--- a/core/src/entry/drain_controller.cpp
+++ b/core/src/entry/drain_controller.cpp
@@ -220,6 +220,11 @@
     return m_phase != DrainPhase::None;
 }
 
+bool DrainController::isClosed(MonotonicTime now) const
+{
+    return isDraining() && now - m_beganAt >= m_parts.settings.drainGrace;
+}
+
 bool DrainController::isStopped() const
 {
     return m_phase == DrainPhase::Stopped;
--- a/core/src/entry/drain_controller.h
+++ b/core/src/entry/drain_controller.h
@@ -56,6 +56,9 @@
     void onTime(EntryStep &step);
 
     [[nodiscard]] bool isDraining() const;
+    /** Tells whether callers must go to another entry: the balancer has had time to see that this one is stopping. */
+    [[nodiscard]] bool isClosed(MonotonicTime now) const;
+
     [[nodiscard]] bool isStopped() const;
 
     /** Tells whether the owner slots are on their way to others, so that new submissions wait for the new owner. */
--- a/core/src/entry/entry_private.h
+++ b/core/src/entry/entry_private.h
@@ -58,6 +58,7 @@
     void on(EntryStep &step, const DrainRequested &input);
 
     void addFilters();
+    FilterVerdict filterClosed(EntryStep &step, const Submission &submission) const;
     FilterVerdict filterStopped(const Submission &submission) const;
     FilterVerdict filterDuplicate(EntryStep &step, const Submission &submission);
     FilterVerdict filterOwnership(EntryStep &step, const Submission &submission);
@@ -100,6 +101,7 @@
     DrainController m_drain;
     AccountController m_account;
     SubmissionChain m_chain;
+    SubmissionChain::Position m_afterReceipt = 0;
     SubmissionChain::Position m_afterProof = 0;
     std::map<ConnectionId, SubmissionKey> m_statusForwards;
     std::vector<std::pair<OwnerSlotIndex, Epoch>> m_followed;
--- a/core/src/entry_machine.cpp
+++ b/core/src/entry_machine.cpp
@@ -48,7 +48,8 @@
               [this](EntryStep &step, KnownWorker &worker) {
                   updateWorker(step, worker);
               }})
-    , m_forwards(m_settings, m_roster, [this](EntryStep &step, const Submission &submission) { m_chain.run(step, submission); })
+    , m_forwards(
+          m_settings, m_roster, [this](EntryStep &step, const Submission &submission) { m_chain.run(step, submission, m_afterReceipt); })
     , m_takeover({m_settings, m_roster, m_workers, m_slotAgents}, takeoverHooks())
     , m_drain({m_settings, m_roster, m_forwards, m_takeover, m_jobs, m_answers, m_dispatcher})
     , m_account({m_settings, m_roster, m_config, m_workers, m_answers, m_jobs, m_dispatcher})
--- a/core/src/entry_submission.cpp
+++ b/core/src/entry_submission.cpp
@@ -35,7 +35,8 @@
             m_forwards.answerCopies(step, answer);
         }
     });
-    m_chain.add([this](EntryStep &, const Submission &submission) { return filterStopped(submission); });
+    m_chain.add([this](EntryStep &step, const Submission &submission) { return filterClosed(step, submission); });
+    m_afterReceipt = m_chain.add([this](EntryStep &, const Submission &submission) { return filterStopped(submission); });
     m_chain.add([this](EntryStep &step, const Submission &submission) { return filterDuplicate(step, submission); });
     m_chain.add([this](EntryStep &step, const Submission &submission) { return filterOwnership(step, submission); });
     m_chain.add([this](EntryStep &step, const Submission &submission) { return filterKeyAge(step, submission); });
@@ -45,6 +46,15 @@
     m_chain.add([this](EntryStep &step, const Submission &submission) { return filterAdmission(step, submission); });
 }
 
+FilterVerdict EntryMachine::Private::filterClosed(EntryStep &step, const Submission &submission) const
+{
+    // Callers without end would keep this entry from ever finishing. Like an entry that has stopped, it does not know
+    // whether the submission ran.
+    const auto isClosed = m_drain.isClosed(step.now()) && !submission.forwardedBy;
+    return isClosed ? FilterVerdict::refuse(ErrorKind::OwnerUnavailable, "this entry is stopping, send it to another")
+                    : FilterVerdict::pass();
+}
+
 FilterVerdict EntryMachine::Private::filterStopped(const Submission & /*submission*/) const
 {
     // Its owner may have run it, so this is no Draining, which would say that it did not run.
@@ -160,14 +170,14 @@
     hooks.fresh = [this](EntryStep &step, const std::vector<Submission> &callers) {
         m_chain.run(step, callers.front(), m_afterProof);
         for (std::size_t index = 1; index < callers.size(); ++index) {
-            m_chain.run(step, callers[index]);
+            m_chain.run(step, callers[index], m_afterReceipt);
         }
     };
     hooks.adopt = [this](EntryStep &step, const std::vector<Submission> &callers, const std::vector<AdoptedTask> &tasks, bool cancelled) {
         const auto key = callers.front().job->key;
         m_jobs.adopt(step, callers.front(), slotOf(key), tasks);
         for (std::size_t index = 1; index < callers.size(); ++index) {
-            m_chain.run(step, callers[index]);
+            m_chain.run(step, callers[index], m_afterReceipt);
         }
         if (cancelled) {
             m_jobs.cancel(step, key);
--- a/core/tests/entry_drain_test.cpp
+++ b/core/tests/entry_drain_test.cpp
@@ -97,6 +97,38 @@
     EXPECT_EQ(fleet.stops.front().cutOff, 0U);
 }
 
+TEST(EntryDrain, SendsCallersElsewhereOnceTheBalancerHadTime)
+{
+    EntryFleet fleet(3, 3);
+    fleet.run(seconds(6));
+    for (auto &agent : fleet.agents) {
+        agent.holds = true;
+    }
+    const auto open = fleet.submit("entry-1", fleet.newJob(2));
+    fleet.run(milliseconds(10));
+    fleet.input("entry-1", DrainRequested{});
+    fleet.run(seconds(2));
+    const auto early = fleet.submit("entry-1", fleet.newJob(2));
+    fleet.run(seconds(2));
+    const auto late = fleet.submit("entry-1", fleet.newJob(2));
+    fleet.run(milliseconds(10));
+    ASSERT_NE(fleet.answerTo(late), nullptr);
+    EXPECT_EQ(fleet.answerTo(late)->error, ErrorKind::OwnerUnavailable);
+    EXPECT_EQ(fleet.answerTo(late)->ran, RunState::Unknown);
+    EXPECT_EQ(fleet.answerTo(early), nullptr);
+    for (std::size_t agent = 0; agent < fleet.agents.size(); ++agent) {
+        fleet.release(agent);
+    }
+    fleet.run(seconds(5));
+    for (const auto caller : {open, early}) {
+        ASSERT_NE(fleet.answerTo(caller), nullptr);
+        EXPECT_EQ(fleet.answerTo(caller)->error, ErrorKind::None);
+    }
+    ASSERT_EQ(fleet.stops.size(), 1U);
+    EXPECT_EQ(fleet.stops.front().cutOff, 0U);
+    EXPECT_EQ(fleet.mostStarts(), 1U);
+}
+
 TEST(EntryDrain, TheBoundCutsTruthfully)
 {
     EntryFleet fleet(1, 1);
