--- a/bench/agent_slopes.cpp
+++ b/bench/agent_slopes.cpp
@@ -8,9 +8,11 @@
 #include <algorithm>
 #include <array>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::array<std::size_t, 5> Sizes{1'000, 2'000, 4'000, 8'000, 16'000};
 constexpr std::size_t PayloadBytes = 165;
--- a/bench/dispatch_benchmark.cpp
+++ b/bench/dispatch_benchmark.cpp
@@ -9,9 +9,11 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::uint32_t TasksPerJob = 60;
 constexpr std::size_t Teams = 20;
--- a/bench/dispatch_simulate.cpp
+++ b/bench/dispatch_simulate.cpp
@@ -9,9 +9,11 @@
 #include <cstdlib>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration CallerHop = std::chrono::milliseconds(3);
 constexpr std::uint32_t NoBound = 1'000'000'000;
--- a/bench/dispatch_simulation.cpp
+++ b/bench/dispatch_simulation.cpp
@@ -9,9 +9,11 @@
 #include <unordered_map>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 /** Something that happens at a time. */
 struct Event {
--- a/bench/dispatch_simulation.h
+++ b/bench/dispatch_simulation.h
@@ -10,7 +10,8 @@
 #include <memory>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** What is simulated. */
 struct SimulationSettings {
--- a/bench/entry_harness.cpp
+++ b/bench/entry_harness.cpp
@@ -6,9 +6,11 @@
 #include <algorithm>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr Incarnation AgentLife{7};
 constexpr Duration TaskTime = std::chrono::milliseconds(300);
--- a/bench/entry_harness.h
+++ b/bench/entry_harness.h
@@ -7,7 +7,8 @@
 #include <memory>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** One entry that owns the only slot, and the starts that it sent. */
 class EntryHarness
--- a/bench/entry_slopes.cpp
+++ b/bench/entry_slopes.cpp
@@ -5,9 +5,11 @@
 
 #include <array>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::array<std::size_t, 5> Sizes{16, 32, 64, 128, 256};
 constexpr std::size_t TasksPerJob = 20;
--- a/bench/ideal_bound.cpp
+++ b/bench/ideal_bound.cpp
@@ -5,9 +5,11 @@
 #include <queue>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 /** Remaining time on the pooled server in microseconds, and the job. */
 using Remaining = std::pair<double, std::size_t>;
--- a/bench/ideal_bound.h
+++ b/bench/ideal_bound.h
@@ -6,7 +6,8 @@
 #include <cstdint>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /**
  * Returns the ideal time from arrival to end of each job, without caller hops.
--- a/bench/linear_fit.cpp
+++ b/bench/linear_fit.cpp
@@ -5,7 +5,8 @@
 
 #include <cmath>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 LinearFit fitLine(const std::vector<SlopePoint> &points)
 {
--- a/bench/linear_fit.h
+++ b/bench/linear_fit.h
@@ -4,7 +4,8 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** One measurement: what it took at a size. */
 struct SlopePoint {
--- a/bench/meter_func.cpp
+++ b/bench/meter_func.cpp
@@ -5,9 +5,11 @@
 
 #include <ctime>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 double processorNow()
 {
--- a/bench/meter_func.h
+++ b/bench/meter_func.h
@@ -3,7 +3,8 @@
 
 #include <functional>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Returns the processor time that @p work takes, in microseconds. */
 double processorMicroseconds(const std::function<void()> &work);
--- a/bench/simulation_workload.cpp
+++ b/bench/simulation_workload.cpp
@@ -8,9 +8,11 @@
 #include <random>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 /** A kind of task: how long it runs and how wrong its declarations are. */
 struct KindRow {
--- a/bench/simulation_workload.h
+++ b/bench/simulation_workload.h
@@ -7,7 +7,8 @@
 #include <cstdint>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** What the workload is made of. */
 struct WorkloadSettings {
--- a/bench/slope_measures.h
+++ b/bench/slope_measures.h
@@ -5,7 +5,8 @@
 
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Measures what an entry spends per worker, heartbeat, task, waiting task and kept answer. */
 std::vector<Slope> measureEntry();
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -5,7 +5,8 @@
 
 using namespace Sycamoremoor;
 
-namespace {
+namespace
+{
 
 void print(const Slope &slope)
 {
--- a/bench/wire_codec_benchmark.cpp
+++ b/bench/wire_codec_benchmark.cpp
@@ -3,9 +3,11 @@
 
 #include <benchmark/benchmark.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 StartTasks makeStart(std::size_t payloadBytes)
 {
--- a/core/include/sycamoremoor/core/account_type.h
+++ b/core/include/sycamoremoor/core/account_type.h
@@ -10,7 +10,8 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Which submissions to tell of; every field that is set must match. */
 struct AccountQuery {
--- a/core/include/sycamoremoor/core/agent_input_type.h
+++ b/core/include/sycamoremoor/core/agent_input_type.h
@@ -6,7 +6,8 @@
 
 #include <variant>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** An entry starts tasks. Their reports go out as ReportToOwner. */
 struct StartTasksReceived {
--- a/core/include/sycamoremoor/core/agent_machine.h
+++ b/core/include/sycamoremoor/core/agent_machine.h
@@ -7,7 +7,8 @@
 
 #include <memory>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 struct LedgerRules;
 
--- a/core/include/sycamoremoor/core/agent_message_type.h
+++ b/core/include/sycamoremoor/core/agent_message_type.h
@@ -12,7 +12,8 @@
 #include <variant>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Age of a message by the clock of the agent that will receive it: the agent's own stamp, handed back. Microseconds. */
 using AgentStamp = StrongType<struct AgentStampTag, std::int64_t>;
--- a/core/include/sycamoremoor/core/agent_output_type.h
+++ b/core/include/sycamoremoor/core/agent_output_type.h
@@ -9,7 +9,8 @@
 #include <variant>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Send a heartbeat to an entry. Answered by HeartbeatReplyReceived or HeartbeatFailed. */
 struct SendHeartbeat {
--- a/core/include/sycamoremoor/core/agent_settings_type.h
+++ b/core/include/sycamoremoor/core/agent_settings_type.h
@@ -5,7 +5,8 @@
 
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Settings of an agent process. Times that must agree between processes say so. */
 struct AgentSettings {
--- a/core/include/sycamoremoor/core/config_func.h
+++ b/core/include/sycamoremoor/core/config_func.h
@@ -6,7 +6,8 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** What is wrong with one field of a set. */
 struct ConfigFault {
--- a/core/include/sycamoremoor/core/config_type.h
+++ b/core/include/sycamoremoor/core/config_type.h
@@ -9,7 +9,8 @@
 #include <map>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** A service whose upstreams run tasks. Field by field in docs/CONFIGURATION.md. */
 struct ServiceRecord {
--- a/core/include/sycamoremoor/core/dispatcher.h
+++ b/core/include/sycamoremoor/core/dispatcher.h
@@ -13,7 +13,8 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** What the dispatcher knows of a worker, from its agent's heartbeats. */
 struct WorkerState {
--- a/core/include/sycamoremoor/core/endpoint_type.h
+++ b/core/include/sycamoremoor/core/endpoint_type.h
@@ -5,7 +5,8 @@
 #include <cstdint>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** An IP number and a TCP port. */
 struct Endpoint {
--- a/core/include/sycamoremoor/core/entry_input_type.h
+++ b/core/include/sycamoremoor/core/entry_input_type.h
@@ -10,7 +10,8 @@
 #include <variant>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Whether a message that failed may have arrived. */
 enum class Delivery {
--- a/core/include/sycamoremoor/core/entry_machine.h
+++ b/core/include/sycamoremoor/core/entry_machine.h
@@ -7,7 +7,8 @@
 
 #include <memory>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /**
  * An entry without sockets, clocks or threads.
--- a/core/include/sycamoremoor/core/entry_output_type.h
+++ b/core/include/sycamoremoor/core/entry_output_type.h
@@ -12,7 +12,8 @@
 #include <variant>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Send to an agent. The answer comes as TaskReportsReceived, a failure as AgentSendFailed. */
 struct SendToAgent {
--- a/core/include/sycamoremoor/core/entry_settings_type.h
+++ b/core/include/sycamoremoor/core/entry_settings_type.h
@@ -9,7 +9,8 @@
 #include <cstdint>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Settings of an entry process. Times that must agree between processes say so. */
 struct EntrySettings {
@@ -31,7 +32,7 @@
     Duration clockSkew = std::chrono::seconds(2);     ///< bound between the wall clocks of any two processes or callers; same everywhere
     Duration keyMaxAge = std::chrono::minutes(10);    ///< older keys are refused; same everywhere
     Duration drainTimeout = std::chrono::seconds(30); ///< a planned stop ends by then
-    Duration drainGrace = std::chrono::seconds(3);                ///< how long a stopping entry still takes callers, until the balancer has seen it
+    Duration drainGrace = std::chrono::seconds(3);    ///< how long a stopping entry still takes callers, until the balancer has seen it
     Duration queryDelay = std::chrono::seconds(1);    ///< how long a task may be missing at its agent before it is asked about
 };
 
--- a/core/include/sycamoremoor/core/error_type.h
+++ b/core/include/sycamoremoor/core/error_type.h
@@ -4,7 +4,8 @@
 #include <string_view>
 #include <system_error>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Every way in which a request can end other than well. The table is table/error_table.h. */
 enum class ErrorKind {
--- a/core/include/sycamoremoor/core/id_type.h
+++ b/core/include/sycamoremoor/core/id_type.h
@@ -6,7 +6,8 @@
 #include <cstdint>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 using EntryName = StrongType<struct EntryNameTag, std::string>;     ///< an entry process, stable across restarts
 using AgentName = StrongType<struct AgentNameTag, std::string>;     ///< an agent process, stable across restarts
--- a/core/include/sycamoremoor/core/job_type.h
+++ b/core/include/sycamoremoor/core/job_type.h
@@ -9,7 +9,8 @@
 #include <string_view>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** A submission as the caller sent it. A single request is a job of one task. */
 struct JobSpec {
--- a/core/include/sycamoremoor/core/ledger_rules_type.h
+++ b/core/include/sycamoremoor/core/ledger_rules_type.h
@@ -1,7 +1,8 @@
 // Switches for each rule of the agent's ledger; only tests switch one off, to show that it is needed.
 #pragma once
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Which rules of docs/ONCE.md an agent keeps. The product keeps all. */
 struct LedgerRules {
--- a/core/include/sycamoremoor/core/peer_message_type.h
+++ b/core/include/sycamoremoor/core/peer_message_type.h
@@ -10,7 +10,8 @@
 #include <variant>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Entry to entry: I am here. Answered by PeerHeartbeatReply. */
 struct PeerHeartbeat {
--- a/core/include/sycamoremoor/core/roster_func.h
+++ b/core/include/sycamoremoor/core/roster_func.h
@@ -6,7 +6,8 @@
 
 #include <optional>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Returns the slot that owns @p key, by hash. @param slots number of owner slots, at least 1 */
 OwnerSlotIndex slotOfKey(const SubmissionKey &key, std::size_t slots);
--- a/core/include/sycamoremoor/core/roster_type.h
+++ b/core/include/sycamoremoor/core/roster_type.h
@@ -8,7 +8,8 @@
 #include <cstdint>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Position of an owner slot, from 0. Submissions and agents are hashed to owner slots. */
 using OwnerSlotIndex = StrongType<struct OwnerSlotIndexTag, std::uint32_t>;
--- a/core/include/sycamoremoor/core/step_type.h
+++ b/core/include/sycamoremoor/core/step_type.h
@@ -8,7 +8,8 @@
 #include <string>
 #include <string_view>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Time and randomness of one step. The driver reads the clocks and draws the bits; the machine never does. */
 struct StepContext {
--- a/core/include/sycamoremoor/core/strong_type.h
+++ b/core/include/sycamoremoor/core/strong_type.h
@@ -6,7 +6,8 @@
 #include <functional>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /**
  * A value of type @p Value that only converts to and from it explicitly.
--- a/core/include/sycamoremoor/core/submission_key.h
+++ b/core/include/sycamoremoor/core/submission_key.h
@@ -11,7 +11,8 @@
 #include <string>
 #include <string_view>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** A UUID of version 7 (RFC 9562): 48 bits of Unix milliseconds, then random bits. */
 class SubmissionKey
--- a/core/include/sycamoremoor/core/table/config_table.h
+++ b/core/include/sycamoremoor/core/table/config_table.h
@@ -7,7 +7,8 @@
 #include <cstdint>
 #include <string_view>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** One numeric field of a record. Its default is that of a record as constructed. */
 template<typename Record>
--- a/core/include/sycamoremoor/core/table/error_table.h
+++ b/core/include/sycamoremoor/core/table/error_table.h
@@ -5,7 +5,8 @@
 
 #include <array>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 inline constexpr std::array<ErrorRow, static_cast<std::size_t>(ErrorKind::End)> ErrorTable{{
     // clang-format off
--- a/core/include/sycamoremoor/core/table/metric_table.h
+++ b/core/include/sycamoremoor/core/table/metric_table.h
@@ -6,7 +6,8 @@
 #include <array>
 #include <string_view>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** One row of a metric table. */
 struct MetricRow {
--- a/core/include/sycamoremoor/core/task_type.h
+++ b/core/include/sycamoremoor/core/task_type.h
@@ -12,7 +12,8 @@
 #include <cstdint>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** What a task takes of a worker while it runs. */
 struct TaskSize {
--- a/core/include/sycamoremoor/core/time_type.h
+++ b/core/include/sycamoremoor/core/time_type.h
@@ -3,7 +3,8 @@
 
 #include <chrono>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 using Duration = std::chrono::microseconds;
 
--- a/core/include/sycamoremoor/core/unit_type.h
+++ b/core/include/sycamoremoor/core/unit_type.h
@@ -5,7 +5,8 @@
 
 #include <cstdint>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 using MilliCores = StrongAmount<struct MilliCoresTag, std::int64_t>;     ///< thousandths of a processor core
 using Megabytes = StrongAmount<struct MegabytesTag, std::int64_t>;       ///< memory, 2^20 bytes
--- a/core/src/agent/agent_state.h
+++ b/core/src/agent/agent_state.h
@@ -13,7 +13,8 @@
 #include <memory>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** One step: its time and where its outputs go. */
 struct AgentStep {
--- a/core/src/agent/heartbeat_controller.cpp
+++ b/core/src/agent/heartbeat_controller.cpp
@@ -5,9 +5,11 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr int HurryDivisor = 4; ///< part of the interval after which a heartbeat is sent early
 
--- a/core/src/agent/heartbeat_controller.h
+++ b/core/src/agent/heartbeat_controller.h
@@ -10,7 +10,8 @@
 #include <optional>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Announces the agent, learns roster and configuration, repeats reports. */
 class HeartbeatController
--- a/core/src/agent/ledger.cpp
+++ b/core/src/agent/ledger.cpp
@@ -4,7 +4,8 @@
 #include <algorithm>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 TaskReport makeReport(const TaskId &task, const LedgerRecord &record, ReportSequence sequence)
 {
--- a/core/src/agent/ledger.h
+++ b/core/src/agent/ledger.h
@@ -12,7 +12,8 @@
 #include <string>
 #include <unordered_map>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** What the agent knows of one task. There are many; keep it small. */
 struct LedgerRecord {
--- a/core/src/agent/ledger_report_controller.cpp
+++ b/core/src/agent/ledger_report_controller.cpp
@@ -5,9 +5,11 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t MaxPartEntries = 256;
 constexpr std::size_t MaxPartBytes = 512U << 10U;
--- a/core/src/agent/ledger_report_controller.h
+++ b/core/src/agent/ledger_report_controller.h
@@ -7,7 +7,8 @@
 #include <map>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Reports the ledger once per change of owner, part by part, each repeated until it is acknowledged. */
 class LedgerReportController
--- a/core/src/agent/owner_table.cpp
+++ b/core/src/agent/owner_table.cpp
@@ -5,7 +5,8 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 OwnerIndex OwnerTable::find(const EntryName &name, Incarnation incarnation) const
 {
--- a/core/src/agent/owner_table.h
+++ b/core/src/agent/owner_table.h
@@ -9,7 +9,8 @@
 #include <optional>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Position of an owner in the table; small, since each ledger record holds two. */
 using OwnerIndex = std::uint16_t;
--- a/core/src/agent/report_controller.cpp
+++ b/core/src/agent/report_controller.cpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t MaxRepeatedReports = 64;
 constexpr std::size_t MaxRepeatedBytes = 256U << 10U;
--- a/core/src/agent/report_controller.h
+++ b/core/src/agent/report_controller.h
@@ -5,7 +5,8 @@
 
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Numbers reports per owner and gathers those of one step into one message an owner. */
 class ReportController
--- a/core/src/agent/slot_tokens.cpp
+++ b/core/src/agent/slot_tokens.cpp
@@ -1,7 +1,8 @@
 // The highest token known for each owner slot, and who holds it.
 #include "slot_tokens.h"
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 void SlotTokens::raise(OwnerSlotIndex slot, Epoch token, const EntryName &owner, Incarnation incarnation)
 {
--- a/core/src/agent/slot_tokens.h
+++ b/core/src/agent/slot_tokens.h
@@ -5,7 +5,8 @@
 
 #include <map>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Fencing tokens: what is lower than the highest known one is refused. */
 class SlotTokens
--- a/core/src/agent/task_controller.cpp
+++ b/core/src/agent/task_controller.cpp
@@ -4,9 +4,11 @@
 #include <algorithm>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration FirstAskDelay = std::chrono::seconds(2); ///< beyond the declared run time
 
--- a/core/src/agent/task_controller.h
+++ b/core/src/agent/task_controller.h
@@ -6,7 +6,8 @@
 
 #include <sycamoremoor/core/agent_input_type.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Decides about every task: whether it starts, when it is handed to the upstream, how it ended. */
 class TaskController
--- a/core/src/agent/upstream_controller.cpp
+++ b/core/src/agent/upstream_controller.cpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration RetryAskDelay = std::chrono::seconds(1);
 constexpr Duration MaxAskDelay = std::chrono::seconds(10);
--- a/core/src/agent/upstream_controller.h
+++ b/core/src/agent/upstream_controller.h
@@ -8,7 +8,8 @@
 
 #include <optional>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Probes the upstream and turns what it says, or its silence, into the end of tasks. */
 class UpstreamController
--- a/core/src/agent_machine.cpp
+++ b/core/src/agent_machine.cpp
@@ -11,9 +11,11 @@
 #include <algorithm>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t MaxAuditRecords = 100;
 constexpr Duration MinTimerDelay = std::chrono::milliseconds(1);
--- a/core/src/config_func.cpp
+++ b/core/src/config_func.cpp
@@ -5,9 +5,11 @@
 #include <algorithm>
 #include <cctype>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t MaxNameLength = 64;
 
--- a/core/src/dispatch/dispatcher_private.h
+++ b/core/src/dispatch/dispatcher_private.h
@@ -16,7 +16,8 @@
 #include <set>
 #include <unordered_map>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** State behind Dispatcher. */
 class Dispatcher::Private
--- a/core/src/dispatch/ejection_controller.h
+++ b/core/src/dispatch/ejection_controller.h
@@ -16,7 +16,8 @@
 #include <utility>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /**
  * Judges workers by the ends of tasks.
--- a/core/src/dispatch/job_entry.h
+++ b/core/src/dispatch/job_entry.h
@@ -12,7 +12,8 @@
 #include <set>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 class ServiceQueue;
 struct Service;
--- a/core/src/dispatch/quota_ledger.h
+++ b/core/src/dispatch/quota_ledger.h
@@ -8,7 +8,8 @@
 #include <memory>
 #include <unordered_map>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** What a team has waiting and placed in all services. */
 struct TeamUse {
--- a/core/src/dispatch/retry_controller.h
+++ b/core/src/dispatch/retry_controller.h
@@ -7,7 +7,8 @@
 
 #include <optional>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** A budget for retries, a share of the starts, with a jittered back-off from try to try. */
 class RetryController
--- a/core/src/dispatch/room_tree.h
+++ b/core/src/dispatch/room_tree.h
@@ -9,7 +9,8 @@
 #include <optional>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /**
  * A tournament tree: each leaf is the room of one worker, each inner node the greatest of its leaves, resource by resource.
--- a/core/src/dispatch/run_time_estimator.h
+++ b/core/src/dispatch/run_time_estimator.h
@@ -10,7 +10,8 @@
 #include <string>
 #include <unordered_map>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /**
  * Expects run times from those observed, instead of those declared.
--- a/core/src/dispatch/service_queue.h
+++ b/core/src/dispatch/service_queue.h
@@ -11,7 +11,8 @@
 #include <tuple>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /**
  * Queue of one service: tells which job is next.
--- a/core/src/dispatch/worker.h
+++ b/core/src/dispatch/worker.h
@@ -10,7 +10,8 @@
 #include <limits>
 #include <optional>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** How a worker's tasks ended lately. */
 struct WorkerHealth {
--- a/core/src/dispatch/worker_pool.h
+++ b/core/src/dispatch/worker_pool.h
@@ -10,7 +10,8 @@
 #include <functional>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Index of the workers of one service. It does not own them. */
 class WorkerPool
--- a/core/src/dispatch/worker_room.h
+++ b/core/src/dispatch/worker_room.h
@@ -7,7 +7,8 @@
 #include <algorithm>
 #include <cstdint>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** An amount of every resource that a task takes of a worker. */
 struct WorkerRoom {
--- a/core/src/dispatch_admission.cpp
+++ b/core/src/dispatch_admission.cpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 /** Share of its deadline by which a job must be expected to end; the rest is for jobs that arrive later and go before it. */
 constexpr double DeadlineShare = 0.5;
--- a/core/src/dispatch_ejection_controller.cpp
+++ b/core/src/dispatch_ejection_controller.cpp
@@ -4,9 +4,11 @@
 #include <algorithm>
 #include <limits>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::int64_t NoLimit = std::numeric_limits<std::int64_t>::max();
 
--- a/core/src/dispatch_place.cpp
+++ b/core/src/dispatch_place.cpp
@@ -1,9 +1,11 @@
 // Placement: which task goes to which worker now.
 #include "dispatch/dispatcher_private.h"
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 /** Tasks of a job that are tried when its first one fits no worker. */
 constexpr std::size_t TriedTasks = 8;
--- a/core/src/dispatch_quota_ledger.cpp
+++ b/core/src/dispatch_quota_ledger.cpp
@@ -4,7 +4,8 @@
 #include <algorithm>
 #include <cmath>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 void QuotaLedger::configure(const ConfigSet &config, double ownerShare)
 {
--- a/core/src/dispatch_reserve.cpp
+++ b/core/src/dispatch_reserve.cpp
@@ -1,9 +1,11 @@
 // Reservation of a worker for a task that has waited long for room.
 #include "dispatch/dispatcher_private.h"
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 /** A task that has fitted no worker for so long gets one kept free. */
 constexpr Duration ReserveAfter = std::chrono::seconds(1);
--- a/core/src/dispatch_retry_controller.cpp
+++ b/core/src/dispatch_retry_controller.cpp
@@ -4,9 +4,11 @@
 #include <algorithm>
 #include <functional>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 /** Retries that may be made at once: the slots of a rack of three workers, twice. */
 constexpr double LargestBudget = 64;
--- a/core/src/dispatch_room_tree.cpp
+++ b/core/src/dispatch_room_tree.cpp
@@ -1,9 +1,11 @@
 // Tournament tree over the room of workers.
 #include "dispatch/room_tree.h"
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 /** Room of a leaf that is not in use; nothing fits. */
 constexpr WorkerRoom NoRoom{-1, -1, -1, -1};
--- a/core/src/dispatch_run_time_estimator.cpp
+++ b/core/src/dispatch_run_time_estimator.cpp
@@ -4,9 +4,11 @@
 #include <algorithm>
 #include <cmath>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t MostKinds = 2'000;
 constexpr double LeastWeight = 0.02;   ///< of a new observation, once many are known
--- a/core/src/dispatch_service_queue.cpp
+++ b/core/src/dispatch_service_queue.cpp
@@ -4,9 +4,11 @@
 #include <algorithm>
 #include <iterator>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 /** Sizes that unpark() looks at in one call. */
 constexpr std::size_t UnparkSizes = 16;
--- a/core/src/dispatch_state.cpp
+++ b/core/src/dispatch_state.cpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 /** A job goes behind jobs that arrive later by up to so many times the time that all slots need for what it has waiting. */
 constexpr double WorkFactor = 50;
--- a/core/src/dispatch_worker_pool.cpp
+++ b/core/src/dispatch_worker_pool.cpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 /** The own zone is preferred until another zone's best worker has more than so many times its best worker's free slots. */
 constexpr std::int64_t ZonePreference = 2;
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -6,7 +6,8 @@
 #include <algorithm>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 Dispatcher::Private::Private(ZoneName ownZone, DispatcherHooks standardHooks)
     : zone(std::move(ownZone))
--- a/core/src/entry/account_controller.cpp
+++ b/core/src/entry/account_controller.cpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t MaxAuditRecords = 500;
 constexpr std::uint32_t MaxAccountLimit = 10'000; ///< submissions in one answer
--- a/core/src/entry/account_controller.h
+++ b/core/src/entry/account_controller.h
@@ -11,7 +11,8 @@
 
 #include <deque>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Answers account and status queries from what the other controllers keep. */
 class AccountController
--- a/core/src/entry/answer_store.cpp
+++ b/core/src/entry/answer_store.cpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::int64_t AnswerOverheadBytes = 256;
 constexpr int ExpirySkews = 4; ///< clock skew bounds added to the age of a key before it is forgotten
--- a/core/src/entry/answer_store.h
+++ b/core/src/entry/answer_store.h
@@ -11,7 +11,8 @@
 #include <unordered_map>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** A submission that ended. Outlives its answer until its key has expired. */
 struct EndedSubmission {
--- a/core/src/entry/config_controller.cpp
+++ b/core/src/entry/config_controller.cpp
@@ -3,7 +3,8 @@
 
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 ConfigController::ConfigController(const EntrySettings &settings, ChangeHook changed)
     : m_settings(settings)
--- a/core/src/entry/config_controller.h
+++ b/core/src/entry/config_controller.h
@@ -11,7 +11,8 @@
 #include <memory>
 #include <optional>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** What an agent is to be told of the configuration. */
 struct AgentConfig {
--- a/core/src/entry/drain_controller.cpp
+++ b/core/src/entry/drain_controller.cpp
@@ -7,9 +7,11 @@
 #include <map>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::string_view LogPart = "drain";
 constexpr Duration CheckInterval = std::chrono::milliseconds(50);
--- a/core/src/entry/drain_controller.h
+++ b/core/src/entry/drain_controller.h
@@ -15,7 +15,8 @@
 #include <set>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** How far a planned stop is. */
 enum class DrainPhase {
--- a/core/src/entry/entry_private.h
+++ b/core/src/entry/entry_private.h
@@ -17,7 +17,8 @@
 
 #include <map>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Controllers for state, filters for submissions, and one handler for each input. */
 class EntryMachine::Private
--- a/core/src/entry/entry_step.h
+++ b/core/src/entry/entry_step.h
@@ -7,7 +7,8 @@
 #include <string_view>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** What controllers work with during one step. Lives no longer than the step. */
 class EntryStep
--- a/core/src/entry/forward_controller.cpp
+++ b/core/src/entry/forward_controller.cpp
@@ -8,9 +8,11 @@
 #include <algorithm>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration FirstRetryDelay = std::chrono::milliseconds(20);
 constexpr Duration MaxRetryDelay = std::chrono::milliseconds(500);
--- a/core/src/entry/forward_controller.h
+++ b/core/src/entry/forward_controller.h
@@ -14,7 +14,8 @@
 #include <string>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Forwards submissions, keeps their bodies until they are answered, and forwards again when the owner changes. */
 class ForwardController
--- a/core/src/entry/job_answer.cpp
+++ b/core/src/entry/job_answer.cpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 RunState overallRun(const std::vector<TaskAccount> &account)
 {
--- a/core/src/entry/job_controller.cpp
+++ b/core/src/entry/job_controller.cpp
@@ -3,7 +3,8 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 JobController::JobController(Parts parts)
     : m_parts(std::move(parts))
--- a/core/src/entry/job_controller.h
+++ b/core/src/entry/job_controller.h
@@ -18,7 +18,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Carries jobs from their acceptance to their answer. */
 class JobController
--- a/core/src/entry/job_reports.cpp
+++ b/core/src/entry/job_reports.cpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr int UncertainPeriods = 3;                 ///< query delays to wait when what is missing may just be on its way
 constexpr std::size_t MaxTasksAsked = 1'000;        ///< in one query
--- a/core/src/entry/open_job_type.h
+++ b/core/src/entry/open_job_type.h
@@ -7,7 +7,8 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** After its deadline a job waits so long for the truth about tasks that were sent. */
 inline constexpr Duration EndingGrace = std::chrono::seconds(1);
--- a/core/src/entry/peer_directory.cpp
+++ b/core/src/entry/peer_directory.cpp
@@ -5,9 +5,11 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t MaxUnansweredHeartbeats = 16;
 constexpr std::size_t MaxPastLives = 64;
--- a/core/src/entry/peer_directory.h
+++ b/core/src/entry/peer_directory.h
@@ -8,7 +8,8 @@
 #include <set>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Peers by name, from heartbeats in both directions. */
 class PeerDirectory
--- a/core/src/entry/roster_controller.cpp
+++ b/core/src/entry/roster_controller.cpp
@@ -6,9 +6,11 @@
 #include <algorithm>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::string_view Part = "roster";
 constexpr int LostReadIntervals = 3; ///< a read unanswered for so many intervals is sent again
--- a/core/src/entry/roster_controller.h
+++ b/core/src/entry/roster_controller.h
@@ -13,7 +13,8 @@
 #include <optional>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** What the entry wants to be in the roster. */
 enum class MembershipIntent {
--- a/core/src/entry/roster_plan_func.cpp
+++ b/core/src/entry/roster_plan_func.cpp
@@ -5,9 +5,11 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 RosterRecord nextEpoch(const RosterRecord &base)
 {
--- a/core/src/entry/roster_plan_func.h
+++ b/core/src/entry/roster_plan_func.h
@@ -5,7 +5,8 @@
 
 #include <optional>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** What a plan needs besides the roster. */
 struct RosterPlanContext {
--- a/core/src/entry/roster_proof.cpp
+++ b/core/src/entry/roster_proof.cpp
@@ -7,7 +7,8 @@
 #include <functional>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 bool RosterController::mayServe(MonotonicTime now, OwnerSlotIndex slot) const
 {
--- a/core/src/entry/slot_agents_controller.cpp
+++ b/core/src/entry/slot_agents_controller.cpp
@@ -3,7 +3,8 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 SlotAgentsController::SlotAgentsController(const EntrySettings &settings)
     : m_settings(settings)
--- a/core/src/entry/slot_agents_controller.h
+++ b/core/src/entry/slot_agents_controller.h
@@ -12,7 +12,8 @@
 #include <set>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Reads and extends the record of agents that owners of a slot may have given tasks to. */
 class SlotAgentsController
--- a/core/src/entry/submission_filter.cpp
+++ b/core/src/entry/submission_filter.cpp
@@ -3,7 +3,8 @@
 
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 void SubmissionChain::setRefusalHook(RefusalHook refused)
 {
--- a/core/src/entry/submission_type.h
+++ b/core/src/entry/submission_type.h
@@ -6,7 +6,8 @@
 
 #include <optional>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** A caller's or peer's submission as this entry received it. */
 struct Submission {
--- a/core/src/entry/takeover_controller.cpp
+++ b/core/src/entry/takeover_controller.cpp
@@ -4,9 +4,11 @@
 #include <algorithm>
 #include <limits>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration CheckInterval = std::chrono::milliseconds(100);
 constexpr Duration AskInterval = std::chrono::milliseconds(500);
--- a/core/src/entry/takeover_controller.h
+++ b/core/src/entry/takeover_controller.h
@@ -18,7 +18,8 @@
 #include <utility>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Collects ledgers and the word of leaving owners; holds submissions until their past is known. */
 class TakeoverController
--- a/core/src/entry/worker_directory.cpp
+++ b/core/src/entry/worker_directory.cpp
@@ -4,9 +4,11 @@
 #include <algorithm>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t MaxPastLives = 64;
 constexpr std::size_t MaxReportsAhead = 100'000;
--- a/core/src/entry/worker_directory.h
+++ b/core/src/entry/worker_directory.h
@@ -10,7 +10,8 @@
 #include <set>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** An agent as its heartbeats describe it. */
 struct KnownWorker {
--- a/core/src/entry_inputs.cpp
+++ b/core/src/entry_inputs.cpp
@@ -3,9 +3,11 @@
 
 #include <sycamoremoor/core/roster_func.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 RunState ranOf(const SubmissionRecord &record)
 {
--- a/core/src/entry_machine.cpp
+++ b/core/src/entry_machine.cpp
@@ -5,9 +5,11 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration MinTimerDelay = std::chrono::milliseconds(1);
 
--- a/core/src/entry_submission.cpp
+++ b/core/src/entry_submission.cpp
@@ -1,9 +1,11 @@
 // Submissions: receipt, the filters in their order, and what a takeover makes of them.
 #include "entry/entry_private.h"
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration DefaultDeadline = std::chrono::seconds(30); ///< while no configuration names another
 constexpr std::size_t MaxTasks = 1'000;
--- a/core/src/error_func.cpp
+++ b/core/src/error_func.cpp
@@ -4,9 +4,11 @@
 
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 class ErrorCategory : public std::error_category
 {
--- a/core/src/name_func.cpp
+++ b/core/src/name_func.cpp
@@ -3,9 +3,11 @@
 
 #include <array>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(JobState::End)> JobStateNames{
     "proving",
--- a/core/src/roster_func.cpp
+++ b/core/src/roster_func.cpp
@@ -7,9 +7,11 @@
 #include <array>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 /** How near a slot's owner is to an agent; more is nearer. */
 enum class Proximity {
--- a/core/src/submission_key.cpp
+++ b/core/src/submission_key.cpp
@@ -4,9 +4,11 @@
 #include <array>
 #include <cstdio>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::uint64_t VersionMask = 0xF000;
 constexpr std::uint64_t Version7 = 0x7000;
--- a/core/tests/agent_driver.cpp
+++ b/core/tests/agent_driver.cpp
@@ -3,9 +3,11 @@
 
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 AgentSettings testSettings(const std::function<void(AgentSettings &)> &adjust)
 {
--- a/core/tests/agent_driver.h
+++ b/core/tests/agent_driver.h
@@ -9,7 +9,8 @@
 #include <optional>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** An agent with one entry, E1, that owns slot 0 with token 5. */
 class AgentDriver
--- a/core/tests/agent_ledger_test.cpp
+++ b/core/tests/agent_ledger_test.cpp
@@ -6,12 +6,14 @@
 #include <algorithm>
 #include <numeric>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-namespace {
+namespace
+{
 
 HeartbeatReplyReceived newOwner()
 {
--- a/core/tests/agent_machine_test.cpp
+++ b/core/tests/agent_machine_test.cpp
@@ -3,12 +3,14 @@
 
 #include <gtest/gtest.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-namespace {
+namespace
+{
 
 HeartbeatReplyReceived acknowledge(std::uint64_t sequence)
 {
--- a/core/tests/agent_start_rules_test.cpp
+++ b/core/tests/agent_start_rules_test.cpp
@@ -7,9 +7,11 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 using std::chrono::minutes;
 using std::chrono::seconds;
--- a/core/tests/config_table_test.cpp
+++ b/core/tests/config_table_test.cpp
@@ -7,9 +7,11 @@
 #include <iterator>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 std::string configurationPage()
 {
--- a/core/tests/dispatch_admission_test.cpp
+++ b/core/tests/dispatch_admission_test.cpp
@@ -3,9 +3,11 @@
 
 #include <gtest/gtest.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr TaskSize Small{MilliCores(1'000), Megabytes(256), Accelerators(0)};
 
--- a/core/tests/dispatch_basic_test.cpp
+++ b/core/tests/dispatch_basic_test.cpp
@@ -3,7 +3,8 @@
 
 #include <gtest/gtest.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 struct AdmitCase {
     const char *name;
--- a/core/tests/dispatch_ejection_test.cpp
+++ b/core/tests/dispatch_ejection_test.cpp
@@ -5,9 +5,11 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr TaskSize Small{MilliCores(1'000), Megabytes(256), Accelerators(0)};
 constexpr std::size_t Workers = 11;
--- a/core/tests/dispatch_fixture.h
+++ b/core/tests/dispatch_fixture.h
@@ -8,7 +8,8 @@
 #include <utility>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** A dispatcher in zone trnava-a with service reclaim-desk and teams intake, couriers and narrow. */
 class DispatchFixture
--- a/core/tests/dispatch_order_test.cpp
+++ b/core/tests/dispatch_order_test.cpp
@@ -6,9 +6,11 @@
 #include <map>
 #include <set>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr TaskSize Small{MilliCores(1'000), Megabytes(256), Accelerators(0)};
 constexpr TaskSize Whole{MilliCores(30'000), Megabytes(256), Accelerators(0)};
--- a/core/tests/dispatch_property_test.cpp
+++ b/core/tests/dispatch_property_test.cpp
@@ -8,9 +8,11 @@
 #include <map>
 #include <set>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t MostWorkers = 4;
 constexpr Duration LongestStep = std::chrono::milliseconds(400);
--- a/core/tests/dispatch_refusal_test.cpp
+++ b/core/tests/dispatch_refusal_test.cpp
@@ -6,9 +6,11 @@
 #include <array>
 #include <set>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr TaskSize Usual{MilliCores(1'000), Megabytes(256), Accelerators(0)};
 constexpr Duration BackOff = std::chrono::milliseconds(100); ///< above the first retry delays
--- a/core/tests/dispatch_run_time_estimator_test.cpp
+++ b/core/tests/dispatch_run_time_estimator_test.cpp
@@ -3,9 +3,11 @@
 
 #include <gtest/gtest.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 const ServiceName testService("reclaim-desk");
 const TaskKind testKind("assess");
--- a/core/tests/entry_fleet.cpp
+++ b/core/tests/entry_fleet.cpp
@@ -5,9 +5,11 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration HeartbeatInterval = std::chrono::seconds(1);
 constexpr Duration TaskRunTime = std::chrono::milliseconds(100);
--- a/core/tests/entry_fleet.h
+++ b/core/tests/entry_fleet.h
@@ -13,7 +13,8 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** The platform's service: two heads and the agents of each slot. */
 struct FakePlatform {
--- a/core/tests/entry_fleet_agents.cpp
+++ b/core/tests/entry_fleet_agents.cpp
@@ -3,7 +3,8 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 void EntryFleet::heartbeats()
 {
--- a/core/tests/entry_freshness_test.cpp
+++ b/core/tests/entry_freshness_test.cpp
@@ -3,9 +3,11 @@
 
 #include <gtest/gtest.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/core/tests/entry_golden_test.cpp
+++ b/core/tests/entry_golden_test.cpp
@@ -7,9 +7,11 @@
 #include <fstream>
 #include <iterator>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/core/tests/entry_property_test.cpp
+++ b/core/tests/entry_property_test.cpp
@@ -6,9 +6,11 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/core/tests/entry_trace.cpp
+++ b/core/tests/entry_trace.cpp
@@ -3,9 +3,11 @@
 
 #include <sycamoremoor/core/job_type.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 std::string number(std::uint64_t value)
 {
--- a/core/tests/entry_trace.h
+++ b/core/tests/entry_trace.h
@@ -7,7 +7,8 @@
 #include <optional>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Returns the line of an input. */
 std::string traceLine(const EntryName &entry, MonotonicTime now, const EntryInput &input);
--- a/core/tests/heartbeat_size_test.cpp
+++ b/core/tests/heartbeat_size_test.cpp
@@ -11,9 +11,11 @@
 #include <utility>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 using std::chrono::seconds;
 
--- a/core/tests/submission_key_test.cpp
+++ b/core/tests/submission_key_test.cpp
@@ -6,9 +6,11 @@
 
 #include <array>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 struct TextCase {
     const char *text;
--- a/core/tests/world.cpp
+++ b/core/tests/world.cpp
@@ -6,9 +6,11 @@
 #include <string>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/core/tests/world.h
+++ b/core/tests/world.h
@@ -16,7 +16,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** How a world is made; tests switch rules off here. */
 struct WorldOptions {
--- a/core/tests/world_agent.cpp
+++ b/core/tests/world_agent.cpp
@@ -5,9 +5,11 @@
 #include <type_traits>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 using std::chrono::milliseconds;
 
--- a/core/tests/world_callers.cpp
+++ b/core/tests/world_callers.cpp
@@ -4,9 +4,11 @@
 #include <string>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration CallTimeout = std::chrono::seconds(60); ///< after which a caller hangs up
 constexpr Duration JobDeadline = std::chrono::seconds(20);
--- a/core/tests/world_checker.cpp
+++ b/core/tests/world_checker.cpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 std::string nameOf(const TaskId &task)
 {
--- a/core/tests/world_checker.h
+++ b/core/tests/world_checker.h
@@ -10,7 +10,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Returns the result that the fake runners give for a payload. */
 std::string worldResult(const std::string &payload);
--- a/core/tests/world_entry.cpp
+++ b/core/tests/world_entry.cpp
@@ -5,9 +5,11 @@
 #include <type_traits>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration PeerTimeout = std::chrono::seconds(3);
 constexpr Duration ForwardTimeout = std::chrono::seconds(45);
--- a/core/tests/world_faults_test.cpp
+++ b/core/tests/world_faults_test.cpp
@@ -6,9 +6,11 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 using Kind = WorldEventKind;
 
--- a/core/tests/world_network.cpp
+++ b/core/tests/world_network.cpp
@@ -5,9 +5,11 @@
 #include <array>
 #include <iterator>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/core/tests/world_network.h
+++ b/core/tests/world_network.h
@@ -8,7 +8,8 @@
 #include <set>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Delivers messages in the order of their times; drops, copies, delays and cuts when told to. */
 class WorldNetwork
--- a/core/tests/world_platform.cpp
+++ b/core/tests/world_platform.cpp
@@ -1,9 +1,11 @@
 // A fake of the platform's key-value service.
 #include "world_platform.h"
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::uint32_t LostAnswerPercent = 40;
 constexpr std::uint64_t MaxSlowness = 6'000'000; ///< microseconds
--- a/core/tests/world_platform.h
+++ b/core/tests/world_platform.h
@@ -8,7 +8,8 @@
 #include <map>
 #include <memory>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Holds roster, configuration and recorded agents. Each call answers by an input of the entry. */
 class WorldPlatform
--- a/core/tests/world_property_test.cpp
+++ b/core/tests/world_property_test.cpp
@@ -7,9 +7,11 @@
 #include <array>
 #include <string_view>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(WorldEventKind::End)> EventNames{
     "Run",  "Submit", "Resubmit", "Conflict", "Cancel", "Drop",     "Duplicate",     "Delay", "Weather",    "Restart",
@@ -24,7 +26,8 @@
                   << "}";
 }
 
-namespace {
+namespace
+{
 
 /** A random event; time passes and jobs come more often than faults. */
 rc::Gen<WorldEvent> anyEvent()
--- a/core/tests/world_rules_test.cpp
+++ b/core/tests/world_rules_test.cpp
@@ -6,9 +6,11 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::uint64_t MaxFleets = 1'000;
 constexpr std::uint64_t CheckedFleets = 400;
--- a/core/tests/world_runner.cpp
+++ b/core/tests/world_runner.cpp
@@ -3,7 +3,8 @@
 
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 WorldRunner::WorldRunner(std::string name, WorldChecker &checker)
     : m_name(std::move(name))
--- a/core/tests/world_runner.h
+++ b/core/tests/world_runner.h
@@ -9,7 +9,8 @@
 #include <optional>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** The upstream beside one agent. Its lives forget each other. */
 class WorldRunner
--- a/core/tests/world_type.h
+++ b/core/tests/world_type.h
@@ -9,7 +9,8 @@
 #include <ostream>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** What a process of the world is. */
 enum class WorldRole {
--- a/ctl/src/account_audit.cpp
+++ b/ctl/src/account_audit.cpp
@@ -5,9 +5,11 @@
 #include <map>
 #include <set>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 /** A start as an account tells it: an agent and a time. */
 struct ToldStart {
--- a/ctl/src/account_audit.h
+++ b/ctl/src/account_audit.h
@@ -6,7 +6,8 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Returns a sentence for each promise that the accounts show broken. */
 std::vector<std::string> auditAccounts(const std::vector<AccountReply> &replies);
--- a/ctl/src/account_cmd.cpp
+++ b/ctl/src/account_cmd.cpp
@@ -14,9 +14,11 @@
 #include <iostream>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr int HttpOk = 200;
 
--- a/ctl/src/clock_func.cpp
+++ b/ctl/src/clock_func.cpp
@@ -6,7 +6,8 @@
 #include <ctime>
 #include <random>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 WallTime wallClockNow()
 {
--- a/ctl/src/clock_func.h
+++ b/ctl/src/clock_func.h
@@ -7,7 +7,8 @@
 #include <cstdint>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 WallTime wallClockNow();
 MonotonicTime monotonicClockNow();
--- a/ctl/src/command_table.cpp
+++ b/ctl/src/command_table.cpp
@@ -4,9 +4,11 @@
 
 #include <iostream>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr const char *ExitCodeHelp
     = "Exit codes: 0 done, 1 fault of this program, 2 wrong usage, 3 nobody answered, 4 refused and nothing ran,\n"
--- a/ctl/src/command_type.h
+++ b/ctl/src/command_type.h
@@ -9,7 +9,8 @@
 #include <string_view>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 class Options;
 
--- a/ctl/src/commands.h
+++ b/ctl/src/commands.h
@@ -6,7 +6,8 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 class Options;
 struct CommandRow;
--- a/ctl/src/config_cmd.cpp
+++ b/ctl/src/config_cmd.cpp
@@ -14,9 +14,11 @@
 #include <iostream>
 #include <iterator>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 /** Returns the files that the operands name; a folder stands for its *.json files. */
 std::vector<std::filesystem::path> recordFiles(const Options &options)
--- a/ctl/src/config_print_func.cpp
+++ b/ctl/src/config_print_func.cpp
@@ -9,7 +9,8 @@
 #include <charconv>
 #include <iostream>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 bool hasPlatform(const Options &options)
 {
--- a/ctl/src/config_print_func.h
+++ b/ctl/src/config_print_func.h
@@ -8,7 +8,8 @@
 #include <optional>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 class Options;
 
--- a/ctl/src/config_show_cmd.cpp
+++ b/ctl/src/config_show_cmd.cpp
@@ -11,11 +11,13 @@
 
 #include <iostream>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 using Json = nlohmann::ordered_json;
 
-namespace {
+namespace
+{
 
 /** Which revision one process has in force. */
 struct InForceRow {
--- a/ctl/src/config_store.cpp
+++ b/ctl/src/config_store.cpp
@@ -3,9 +3,11 @@
 
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::string_view ConfigKeyPrefix = "sycamoremoor/v1/config/";
 
--- a/ctl/src/config_store.h
+++ b/ctl/src/config_store.h
@@ -11,7 +11,8 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** The newest revision and the store's own revision of its key. */
 struct HeadState {
--- a/ctl/src/entry_directory.cpp
+++ b/ctl/src/entry_directory.cpp
@@ -11,9 +11,11 @@
 
 #include <optional>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr int HttpOk = 200;
 constexpr const char *RosterKey = "sycamoremoor/v1/head/roster";
--- a/ctl/src/entry_directory.h
+++ b/ctl/src/entry_directory.h
@@ -7,7 +7,8 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 class Options;
 
--- a/ctl/src/event_loop.cpp
+++ b/ctl/src/event_loop.cpp
@@ -3,7 +3,8 @@
 
 #include <event2/event.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 EventLoop::EventLoop()
     : m_base(event_base_new())
--- a/ctl/src/event_loop.h
+++ b/ctl/src/event_loop.h
@@ -5,7 +5,8 @@
 
 struct event_base;
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Owns a libevent loop. */
 class EventLoop
--- a/ctl/src/exit_code_func.cpp
+++ b/ctl/src/exit_code_func.cpp
@@ -1,7 +1,8 @@
 // Exit codes of sycamorectl by kind of failure.
 #include "exit_code_type.h"
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 ExitCode exitCodeOf(ErrorKind kind, RunState ran)
 {
--- a/ctl/src/exit_code_type.h
+++ b/ctl/src/exit_code_type.h
@@ -3,7 +3,8 @@
 
 #include <sycamoremoor/core/error_type.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** What the shell is told. Documented in the help. */
 enum class ExitCode {
--- a/ctl/src/http_caller.cpp
+++ b/ctl/src/http_caller.cpp
@@ -7,7 +7,8 @@
 
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 HttpCaller::HttpCaller(event_base *base)
     : m_base(base)
--- a/ctl/src/http_caller.h
+++ b/ctl/src/http_caller.h
@@ -11,7 +11,8 @@
 struct event;
 struct event_base;
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Sends requests over as many connections as are needed, and keeps idle ones for later. */
 class HttpCaller
--- a/ctl/src/load_check.cpp
+++ b/ctl/src/load_check.cpp
@@ -8,9 +8,11 @@
 #include <fstream>
 #include <sstream>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::string_view MessagesMetric = "sycamoremoor_messages_total{direction=\"";
 constexpr std::string_view InternalPrefix = "/internal/";
--- a/ctl/src/load_cmd.cpp
+++ b/ctl/src/load_cmd.cpp
@@ -14,11 +14,13 @@
 #include <iostream>
 #include <sstream>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 using Json = nlohmann::ordered_json;
 
-namespace {
+namespace
+{
 
 constexpr std::string_view QueryPath = "/internal/v1/query-tasks";
 constexpr std::string_view StartPath = "/internal/v1/start-tasks";
--- a/ctl/src/load_driver.cpp
+++ b/ctl/src/load_driver.cpp
@@ -10,11 +10,13 @@
 #include <memory>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 using Json = nlohmann::json;
 
-namespace {
+namespace
+{
 
 constexpr timeval TickInterval{.tv_sec = 0, .tv_usec = 1'000};
 constexpr std::size_t MaxAttempts = 20;
--- a/ctl/src/load_driver.h
+++ b/ctl/src/load_driver.h
@@ -12,7 +12,8 @@
 
 struct event;
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Sends each job at its planned time, whatever became of those before. */
 class LoadDriver
--- a/ctl/src/load_ideal.cpp
+++ b/ctl/src/load_ideal.cpp
@@ -6,9 +6,11 @@
 #include <queue>
 #include <set>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 /** A job of the ideal schedule. */
 struct IdealJob {
--- a/ctl/src/load_plan.cpp
+++ b/ctl/src/load_plan.cpp
@@ -6,9 +6,11 @@
 #include <cmath>
 #include <random>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 using Random = std::mt19937_64;
 
--- a/ctl/src/load_type.h
+++ b/ctl/src/load_type.h
@@ -10,7 +10,8 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** What a load is made of. */
 struct LoadSettings {
--- a/ctl/src/options.cpp
+++ b/ctl/src/options.cpp
@@ -11,9 +11,11 @@
 #include <cstdlib>
 #include <optional>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 template<typename Number>
 std::optional<Number> numberOf(const std::string &text)
--- a/ctl/src/options.h
+++ b/ctl/src/options.h
@@ -11,7 +11,8 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Values of a command's flags: from the command line, else from the environment, else the default. */
 class Options
--- a/ctl/src/process_status_func.cpp
+++ b/ctl/src/process_status_func.cpp
@@ -7,7 +7,8 @@
 
 #include <iostream>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 EntryStatuses askStatuses(const Options &options)
 {
--- a/ctl/src/status_cmd.cpp
+++ b/ctl/src/status_cmd.cpp
@@ -12,7 +12,8 @@
 
 #include <iostream>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 ExitCode submissionStatus(const Options &options);
 
--- a/ctl/src/submit_cmd.cpp
+++ b/ctl/src/submit_cmd.cpp
@@ -14,11 +14,13 @@
 #include <iterator>
 #include <optional>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 using Json = nlohmann::ordered_json;
 
-namespace {
+namespace
+{
 
 constexpr const char *Prefix = "sycamorectl: ";
 
--- a/ctl/src/text_table.cpp
+++ b/ctl/src/text_table.cpp
@@ -6,7 +6,8 @@
 #include <ostream>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 TextTable::TextTable(std::vector<std::string> titles)
     : m_rows{std::move(titles)}
--- a/ctl/src/text_table.h
+++ b/ctl/src/text_table.h
@@ -5,7 +5,8 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Rows of text in columns that are as wide as their widest cell. */
 class TextTable
--- a/ctl/tests/config_store_test.cpp
+++ b/ctl/tests/config_store_test.cpp
@@ -12,9 +12,11 @@
 #include <atomic>
 #include <thread>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr const char *Host = "127.0.0.1";
 
--- a/daemon/include/sycamoremoor/daemon/daemon.h
+++ b/daemon/include/sycamoremoor/daemon/daemon.h
@@ -1,7 +1,8 @@
 // sycamoremoord: settings, signals, exit codes.
 #pragma once
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Exit codes by kind of end. */
 enum class DaemonExit {
--- a/daemon/src/daemon.cpp
+++ b/daemon/src/daemon.cpp
@@ -21,9 +21,11 @@
 #include <thread>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 std::optional<std::string> readEnvironment(const std::string &name)
 {
--- a/daemon/src/option_reader.cpp
+++ b/daemon/src/option_reader.cpp
@@ -11,9 +11,11 @@
 #include <map>
 #include <sstream>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr int FirstRowCode = 1'000;
 constexpr std::size_t HelpColumn = 32;
--- a/daemon/src/option_reader.h
+++ b/daemon/src/option_reader.h
@@ -8,7 +8,8 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Returns the value of an environment variable, or nothing. */
 using ReadEnvironment = std::function<std::optional<std::string>(const std::string &name)>;
--- a/daemon/src/option_value_func.cpp
+++ b/daemon/src/option_value_func.cpp
@@ -7,9 +7,11 @@
 #include <cctype>
 #include <charconv>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t MaxNameBytes = 128;
 constexpr std::int64_t MaxMilliseconds = 86'400'000;
--- a/daemon/src/option_value_func.h
+++ b/daemon/src/option_value_func.h
@@ -10,7 +10,8 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 inline constexpr const char *NameAllowed = "1 to 128 letters, digits, dots, dashes or underscores";
 inline constexpr const char *EndpointAllowed = "IP:PORT, with an IP number";
--- a/daemon/src/table/option_table.h
+++ b/daemon/src/table/option_table.h
@@ -8,7 +8,8 @@
 #include <string>
 #include <string_view>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** One setting. The environment variable is SYCAMOREMOOR_ and the flag in capitals with underscores. */
 struct OptionRow {
--- a/daemon/tests/option_reader_test.cpp
+++ b/daemon/tests/option_reader_test.cpp
@@ -8,9 +8,11 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 using Variables = std::map<std::string, std::string>;
 
--- a/net/include/sycamoremoor/net/agent_sender.h
+++ b/net/include/sycamoremoor/net/agent_sender.h
@@ -13,7 +13,8 @@
 #include <string_view>
 #include <unordered_map>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 class HttpClient;
 class MetricRegistry;
--- a/net/include/sycamoremoor/net/agent_server.h
+++ b/net/include/sycamoremoor/net/agent_server.h
@@ -10,7 +10,8 @@
 
 #include <map>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Takes what entries send to an agent. */
 class AgentServer
--- a/net/include/sycamoremoor/net/agent_task.h
+++ b/net/include/sycamoremoor/net/agent_task.h
@@ -17,7 +17,8 @@
 
 #include <cstdint>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 class EventLoop;
 
--- a/net/include/sycamoremoor/net/clock_func.h
+++ b/net/include/sycamoremoor/net/clock_func.h
@@ -3,7 +3,8 @@
 
 #include <sycamoremoor/core/time_type.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Returns the time by the monotonic clock, which also runs while the process is paused. */
 MonotonicTime monotonicNow();
--- a/net/include/sycamoremoor/net/entry_sender.h
+++ b/net/include/sycamoremoor/net/entry_sender.h
@@ -10,7 +10,8 @@
 #include <string>
 #include <string_view>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 class HttpClient;
 class MetricRegistry;
--- a/net/include/sycamoremoor/net/entry_server.h
+++ b/net/include/sycamoremoor/net/entry_server.h
@@ -11,7 +11,8 @@
 #include <map>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Keeps the open exchanges of callers, peers and agents, each answered once by its connection id. */
 class EntryServer
--- a/net/include/sycamoremoor/net/entry_task.h
+++ b/net/include/sycamoremoor/net/entry_task.h
@@ -19,7 +19,8 @@
 
 #include <cstdint>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 class EventLoop;
 
--- a/net/include/sycamoremoor/net/event_loop.h
+++ b/net/include/sycamoremoor/net/event_loop.h
@@ -9,7 +9,8 @@
 struct event;
 struct event_base;
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** One event loop. Everything but post() and stop() belongs to the thread that runs it. */
 class EventLoop
--- a/net/include/sycamoremoor/net/http_client.h
+++ b/net/include/sycamoremoor/net/http_client.h
@@ -9,7 +9,8 @@
 #include <memory>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 class ClientConnection;
 class EventLoop;
--- a/net/include/sycamoremoor/net/http_exchange.h
+++ b/net/include/sycamoremoor/net/http_exchange.h
@@ -10,7 +10,8 @@
 struct evhttp_connection;
 struct evhttp_request;
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 class HttpServer;
 
--- a/net/include/sycamoremoor/net/http_server.h
+++ b/net/include/sycamoremoor/net/http_server.h
@@ -15,7 +15,8 @@
 struct evhttp_connection;
 struct evhttp_request;
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 class EventLoop;
 class HttpExchange;
--- a/net/include/sycamoremoor/net/http_type.h
+++ b/net/include/sycamoremoor/net/http_type.h
@@ -11,7 +11,8 @@
 #include <string>
 #include <string_view>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Methods that are told apart. */
 enum class RequestMethod {
--- a/net/include/sycamoremoor/net/log_func.h
+++ b/net/include/sycamoremoor/net/log_func.h
@@ -7,7 +7,8 @@
 #include <string>
 #include <string_view>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** How log lines are written. */
 enum class LogFormat {
--- a/net/include/sycamoremoor/net/machine_driver.h
+++ b/net/include/sycamoremoor/net/machine_driver.h
@@ -18,7 +18,8 @@
 #include <variant>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Writes an audit record to the log. */
 void logAudit(const AuditRecord &record);
--- a/net/include/sycamoremoor/net/metric_registry.h
+++ b/net/include/sycamoremoor/net/metric_registry.h
@@ -9,7 +9,8 @@
 #include <string>
 #include <string_view>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Which way a message went. */
 enum class MessageDirection {
--- a/net/include/sycamoremoor/net/path_type.h
+++ b/net/include/sycamoremoor/net/path_type.h
@@ -3,7 +3,8 @@
 
 #include <string_view>
 
-namespace Sycamoremoor::Path {
+namespace Sycamoremoor::Path
+{
 
 inline constexpr std::string_view Jobs = "/v1/jobs";
 inline constexpr std::string_view Requests = "/v1/requests";
--- a/net/include/sycamoremoor/net/platform_task.h
+++ b/net/include/sycamoremoor/net/platform_task.h
@@ -6,7 +6,8 @@
 
 #include <sigc++/signal.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 class KeyValueClient;
 
--- a/net/include/sycamoremoor/net/process_pages_func.h
+++ b/net/include/sycamoremoor/net/process_pages_func.h
@@ -3,7 +3,8 @@
 
 #include <functional>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 class MetricRegistry;
 class Router;
--- a/net/include/sycamoremoor/net/random_bits.h
+++ b/net/include/sycamoremoor/net/random_bits.h
@@ -4,7 +4,8 @@
 #include <cstdint>
 #include <random>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Random bits, seeded by the operating system. Belongs to one thread. */
 class RandomBits
--- a/net/include/sycamoremoor/net/report_exchanges.h
+++ b/net/include/sycamoremoor/net/report_exchanges.h
@@ -11,7 +11,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 class MetricRegistry;
 
--- a/net/include/sycamoremoor/net/router.h
+++ b/net/include/sycamoremoor/net/router.h
@@ -9,7 +9,8 @@
 #include <string>
 #include <string_view>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 class MetricRegistry;
 
--- a/net/include/sycamoremoor/net/stop_watcher.h
+++ b/net/include/sycamoremoor/net/stop_watcher.h
@@ -7,7 +7,8 @@
 
 #include <cstdint>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 class EventLoop;
 class HttpServer;
--- a/net/include/sycamoremoor/net/timer.h
+++ b/net/include/sycamoremoor/net/timer.h
@@ -7,7 +7,8 @@
 
 struct event;
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 class EventLoop;
 
--- a/net/src/agent_sender.cpp
+++ b/net/src/agent_sender.cpp
@@ -11,9 +11,11 @@
 #include <utility>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration StartSlack = std::chrono::seconds(30); ///< beyond the last deadline, for the truth about stopped tasks
 constexpr Duration StopLimit = std::chrono::seconds(30);
--- a/net/src/agent_server.cpp
+++ b/net/src/agent_server.cpp
@@ -7,7 +7,8 @@
 
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 AgentServer::AgentServer(Router &router, MetricRegistry &metrics)
     : m_exchanges(metrics)
--- a/net/src/agent_task.cpp
+++ b/net/src/agent_task.cpp
@@ -9,9 +9,11 @@
 #include <type_traits>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 AgentSettings withPort(AgentSettings settings, std::uint16_t port)
 {
--- a/net/src/client_connection.cpp
+++ b/net/src/client_connection.cpp
@@ -14,9 +14,11 @@
 #include <algorithm>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr int LibraryTimeLimitSeconds = 24 * 3'600; ///< our own limits end calls long before
 constexpr Duration UnacknowledgedLimit = std::chrono::seconds(4);
--- a/net/src/client_connection.h
+++ b/net/src/client_connection.h
@@ -8,7 +8,8 @@
 struct evhttp_connection;
 struct evhttp_request;
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** One connection, with at most one call under way. It opens itself when it is used. */
 class ClientConnection
--- a/net/src/clock_func.cpp
+++ b/net/src/clock_func.cpp
@@ -3,9 +3,11 @@
 
 #include <ctime>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 Duration readClock(clockid_t clock)
 {
--- a/net/src/entry_sender.cpp
+++ b/net/src/entry_sender.cpp
@@ -8,9 +8,11 @@
 
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration TimeLimit = std::chrono::seconds(2);
 constexpr int HttpOk = 200;
--- a/net/src/entry_server.cpp
+++ b/net/src/entry_server.cpp
@@ -8,7 +8,8 @@
 #include <memory>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 EntryServer::EntryServer(Router &router, EntryName name, Incarnation incarnation, CallerLimits limits)
     : m_name(std::move(name))
--- a/net/src/entry_task.cpp
+++ b/net/src/entry_task.cpp
@@ -10,9 +10,11 @@
 #include <type_traits>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 EntrySettings withPort(EntrySettings settings, std::uint16_t port)
 {
--- a/net/src/event_loop.cpp
+++ b/net/src/event_loop.cpp
@@ -7,9 +7,11 @@
 #include <stdexcept>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 event_base *makeBase()
 {
--- a/net/src/http_client.cpp
+++ b/net/src/http_client.cpp
@@ -9,9 +9,11 @@
 #include <algorithm>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration SweepInterval = std::chrono::seconds(5);
 constexpr Duration IdleLimit = std::chrono::seconds(30); ///< well below the servers' limit for quiet connections
--- a/net/src/http_exchange.cpp
+++ b/net/src/http_exchange.cpp
@@ -11,9 +11,11 @@
 #include <string>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 void addHeader(evhttp_request *handle, const char *name, const std::string &value)
 {
--- a/net/src/http_server.cpp
+++ b/net/src/http_server.cpp
@@ -20,9 +20,11 @@
 #include <system_error>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::array ReadHeaders{ContentTypeHeader, IdempotencyKeyHeader, RequestIdHeader};
 
--- a/net/src/internal_request_func.h
+++ b/net/src/internal_request_func.h
@@ -5,7 +5,8 @@
 #include <sycamoremoor/net/router.h>
 #include <sycamoremoor/wire/message_codec.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Reads the body of @p request, or answers it with the error. */
 template<typename Message>
--- a/net/src/log_func.cpp
+++ b/net/src/log_func.cpp
@@ -17,9 +17,11 @@
 #include <ctime>
 #include <iostream>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 namespace logging = boost::log;
 
--- a/net/src/machine_driver.cpp
+++ b/net/src/machine_driver.cpp
@@ -4,9 +4,11 @@
 #include <array>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(AuditKind::End)> AuditTexts{
     "configuration in force", "roster change", "drain", "ejection", "readmission", "takeover"};
--- a/net/src/metric_registry.cpp
+++ b/net/src/metric_registry.cpp
@@ -9,9 +9,11 @@
 #include <sstream>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 namespace bh = boost::histogram;
 
--- a/net/src/peer_sender.cpp
+++ b/net/src/peer_sender.cpp
@@ -9,9 +9,11 @@
 #include <memory>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration HeartbeatLimit = std::chrono::seconds(2);
 constexpr Duration QueryLimit = std::chrono::seconds(5);
--- a/net/src/platform_task.cpp
+++ b/net/src/platform_task.cpp
@@ -13,9 +13,11 @@
 #include <string>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::string_view HeadPrefix = "sycamoremoor/v1/head/";
 constexpr std::string_view RosterKey = "sycamoremoor/v1/head/roster";
--- a/net/src/process_pages_func.cpp
+++ b/net/src/process_pages_func.cpp
@@ -8,9 +8,11 @@
 
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::string_view OpenMetricsType = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 constexpr std::string_view TextType = "text/plain; charset=utf-8";
--- a/net/src/random_bits.cpp
+++ b/net/src/random_bits.cpp
@@ -3,9 +3,11 @@
 
 #include <array>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 std::mt19937_64 makeEngine()
 {
--- a/net/src/receive_limit.cpp
+++ b/net/src/receive_limit.cpp
@@ -10,9 +10,11 @@
 
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 /** Returns the whole text of the answer to a request that did not arrive in time. */
 std::string timeoutReply()
--- a/net/src/receive_limit.h
+++ b/net/src/receive_limit.h
@@ -7,7 +7,8 @@
 struct evbuffer;
 struct evbuffer_cb_info;
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Watches one accepted connection. A request that does not arrive whole in time is answered 408 and cut off. */
 class ReceiveLimit
--- a/net/src/report_exchanges.cpp
+++ b/net/src/report_exchanges.cpp
@@ -9,9 +9,11 @@
 #include <algorithm>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 /** Returns a message like @p reports, without its reports. */
 TaskReports emptyLike(const TaskReports &reports)
--- a/net/src/router.cpp
+++ b/net/src/router.cpp
@@ -11,9 +11,11 @@
 #include <cstdio>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t MaxRequestIdBytes = 64;
 constexpr std::string_view UnknownPathName = "other";
--- a/net/src/socket_func.cpp
+++ b/net/src/socket_func.cpp
@@ -9,9 +9,11 @@
 
 #include <cerrno>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr int Backlog = 1'024;
 
--- a/net/src/socket_func.h
+++ b/net/src/socket_func.h
@@ -4,7 +4,8 @@
 #include <sycamoremoor/core/endpoint_type.h>
 #include <sycamoremoor/core/time_type.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /**
  * Opens a listening socket whose accepted connections have TCP_NODELAY.
--- a/net/src/stop_watcher.cpp
+++ b/net/src/stop_watcher.cpp
@@ -3,9 +3,11 @@
 
 #include <sycamoremoor/net/http_server.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration CheckInterval = std::chrono::milliseconds(100);
 constexpr std::uint32_t QuietChecks = 3;  ///< without an open exchange, so that a request on its way is still answered
--- a/net/src/timer.cpp
+++ b/net/src/timer.cpp
@@ -8,7 +8,8 @@
 #include <algorithm>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 Timer::Timer(EventLoop &loop, std::function<void()> hook)
     : m_hook(std::move(hook))
--- a/net/src/upstream_client.cpp
+++ b/net/src/upstream_client.cpp
@@ -9,9 +9,11 @@
 #include <string>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration StartLimit = std::chrono::hours(2); ///< the machine stops tasks long before
 constexpr Duration ControlLimit = std::chrono::seconds(2);
--- a/net/tests/http_test.cpp
+++ b/net/tests/http_test.cpp
@@ -19,9 +19,11 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration TestLimit = std::chrono::seconds(20);
 constexpr Duration PollInterval = std::chrono::milliseconds(2);
--- a/net/tests/metric_registry_test.cpp
+++ b/net/tests/metric_registry_test.cpp
@@ -4,7 +4,8 @@
 
 #include <gtest/gtest.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 TEST(MetricRegistryTest, NamesEveryMetricAndEnds)
 {
--- a/standin/src/gateway_service.cpp
+++ b/standin/src/gateway_service.cpp
@@ -6,11 +6,13 @@
 
 #include <stdexcept>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 using Json = nlohmann::json;
 
-namespace {
+namespace
+{
 
 std::string encoded(const std::string &bytes)
 {
--- a/standin/src/gateway_service.h
+++ b/standin/src/gateway_service.h
@@ -7,7 +7,8 @@
 
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** What a watch asked for. */
 struct WatchRequest {
--- a/standin/src/http_exchange.cpp
+++ b/standin/src/http_exchange.cpp
@@ -7,9 +7,11 @@
 #include <cstdlib>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr int HttpOk = 200;
 
--- a/standin/src/http_exchange.h
+++ b/standin/src/http_exchange.h
@@ -6,7 +6,8 @@
 
 struct evhttp_request;
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** A request that was received whole. If it is destroyed without an answer its connection is closed. */
 class HttpExchange
--- a/standin/src/http_server.cpp
+++ b/standin/src/http_server.cpp
@@ -13,9 +13,11 @@
 #include <system_error>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr int QuietConnectionSeconds = 24 * 3'600;
 
--- a/standin/src/http_server.h
+++ b/standin/src/http_server.h
@@ -12,7 +12,8 @@
 struct evhttp;
 struct evhttp_request;
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Hands every request to one hook, from the event loop and never from within libevent's own request callback. */
 class HttpServer
--- a/standin/src/key_value_store.cpp
+++ b/standin/src/key_value_store.cpp
@@ -4,9 +4,11 @@
 #include <algorithm>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 const std::string noEnd(1, '\0');
 
--- a/standin/src/key_value_store.h
+++ b/standin/src/key_value_store.h
@@ -11,7 +11,8 @@
 #include <string>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** A key as stored. */
 struct StoredValue {
--- a/standin/src/option_func.cpp
+++ b/standin/src/option_func.cpp
@@ -7,9 +7,11 @@
 #include <cstdlib>
 #include <iostream>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr int UsageFault = 2;
 
--- a/standin/src/platform_standin.cpp
+++ b/standin/src/platform_standin.cpp
@@ -9,11 +9,13 @@
 #include <algorithm>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 using Json = nlohmann::json;
 
-namespace {
+namespace
+{
 
 constexpr int HttpOk = 200;
 constexpr int HttpBadRequest = 400;
--- a/standin/src/platform_standin.h
+++ b/standin/src/platform_standin.h
@@ -15,7 +15,8 @@
 struct event;
 struct event_base;
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** What the stand-in was told to do wrong. */
 struct PlatformFaults {
--- a/standin/src/runner_standin.cpp
+++ b/standin/src/runner_standin.cpp
@@ -10,11 +10,13 @@
 #include <random>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 using Json = nlohmann::json;
 
-namespace {
+namespace
+{
 
 constexpr int HttpOk = 200;
 constexpr int HttpBadRequest = 400;
--- a/standin/src/runner_standin.h
+++ b/standin/src/runner_standin.h
@@ -16,7 +16,8 @@
 
 struct event_base;
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Settings of a runner stand-in. */
 struct RunnerSettings {
--- a/standin/src/signal_loop.cpp
+++ b/standin/src/signal_loop.cpp
@@ -6,7 +6,8 @@
 #include <csignal>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 SignalLoop::SignalLoop()
     : m_base(event_base_new())
--- a/standin/src/signal_loop.h
+++ b/standin/src/signal_loop.h
@@ -7,7 +7,8 @@
 struct event_base;
 struct event;
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** An event loop that calls a hook at SIGTERM or SIGINT and ignores SIGPIPE. */
 class SignalLoop
--- a/standin/src/task_script.cpp
+++ b/standin/src/task_script.cpp
@@ -3,9 +3,11 @@
 
 #include <charconv>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 void readWord(std::string_view word, TaskScript &script)
 {
--- a/standin/src/task_script.h
+++ b/standin/src/task_script.h
@@ -6,7 +6,8 @@
 #include <string>
 #include <string_view>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Run time and outcome of one task. */
 struct TaskScript {
--- a/standin/src/timer_func.cpp
+++ b/standin/src/timer_func.cpp
@@ -6,7 +6,8 @@
 #include <memory>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 MonotonicTime monotonicNow()
 {
--- a/standin/src/timer_func.h
+++ b/standin/src/timer_func.h
@@ -7,7 +7,8 @@
 
 struct event_base;
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Returns the monotonic clock's time. */
 MonotonicTime monotonicNow();
--- a/standin/tests/key_value_client_test.cpp
+++ b/standin/tests/key_value_client_test.cpp
@@ -10,9 +10,11 @@
 
 #include <optional>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr const char *Host = "127.0.0.1";
 constexpr Duration CallTimeout = std::chrono::milliseconds(400);
--- a/wire/include/sycamoremoor/wire/caller_codec.h
+++ b/wire/include/sycamoremoor/wire/caller_codec.h
@@ -12,7 +12,8 @@
 #include <string>
 #include <string_view>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** An answer by HTTP. */
 struct CallerAnswer {
--- a/wire/include/sycamoremoor/wire/caller_limits_type.h
+++ b/wire/include/sycamoremoor/wire/caller_limits_type.h
@@ -6,7 +6,8 @@
 
 #include <cstddef>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Limits of what a caller may send. */
 struct CallerLimits {
--- a/wire/include/sycamoremoor/wire/config_codec.h
+++ b/wire/include/sycamoremoor/wire/config_codec.h
@@ -9,7 +9,8 @@
 #include <string>
 #include <string_view>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Newest schema of the records that this version knows. */
 inline constexpr std::int64_t NewestConfigSchema = 2;
--- a/wire/include/sycamoremoor/wire/decode_error_type.h
+++ b/wire/include/sycamoremoor/wire/decode_error_type.h
@@ -5,7 +5,8 @@
 
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Why a text could not be decoded. */
 struct DecodeError {
--- a/wire/include/sycamoremoor/wire/message_codec.h
+++ b/wire/include/sycamoremoor/wire/message_codec.h
@@ -12,7 +12,8 @@
 #include <string_view>
 #include <tuple>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Every message that encode() and decode() know. */
 using WireMessages = std::tuple<RosterRecord,
--- a/wire/include/sycamoremoor/wire/status_reply_type.h
+++ b/wire/include/sycamoremoor/wire/status_reply_type.h
@@ -4,7 +4,8 @@
 #include <sycamoremoor/core/error_type.h>
 #include <sycamoremoor/core/job_type.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Owner to entry: how a submission stands. Answers ForwardQuery and ForwardCancel. */
 struct StatusReply {
--- a/wire/include/sycamoremoor/wire/text_codec.h
+++ b/wire/include/sycamoremoor/wire/text_codec.h
@@ -8,7 +8,8 @@
 #include <string>
 #include <string_view>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Returns "IP:PORT", with brackets around an IPv6 number. */
 std::string endpointToString(const Endpoint &endpoint);
--- a/wire/include/sycamoremoor/wire/upstream_codec.h
+++ b/wire/include/sycamoremoor/wire/upstream_codec.h
@@ -8,7 +8,8 @@
 #include <string>
 #include <string_view>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Returns the body that starts a task: its id, kind, payload and declared size. */
 std::string encodeUpstreamStart(const TaskId &task, const TaskSpec &spec);
--- a/wire/src/caller_decode.cpp
+++ b/wire/src/caller_decode.cpp
@@ -11,9 +11,11 @@
 #include <charconv>
 #include <memory>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr std::uint32_t MaxAccountLimit = 10'000;
 
--- a/wire/src/caller_encode.cpp
+++ b/wire/src/caller_encode.cpp
@@ -3,9 +3,11 @@
 
 #include "json_writer.h"
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr int HttpOk = 200;
 constexpr int HttpAccepted = 202;
--- a/wire/src/config_codec.cpp
+++ b/wire/src/config_codec.cpp
@@ -11,12 +11,14 @@
 #include <set>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 using Json = nlohmann::ordered_json;
 using Error = std::optional<DecodeError>;
 
-namespace {
+namespace
+{
 
 constexpr std::size_t RevisionDigits = 20;
 constexpr std::string_view ConfigKeyPrefix = "sycamoremoor/v1/config/";
--- a/wire/src/config_schema_v1.cpp
+++ b/wire/src/config_schema_v1.cpp
@@ -3,7 +3,8 @@
 
 #include <algorithm>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 ServiceRecord upgrade(const ServiceRecordV1 &record)
 {
--- a/wire/src/config_schema_v1.h
+++ b/wire/src/config_schema_v1.h
@@ -7,7 +7,8 @@
 #include <array>
 #include <cstdint>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** A service in schema 1. */
 struct ServiceRecordV1 {
--- a/wire/src/describe_func.h
+++ b/wire/src/describe_func.h
@@ -9,7 +9,8 @@
 #include <concepts>
 #include <type_traits>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** @p T is @p Message, const or not. */
 template<typename T, typename Message>
--- a/wire/src/enum_name.h
+++ b/wire/src/enum_name.h
@@ -10,7 +10,8 @@
 #include <optional>
 #include <string_view>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 inline constexpr std::array<std::string_view, static_cast<std::size_t>(AuditKind::End)> AuditKindNames{
     "config_in_force",
--- a/wire/src/json_reader.h
+++ b/wire/src/json_reader.h
@@ -20,7 +20,8 @@
 #include <utility>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /**
  * An archive that reads one JSON object. The first error ends the reading.
--- a/wire/src/json_text.cpp
+++ b/wire/src/json_text.cpp
@@ -6,9 +6,11 @@
 #include <array>
 #include <cstdio>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr unsigned char FirstPrintable = 0x20;
 constexpr unsigned char FirstNonAscii = 0x80;
--- a/wire/src/json_text.h
+++ b/wire/src/json_text.h
@@ -5,7 +5,8 @@
 #include <string>
 #include <string_view>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Depth of objects and arrays that decoders accept. */
 inline constexpr std::size_t MaxJsonDepth = 16;
--- a/wire/src/json_writer.h
+++ b/wire/src/json_writer.h
@@ -17,7 +17,8 @@
 #include <type_traits>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** An archive that appends one JSON object. Messages are copied once, into the text. */
 class JsonWriter
--- a/wire/src/message_codec.cpp
+++ b/wire/src/message_codec.cpp
@@ -7,7 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 template<typename Message>
 std::string encode(const Message &message)
--- a/wire/src/strict_object.cpp
+++ b/wire/src/strict_object.cpp
@@ -5,9 +5,11 @@
 #include <cmath>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 constexpr double ThousandthsPerWhole = 1000;
 constexpr std::size_t MaxNameInError = 64;
--- a/wire/src/strict_object.h
+++ b/wire/src/strict_object.h
@@ -11,7 +11,8 @@
 #include <string_view>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** One object of a caller's body. The first error is kept, later reads return defaults. */
 class StrictObject
--- a/wire/src/text_codec.cpp
+++ b/wire/src/text_codec.cpp
@@ -7,9 +7,11 @@
 #include <charconv>
 #include <concepts>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 /** Reads the whole of @p text as a decimal number, or nothing. */
 template<std::unsigned_integral Number>
--- a/wire/src/upstream_codec.cpp
+++ b/wire/src/upstream_codec.cpp
@@ -9,9 +9,11 @@
 
 #include <cmath>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 using Json = nlohmann::json;
 
--- a/wire/tests/aggregate_arity.h
+++ b/wire/tests/aggregate_arity.h
@@ -4,7 +4,8 @@
 #include <cstddef>
 #include <utility>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** Converts to anything in an unevaluated context. */
 struct AnyMember {
--- a/wire/tests/caller_codec_test.cpp
+++ b/wire/tests/caller_codec_test.cpp
@@ -8,9 +8,11 @@
 #include <array>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 using Json = nlohmann::json;
 
--- a/wire/tests/config_codec_test.cpp
+++ b/wire/tests/config_codec_test.cpp
@@ -6,9 +6,11 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 struct RefusedRecord {
     const char *name;
--- a/wire/tests/message_codec_test.cpp
+++ b/wire/tests/message_codec_test.cpp
@@ -13,9 +13,11 @@
 #include <limits>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 template<typename Tuple>
 struct TestTypes;
@@ -116,7 +118,8 @@
     }));
 }
 
-namespace {
+namespace
+{
 
 struct BadText {
     const char *name;
--- a/wire/tests/random_message.h
+++ b/wire/tests/random_message.h
@@ -13,7 +13,8 @@
 #include <type_traits>
 #include <vector>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
 /** An archive that gives each field an arbitrary value and counts the fields. */
 class RandomFiller
--- a/wire/tests/text_codec_test.cpp
+++ b/wire/tests/text_codec_test.cpp
@@ -6,9 +6,11 @@
 #include <array>
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 struct EndpointCase {
     const char *text;
--- a/wire/tests/upstream_codec_test.cpp
+++ b/wire/tests/upstream_codec_test.cpp
@@ -6,9 +6,11 @@
 
 #include <string>
 
-namespace Sycamoremoor {
+namespace Sycamoremoor
+{
 
-namespace {
+namespace
+{
 
 const TaskId sampleTask{SubmissionKey::create(WallTime(std::chrono::seconds(1)), 1, 2), TaskIndex(3)};
 
