Fix: [core] An agent whose home says that it is none asks other entries

Cause: the agent took no notice of the answer's home field. Cut off together with an old owner it never learned the newer roster, and jobs that it ran for that owner ended as unknown though it knew how they went. Change: on such an answer without a newer roster, the next heartbeat goes to the next entry, at the usual interval. Tested: a new case of three answers, red before by the ports it expects; core_tests 218 of 218.

--- a/core/src/agent/heartbeat_controller.cpp
+++ b/core/src/agent/heartbeat_controller.cpp
@@ -40,7 +40,11 @@
         same->revision = reply.configUnchanged;
         adoptConfig(step, same);
     }
-    aimAtHome();
+    if (!newer && !reply.home && isTarget(reply.entry)) {
+        aimAtNext(); // the home cannot act, or is one no more: another entry may know a newer roster
+    } else {
+        aimAtHome();
+    }
     if (newer) {
         hurry(step);
     }
@@ -113,6 +117,12 @@
     }
 }
 
+bool HeartbeatController::isTarget(const EntryName &entry) const
+{
+    const auto *member = m_state.roster ? findMember(*m_state.roster, entry) : nullptr;
+    return member != nullptr && member->endpoint == m_target;
+}
+
 std::vector<Endpoint> HeartbeatController::candidates() const
 {
     std::vector<Endpoint> entries;
--- a/core/src/agent/heartbeat_controller.h
+++ b/core/src/agent/heartbeat_controller.h
@@ -38,6 +38,7 @@
 private:
     void adoptRoster(AgentStep &step, const std::shared_ptr<const RosterRecord> &roster);
     void adoptConfig(AgentStep &step, const std::shared_ptr<const ConfigSet> &config);
+    [[nodiscard]] bool isTarget(const EntryName &entry) const;
     void aimAtHome();
     void aimAtNext();
     [[nodiscard]] std::vector<Endpoint> candidates() const;
--- a/core/tests/agent_machine_test.cpp
+++ b/core/tests/agent_machine_test.cpp
@@ -60,6 +60,33 @@
     EXPECT_EQ(driver.all<SendHeartbeat>().back().entry.port, 1002);
 }
 
+TEST(AgentHeartbeatTest, AsksOthersWhileTheHomeSaysThatItIsNone)
+{
+    AgentDriver driver;
+    driver.makeReady();
+    AgentHeartbeatReply reply;
+    reply.entry = EntryName("E1");
+    reply.incarnation = Incarnation(11);
+    const auto nextTarget = [&driver] {
+        driver.feed(UpstreamHealth{Incarnation(1), false, {}});
+        driver.pass(std::chrono::milliseconds(1'000));
+        const auto sent = driver.all<SendHeartbeat>();
+        return sent.empty() ? 0 : sent.back().entry.port;
+    };
+    reply.home = false;
+    driver.feed(HeartbeatReplyReceived{reply});
+    EXPECT_EQ(nextTarget(), 1002);
+    reply.entry = EntryName("E2");
+    reply.incarnation = Incarnation(12);
+    driver.feed(HeartbeatReplyReceived{reply});
+    EXPECT_EQ(nextTarget(), 1001);
+    reply.entry = EntryName("E1");
+    reply.incarnation = Incarnation(11);
+    reply.home = true;
+    driver.feed(HeartbeatReplyReceived{reply});
+    EXPECT_EQ(nextTarget(), 1001);
+}
+
 TEST(AgentHeartbeatTest, SaysAtOnceThatTheUpstreamIsLeaving)
 {
     AgentDriver driver;
