Fix: [wire] The answer of a job that ended promises nothing of a retry

Cause: retry_is_safe came from the error table alone. A job that was taken and ended, for instance with no_capacity, is remembered: sent again it gets the same answer, so the promise was empty. Change: it is false where the answer carries an account. Tested: a new case of the answer codec; wire_tests 291 of 291.

--- a/wire/src/caller_encode.cpp
+++ b/wire/src/caller_encode.cpp
@@ -17,6 +17,7 @@
     ErrorKind kind = ErrorKind::None;
     RunState ran = RunState::NotRun;
     std::string_view detail;
+    bool isFinal = false; ///< the submission was taken and has ended: sent again, it gets this answer again
 };
 
 void describe(auto &archive, Described<ErrorBody> auto &error)
@@ -26,7 +27,7 @@
     archive("message", std::string(row.text));
     archive("detail", std::string(error.detail));
     archive("ran", error.ran);
-    archive("retry_is_safe", row.retryIsSafe);
+    archive("retry_is_safe", row.retryIsSafe && !error.isFinal);
 }
 
 /** The body of an answer to a submission. */
@@ -45,7 +46,7 @@
         }
     } else {
         archive("state", JobState::Failed);
-        archive("error", ErrorBody{answer.error, answer.ran, answer.detail});
+        archive("error", ErrorBody{answer.error, answer.ran, answer.detail, !answer.account.empty()});
     }
 }
 
--- a/wire/tests/caller_codec_test.cpp
+++ b/wire/tests/caller_codec_test.cpp
@@ -234,6 +234,16 @@
     EXPECT_FALSE(json.contains("result"));
 }
 
+TEST(AnswerTest, OfAJobThatEndedPromisesNothingOfARetry)
+{
+    JobAnswer answer;
+    answer.error = ErrorKind::NoCapacity;
+    ASSERT_TRUE(errorRow(answer.error).retryIsSafe);
+    EXPECT_EQ(Json::parse(encodeAnswer(answer, "id").body)["error"]["retry_is_safe"], true);
+    answer.account.resize(1); // it was taken, and the same key gets the same answer
+    EXPECT_EQ(Json::parse(encodeAnswer(answer, "id").body)["error"]["retry_is_safe"], false);
+}
+
 class ErrorRowTest : public testing::TestWithParam<int>
 {
 };
