Codechange: [wire] One reading of a submission for jobs and single requests

Cause: key, body and head were read by the same lines twice. Change: decodeSubmission, with what differs as a hook. Tested: wire_tests 291 of 291.

--- a/wire/src/caller_decode.cpp
+++ b/wire/src/caller_decode.cpp
@@ -9,6 +9,7 @@
 #include <xxhash.h>
 
 #include <charconv>
+#include <functional>
 #include <memory>
 
 namespace Sycamoremoor
@@ -176,11 +177,16 @@
     return DecodeError{ErrorKind::UnknownField, name + " is not known"};
 }
 
-} // namespace
-
-std::optional<DecodeError> decodeJob(std::string_view key, std::string_view body, const CallerLimits &limits, JobSpec &job)
+/**
+ * Reads a submission whose key, service, team and deadline stand alike in jobs and single requests.
+ * @param readTasks takes the tasks from the body and refuses what is left of it
+ */
+Error decodeSubmission(std::string_view key,
+                       std::string_view body,
+                       const CallerLimits &limits,
+                       JobSpec &job,
+                       const std::function<void(StrictObject &object, Error &error)> &readTasks)
 {
-    job = {};
     Error error;
     readKey(key, job, error);
     if (error) {
@@ -192,34 +198,33 @@
     }
     StrictObject object(json, "", error);
     readHead(object, limits, job);
-    auto *tasks = object.array("tasks");
-    object.refuseOthers();
-    if (tasks != nullptr && !error) {
-        readTasks(*tasks, limits, job, error);
-    }
+    readTasks(object, error);
     job.digest = digestOf(job);
     return error;
 }
 
+} // namespace
+
+std::optional<DecodeError> decodeJob(std::string_view key, std::string_view body, const CallerLimits &limits, JobSpec &job)
+{
+    job = {};
+    return decodeSubmission(key, body, limits, job, [&](StrictObject &object, Error &error) {
+        auto *tasks = object.array("tasks");
+        object.refuseOthers();
+        if (tasks != nullptr && !error) {
+            readTasks(*tasks, limits, job, error);
+        }
+    });
+}
+
 std::optional<DecodeError> decodeRequest(std::string_view key, std::string_view body, const CallerLimits &limits, JobSpec &job)
 {
     job = {};
     job.singleRequest = true;
-    Error error;
-    readKey(key, job, error);
-    if (error) {
-        return error;
-    }
-    auto json = parseBody(body, limits, error);
-    if (error) {
-        return error;
-    }
-    StrictObject object(json, "", error);
-    readHead(object, limits, job);
-    job.tasks.push_back(readTask(object, limits));
-    object.refuseOthers();
-    job.digest = digestOf(job);
-    return error;
+    return decodeSubmission(key, body, limits, job, [&](StrictObject &object, Error & /*error*/) {
+        job.tasks.push_back(readTask(object, limits));
+        object.refuseOthers();
+    });
 }
 
 std::optional<DecodeError> decodeAccountQuery(const std::map<std::string, std::string> &parameters, AccountQuery &query)
