Fix: [core] Submissions taken back still meet the filter of a stopped entry

Cause: the chain tells the position after an added filter. The entry point for submissions taken back was that after filterStopped, so the change that added filterClosed let them past both; before it they met filterStopped. Change: the entry point is the position after filterClosed. Tested: plain build, core passes; core_world_rules stays red. The sanitizers, the linter and the other packages' tests were not run.

--- a/core/src/entry_submission.cpp
+++ b/core/src/entry_submission.cpp
@@ -37,8 +37,8 @@
             m_forwards.answerCopies(step, answer);
         }
     });
-    m_chain.add([this](EntryStep &step, const Submission &submission) { return filterClosed(step, submission); });
-    m_afterReceipt = m_chain.add([this](EntryStep &, const Submission &submission) { return filterStopped(submission); });
+    m_afterReceipt = m_chain.add([this](EntryStep &step, const Submission &submission) { return filterClosed(step, submission); });
+    m_chain.add([this](EntryStep &, const Submission &submission) { return filterStopped(submission); });
     m_chain.add([this](EntryStep &step, const Submission &submission) { return filterDuplicate(step, submission); });
     m_chain.add([this](EntryStep &step, const Submission &submission) { return filterOwnership(step, submission); });
     m_chain.add([this](EntryStep &step, const Submission &submission) { return filterKeyAge(step, submission); });
