--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -13,7 +13,7 @@
 # Further arguments are the libraries it uses.
 function(sycamoremoor_tests name)
     file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
-    if(NOT sources)
+    if(NOT sources OR SYCAMOREMOOR_PROGRAMS_ONLY)
         return()
     endif()
     add_executable(${name}_tests ${sources})
--- /dev/null
+++ b/core/include/sycamoremoor/core/guard_output_type.h
@@ -0,0 +1,69 @@
+// Everything that a guard can ask its driver to do.
+#pragma once
+
+#include <sycamoremoor/core/entry_output_type.h>
+#include <sycamoremoor/core/guard_input_type.h>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Sycamoremoor
+{
+
+using FencingToken = StrongAmount<struct FencingTokenTag, std::int64_t>; ///< the upstream obeys no order with a lower one
+
+/** Start a run at the upstream. Answered by RunStartAnswered. */
+struct StartRun {
+    Endpoint upstream;
+    UpstreamLife life;
+    RunId run;
+    std::string payload;
+    UpstreamTime leaseUntil;
+    FencingToken token;
+};
+
+/** Stop a run at the upstream, or keep it from starting. Answered by RunStopAnswered. */
+struct StopRun {
+    Endpoint upstream;
+    UpstreamLife life;
+    RunId run;
+    FencingToken token;
+};
+
+/**
+ * Renew the lease of everything that runs, acknowledge ends, and ask for the lists.
+ * Answered by UpstreamListed or UpstreamSilent.
+ */
+struct RenewLease {
+    Endpoint upstream;
+    UpstreamLife life;
+    FencingToken token;
+    std::uint64_t acknowledged = 0; ///< ends up to this number are settled
+    UpstreamTime leaseUntil;        ///< zero: do not renew, only look
+    Duration wait{};                ///< how long the upstream may hold the answer until something ends
+};
+
+/** Tell the scheduler of a batch about one run. */
+struct ReportRun {
+    ConnectionId connection;
+    RunReport report;
+};
+
+/** Every run of the batch was reported; end its exchange. */
+struct EndBatch {
+    ConnectionId connection;
+};
+
+/** Room changed: tell the schedulers. The driver sets RoomReport::seen for each. */
+struct RoomChanged {
+    RoomReport room;
+};
+
+using GuardOutput
+    = std::variant<StartRun, StopRun, RenewLease, ReportRun, EndBatch, RoomChanged, SetTimer, LogLine, Observation, Count, Stopped>;
+
+using GuardOutputs = std::vector<GuardOutput>;
+
+} // namespace Sycamoremoor
--- a/core/src/agent/owner_table.cpp
+++ b/core/src/agent/owner_table.cpp
@@ -44,9 +44,10 @@
 
 void OwnerTable::prune()
 {
+    const Owner none; // a temporary trips g++ 12's check for uninitialized use at -O3
     for (auto &owner : m_owners) {
         if (!owner.inRoster && owner.records == 0 && owner.batch.empty()) {
-            owner = Owner{};
+            owner = none;
         }
     }
 }
--- /dev/null
+++ b/core/src/guard/run_book.cpp
@@ -0,0 +1,74 @@
+// Runs that a guard has taken on, and the room that they take.
+#include "run_book.h"
+
+#include <utility>
+
+namespace Sycamoremoor
+{
+
+GuardedRun &RunBook::add(const RunId &run, GuardedRun record)
+{
+    m_waiting.emplace(std::pair(record.startBy, run), record.size);
+    m_asked += record.size;
+    return m_runs.insert_or_assign(run, std::move(record)).first->second;
+}
+
+void RunBook::take(const RunId &run)
+{
+    auto &record = m_runs.at(run);
+    m_waiting.erase({record.startBy, run});
+    m_asked -= record.size;
+    m_taken += record.size;
+    record.stage = RunStage::Starting;
+}
+
+void RunBook::remove(const RunId &run)
+{
+    const auto found = m_runs.find(run);
+    if (found->second.stage == RunStage::Waiting) {
+        m_waiting.erase({found->second.startBy, run});
+        m_asked -= found->second.size;
+    } else {
+        m_taken -= found->second.size;
+    }
+    m_runs.erase(found);
+}
+
+GuardedRun *RunBook::find(const RunId &run)
+{
+    const auto found = m_runs.find(run);
+    return found == m_runs.end() ? nullptr : &found->second;
+}
+
+bool RunBook::hasTask(const WorkTaskId &task) const
+{
+    const auto first = m_runs.lower_bound(RunId{task, 0});
+    return first != m_runs.end() && first->first.task == task;
+}
+
+const RunBook::Runs &RunBook::runs() const
+{
+    return m_runs;
+}
+
+RunBook::Runs &RunBook::runs()
+{
+    return m_runs;
+}
+
+const TaskSize &RunBook::taken() const
+{
+    return m_taken;
+}
+
+const TaskSize &RunBook::asked() const
+{
+    return m_asked;
+}
+
+const std::map<std::pair<MonotonicTime, RunId>, TaskSize> &RunBook::waiting() const
+{
+    return m_waiting;
+}
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/core/src/guard/run_book.h
@@ -0,0 +1,79 @@
+// Runs that a guard has taken on, and the room that they take.
+#pragma once
+
+#include <sycamoremoor/core/guard_output_type.h>
+#include <sycamoremoor/core/room_func.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Sycamoremoor
+{
+
+/** How far a run has come. */
+enum class RunStage {
+    Waiting,  ///< for room
+    Starting, ///< its order was sent
+    Running,  ///< the upstream has confirmed the start
+    Stopping, ///< it is to end; it takes room until the upstream lists its end, or has promised never to start it
+    End,
+};
+
+/** A run and the batch that it belongs to. */
+struct GuardedRun {
+    ConnectionId connection;
+    std::uint32_t order = 0; ///< position in the batch
+    TaskSize size;
+    RunStage stage = RunStage::Waiting;
+    MonotonicTime startBy;                    ///< not started later
+    Duration runLimit{};                      ///< stopped when it has run for so long
+    MonotonicTime startedAt;                  ///< when the start was confirmed
+    bool started = false;                     ///< the start was confirmed
+    ErrorKind refusal = ErrorKind::None;      ///< why it is reported as not started, if the upstream never ran it
+    std::optional<MonotonicTime> stopDue;     ///< when the stop is sent, or sent again
+    std::optional<MonotonicTime> confirmedAt; ///< when the upstream last confirmed its start or its stop
+};
+
+/** The runs of one upstream. No decisions, only sums that always agree with the runs. */
+class RunBook
+{
+public:
+    using Runs = std::map<RunId, GuardedRun>;
+
+    /** Adds a run that waits. */
+    GuardedRun &add(const RunId &run, GuardedRun record);
+
+    /** Moves a waiting run on: from here it takes room. */
+    void take(const RunId &run);
+
+    /** Forgets a run. */
+    void remove(const RunId &run);
+
+    [[nodiscard]] GuardedRun *find(const RunId &run);
+
+    /** Tells whether any run of @p task is here. */
+    [[nodiscard]] bool hasTask(const WorkTaskId &task) const;
+
+    [[nodiscard]] const Runs &runs() const;
+    [[nodiscard]] Runs &runs();
+
+    /** Returns what is taken by all runs but those that wait. */
+    [[nodiscard]] const TaskSize &taken() const;
+
+    /** Returns what the waiting runs ask for. */
+    [[nodiscard]] const TaskSize &asked() const;
+
+    /** Returns the waiting runs, the most urgent first. */
+    [[nodiscard]] const std::map<std::pair<MonotonicTime, RunId>, TaskSize> &waiting() const;
+
+private:
+    Runs m_runs;
+    std::map<std::pair<MonotonicTime, RunId>, TaskSize> m_waiting;
+    TaskSize m_taken = NoRoom;
+    TaskSize m_asked = NoRoom;
+};
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/core/src/guard_machine.cpp
@@ -0,0 +1,521 @@
+// The decisions of a guard: keeps the room of the upstream beside it and answers for each run there.
+#include <sycamoremoor/core/guard_machine.h>
+
+#include "guard/guard_private.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Sycamoremoor
+{
+
+namespace
+{
+
+constexpr Duration StopRepeat = std::chrono::milliseconds(150);          ///< three times the upstream's bound for a stop
+constexpr Duration RenewalPause = std::chrono::milliseconds(50);         ///< after a renewal without an answer
+constexpr Duration UpstreamLeaseBound = std::chrono::milliseconds(1100); ///< a lease of one second on a clock that is 2% slow, and a stop
+constexpr std::uint32_t SilencesToDoubt = 2; ///< one answer in twenty is lost on a bad day; two in a row are rare
+constexpr FencingToken TokenLeap{60'000};    ///< in milliseconds: beyond any step of the clock that the first token came from
+constexpr std::size_t BackfillLimit = 32;    ///< waiting runs that are tried for room in one step
+
+Duration millisecondsOf(UpstreamTime time)
+{
+    return std::chrono::milliseconds(time.value());
+}
+
+} // namespace
+
+GuardMachine::GuardMachine(const GuardSettings &settings)
+    : d(std::make_unique<Private>(settings))
+{
+}
+
+GuardMachine::~GuardMachine() = default;
+GuardMachine::GuardMachine(GuardMachine &&) noexcept = default;
+GuardMachine &GuardMachine::operator=(GuardMachine &&) noexcept = default;
+
+void GuardMachine::step(const StepContext &context, GuardInput input, GuardOutputs &outputs)
+{
+    GuardStep step{context, outputs};
+    std::visit([&](const auto &content) { d->take(step, content); }, input);
+    d->settle(step);
+}
+
+RoomReport GuardMachine::room() const
+{
+    return d->room();
+}
+
+GuardMachine::Private::Private(const GuardSettings &settings)
+    : m_settings(settings)
+    , m_token(settings.firstToken)
+{
+}
+
+void GuardMachine::Private::take(GuardStep & /*step*/, const Tick & /*input*/) { }
+
+void GuardMachine::Private::take(GuardStep &step, const UpstreamAnnounced &input)
+{
+    if (!m_upstream || m_upstream->announced.life != input.life) {
+        beginLife(step, input);
+    } else if (input.sequence <= m_upstream->announced.sequence) {
+        return; // overtaken by a later announcement
+    }
+    if (input.leaving && !m_upstream->announced.leaving) {
+        step.log(Severity::Info, "The upstream " + input.life.name + " leaves; it gets no new work.");
+    }
+    m_upstream->announced = input;
+}
+
+void GuardMachine::Private::beginLife(GuardStep &step, const UpstreamAnnounced &announced)
+{
+    if (m_upstream) {
+        step.log(Severity::Warning, "The upstream began another life as " + announced.life.name + "; its runs are lost.");
+        loseAll(step);
+    } else {
+        step.log(Severity::Info, "The upstream " + announced.life.name + " announced itself.");
+    }
+    m_upstream.emplace();
+    m_upstream->announced = announced;
+    m_upstream->announced.leaving = false;
+    m_upstream->heardAt = step.now();
+    m_upstream->clockLead = millisecondsOf(announced.clock) - step.now().time_since_epoch();
+}
+
+void GuardMachine::Private::take(GuardStep &step, const UpstreamLeft &input)
+{
+    if (m_upstream && m_upstream->announced.life.name == input.name) {
+        step.log(Severity::Info, "The upstream " + input.name + " left.");
+        loseAll(step);
+        m_upstream.reset();
+    }
+}
+
+void GuardMachine::Private::loseAll(GuardStep &step)
+{
+    while (!m_book.runs().empty()) {
+        const auto &[run, record] = *m_book.runs().begin();
+        const bool waiting = record.stage == RunStage::Waiting;
+        report(
+            step, RunId(run), waiting ? RunOutcome::NotStarted : RunOutcome::Lapsed, waiting ? ErrorKind::UpstreamLost : ErrorKind::None);
+    }
+}
+
+void GuardMachine::Private::take(GuardStep &step, const BatchReceived &input)
+{
+    const auto &batch = input.batch;
+    m_unreported[input.connection] = static_cast<std::uint32_t>(batch.orders.size());
+    m_payloads[input.connection] = batch.payload;
+    for (std::uint32_t index = 0; index < batch.orders.size(); ++index) {
+        const auto &order = batch.orders[index];
+        if (const auto why = refusalOf(step, order); why != ErrorKind::None) {
+            refuse(step, input.connection, index, why);
+            continue;
+        }
+        GuardedRun record;
+        record.connection = input.connection;
+        record.order = index;
+        record.size = order.size;
+        record.startBy = step.now() + order.startWithin;
+        record.runLimit = order.runLimit;
+        m_book.add(order.run, std::move(record));
+    }
+}
+
+ErrorKind GuardMachine::Private::refusalOf(GuardStep & /*step*/, const RunOrder &order) const
+{
+    if (m_drainUntil || (m_upstream && m_upstream->announced.leaving)) {
+        return ErrorKind::Draining;
+    }
+    if (!isAccepting()) {
+        return ErrorKind::UpstreamLost;
+    }
+    if (!fits(order.size, m_upstream->announced.capacity)) {
+        return ErrorKind::NeverFits;
+    }
+    // Another run of the task may still be ending here: two of them must never run side by side.
+    return m_book.hasTask(order.run.task) ? ErrorKind::NoCapacity : ErrorKind::None;
+}
+
+void GuardMachine::Private::take(GuardStep &step, const BatchGone &input)
+{
+    m_unreported.erase(input.connection);
+    m_payloads.erase(input.connection);
+    std::vector<RunId> waiting;
+    for (auto &[run, record] : m_book.runs()) {
+        if (record.connection != input.connection) {
+            continue;
+        }
+        if (record.stage == RunStage::Waiting) {
+            waiting.push_back(run);
+        } else if (record.stage != RunStage::Stopping) {
+            stop(step, run, record);
+        }
+    }
+    for (const auto &run : waiting) {
+        m_book.remove(run);
+    }
+}
+
+void GuardMachine::Private::take(GuardStep &step, const RunStartAnswered &input)
+{
+    auto *record = m_book.find(input.run);
+    if (record == nullptr || record->stage == RunStage::Waiting) {
+        return;
+    }
+    switch (input.answer) {
+    case StartAnswer::Started:
+        record->started = true;
+        record->startedAt = step.now();
+        record->confirmedAt = step.now();
+        if (record->stage == RunStage::Starting) {
+            record->stage = RunStage::Running;
+            record->stopDue = step.now() + record->runLimit;
+        }
+        return;
+    case StartAnswer::NoAnswer:
+        // It may begin at any time. A stop that is confirmed keeps it from that for good.
+        record->refusal = ErrorKind::UpstreamLost;
+        stop(step, input.run, *record);
+        return;
+    case StartAnswer::Fenced:
+        m_token += TokenLeap;
+        step.log(Severity::Warning, "The upstream knows a higher fencing token; it is raised to " + std::to_string(m_token.value()) + ".");
+        report(step, input.run, RunOutcome::NotStarted, ErrorKind::OwnerFenced);
+        return;
+    case StartAnswer::Superseded:
+        report(step, input.run, RunOutcome::NotStarted, ErrorKind::Tombstoned);
+        return;
+    case StartAnswer::NoRoom:
+    case StartAnswer::TooLate:
+    case StartAnswer::Unhealthy:
+    case StartAnswer::Invalid:
+        step.log(Severity::Warning, "The upstream refused run " + workTaskIdToString(input.run.task) + " although there was room for it.");
+        report(step, input.run, RunOutcome::NotStarted, ErrorKind::NoCapacity);
+        return;
+    default:
+        report(step, input.run, RunOutcome::NotStarted, ErrorKind::UpstreamLost);
+        return;
+    }
+}
+
+void GuardMachine::Private::stop(GuardStep &step, const RunId &run, GuardedRun &record)
+{
+    record.stage = RunStage::Stopping;
+    record.confirmedAt.reset();
+    record.stopDue = step.now() + StopRepeat;
+    sendStop(step, run);
+}
+
+void GuardMachine::Private::sendStop(GuardStep &step, const RunId &run)
+{
+    step.emit(StopRun{m_upstream->announced.endpoint, m_upstream->announced.life, run, m_token});
+}
+
+void GuardMachine::Private::take(GuardStep &step, const RunStopAnswered &input)
+{
+    if (!input.confirmed) {
+        return; // sent again when it is due
+    }
+    if (auto *record = m_book.find(input.run); record != nullptr && record->stage == RunStage::Stopping) {
+        record->confirmedAt = step.now();
+        record->stopDue.reset();
+    }
+}
+
+void GuardMachine::Private::take(GuardStep &step, const UpstreamListed &input)
+{
+    if (!m_upstream) {
+        return;
+    }
+    auto &upstream = *m_upstream;
+    upstream.renewing = false;
+    if (input.life.bornMs != upstream.announced.life.bornMs) {
+        upstream.silences = std::max(upstream.silences, SilencesToDoubt); // its announcement is to come
+        return;
+    }
+    if (upstream.silences >= SilencesToDoubt) {
+        step.log(Severity::Info, "The upstream answers again.");
+    }
+    upstream.silences = 0;
+    upstream.heardAt = step.now();
+    upstream.clockLead = millisecondsOf(input.clock) - step.now().time_since_epoch();
+    takeEnds(step, input);
+    takeMissing(step, input);
+    takeStrangers(step, input);
+}
+
+void GuardMachine::Private::takeEnds(GuardStep &step, const UpstreamListed &listed)
+{
+    auto &upstream = *m_upstream;
+    for (const auto &[number, run, outcome] : listed.ended) {
+        if (number <= upstream.acknowledged) {
+            continue;
+        }
+        upstream.acknowledged = number;
+        if (m_book.find(run) != nullptr) {
+            report(step, run, outcome, ErrorKind::None);
+        }
+    }
+}
+
+void GuardMachine::Private::takeMissing(GuardStep &step, const UpstreamListed &listed)
+{
+    const std::set<RunId> running(listed.running.begin(), listed.running.end());
+    std::vector<RunId> missing;
+    for (const auto &[run, record] : m_book.runs()) {
+        const bool known = record.confirmedAt && *record.confirmedAt < listed.requestedAt;
+        if (known && !running.contains(run)) {
+            missing.push_back(run);
+        }
+    }
+    for (const auto &run : missing) {
+        const auto &record = *m_book.find(run);
+        const bool neverRan = !record.started && record.stage == RunStage::Stopping;
+        report(step, run, neverRan ? RunOutcome::NotStarted : RunOutcome::Lapsed, neverRan ? record.refusal : ErrorKind::None);
+    }
+}
+
+void GuardMachine::Private::takeStrangers(GuardStep &step, const UpstreamListed &listed)
+{
+    auto &upstream = *m_upstream;
+    std::map<RunId, MonotonicTime> strangers;
+    for (const auto &run : listed.running) {
+        if (m_book.find(run) != nullptr) {
+            continue;
+        }
+        const auto known = upstream.strangers.find(run);
+        auto due = known == upstream.strangers.end() ? step.now() : known->second;
+        if (due <= step.now()) {
+            step.log(Severity::Info, "Run " + workTaskIdToString(run.task) + " of an earlier life of this guard is stopped.");
+            sendStop(step, run);
+            due = step.now() + StopRepeat;
+        }
+        strangers.emplace(run, due);
+    }
+    upstream.strangers = std::move(strangers);
+    upstream.settled = upstream.strangers.empty();
+}
+
+void GuardMachine::Private::take(GuardStep &step, const UpstreamSilent & /*input*/)
+{
+    if (!m_upstream) {
+        return;
+    }
+    m_upstream->renewing = false;
+    if (++m_upstream->silences == SilencesToDoubt) {
+        step.log(Severity::Warning, "The upstream does not answer; it gets no new work.");
+    }
+}
+
+void GuardMachine::Private::take(GuardStep &step, const DrainRequested & /*input*/)
+{
+    if (!m_drainUntil) {
+        m_drainUntil = step.now() + m_settings.drainTimeout;
+    }
+}
+
+void GuardMachine::Private::report(GuardStep &step, const RunId &run, RunOutcome outcome, ErrorKind why)
+{
+    const auto record = *m_book.find(run);
+    m_book.remove(run);
+    RunReport report;
+    report.order = record.order;
+    report.outcome = outcome;
+    report.why = why;
+    if (record.started) {
+        report.runTime = step.now() - record.startedAt;
+        const std::chrono::duration<double> seconds = report.runTime;
+        step.emit(Observation{HistogramMetric::TaskRunSeconds, seconds.count()});
+    }
+    sendReport(step, record.connection, report);
+}
+
+void GuardMachine::Private::refuse(GuardStep &step, ConnectionId connection, std::uint32_t order, ErrorKind why)
+{
+    step.emit(Count{CounterMetric::TasksRefused, 1});
+    RunReport report;
+    report.order = order;
+    report.why = why;
+    sendReport(step, connection, report);
+}
+
+void GuardMachine::Private::sendReport(GuardStep &step, ConnectionId connection, const RunReport &report)
+{
+    const auto open = m_unreported.find(connection);
+    if (open == m_unreported.end()) {
+        return; // nobody waits for it
+    }
+    step.emit(ReportRun{connection, report});
+    if (--open->second == 0) {
+        m_unreported.erase(open);
+        m_payloads.erase(connection);
+        step.emit(EndBatch{connection});
+    }
+}
+
+void GuardMachine::Private::settle(GuardStep &step)
+{
+    if (m_upstream) {
+        const bool silentTooLong = m_upstream->silences >= SilencesToDoubt && step.now() >= m_upstream->leaseUntil + UpstreamLeaseBound;
+        if (silentTooLong && !m_book.runs().empty()) {
+            step.log(Severity::Warning, "The leases at the silent upstream are over; its runs are lost.");
+            loseAll(step);
+        }
+        dropLate(step);
+        startWaiting(step);
+        stopDue(step);
+        renew(step);
+    }
+    tellRoom(step);
+    const bool drained = m_drainUntil && (m_book.runs().empty() || step.now() >= *m_drainUntil);
+    if (drained && !std::exchange(m_stopped, true)) {
+        step.emit(Stopped{static_cast<std::uint32_t>(m_book.runs().size())});
+    }
+    setTimer(step);
+}
+
+void GuardMachine::Private::dropLate(GuardStep &step)
+{
+    const bool refuseAll = m_upstream->announced.leaving || !isAccepting();
+    while (!m_book.waiting().empty()) {
+        const auto [startBy, run] = m_book.waiting().begin()->first;
+        if (!refuseAll && startBy > step.now()) {
+            return;
+        }
+        report(step, run, RunOutcome::NotStarted, refuseAll ? ErrorKind::Draining : ErrorKind::DeadlineUnreachable);
+    }
+}
+
+void GuardMachine::Private::startWaiting(GuardStep &step)
+{
+    if (!isAccepting()) {
+        return;
+    }
+    const auto room = [&] {
+        return m_upstream->announced.capacity - m_book.taken();
+    };
+    std::vector<RunId> startable;
+    auto free = room();
+    std::size_t tried = 0;
+    for (const auto &[key, size] : m_book.waiting()) {
+        if (++tried > BackfillLimit) {
+            break;
+        }
+        if (fits(size, free)) {
+            free -= size;
+            startable.push_back(key.second);
+        }
+    }
+    for (const auto &run : startable) {
+        start(step, run);
+    }
+}
+
+void GuardMachine::Private::start(GuardStep &step, const RunId &run)
+{
+    m_book.take(run);
+    const auto &record = *m_book.find(run);
+    auto &upstream = *m_upstream;
+    upstream.leaseUntil = step.now() + m_settings.leaseTerm;
+    step.emit(
+        StartRun{upstream.announced.endpoint, upstream.announced.life, run, m_payloads[record.connection], leaseEnd(step.now()), m_token});
+}
+
+void GuardMachine::Private::stopDue(GuardStep &step)
+{
+    for (auto &[run, record] : m_book.runs()) {
+        if (!record.stopDue || *record.stopDue > step.now()) {
+            continue;
+        }
+        if (record.stage == RunStage::Running) {
+            step.log(Severity::Warning, "Run " + workTaskIdToString(run.task) + " is over its limit and is stopped.");
+        }
+        stop(step, run, record);
+    }
+}
+
+void GuardMachine::Private::renew(GuardStep &step)
+{
+    auto &upstream = *m_upstream;
+    const bool pausing = upstream.silences > 0 && step.now() < upstream.heardAt + RenewalPause * upstream.silences;
+    if (upstream.renewing || pausing) {
+        return;
+    }
+    upstream.renewing = true;
+    RenewLease renewal;
+    renewal.upstream = upstream.announced.endpoint;
+    renewal.life = upstream.announced.life;
+    renewal.token = m_token;
+    renewal.acknowledged = upstream.acknowledged;
+    if (!m_book.runs().empty()) {
+        upstream.leaseUntil = step.now() + m_settings.leaseTerm;
+        renewal.leaseUntil = leaseEnd(step.now());
+    }
+    renewal.wait = upstream.settled ? m_settings.renewWait : RenewalPause;
+    step.emit(std::move(renewal));
+}
+
+bool GuardMachine::Private::isAccepting() const
+{
+    return m_upstream && !m_drainUntil && m_upstream->settled && !m_upstream->announced.leaving && m_upstream->silences < SilencesToDoubt;
+}
+
+TaskSize GuardMachine::Private::freeRoom() const
+{
+    return m_upstream->announced.capacity - m_book.taken() - m_book.asked();
+}
+
+UpstreamTime GuardMachine::Private::leaseEnd(MonotonicTime now) const
+{
+    const auto end = now.time_since_epoch() + m_upstream->clockLead + m_settings.leaseTerm;
+    return UpstreamTime(std::chrono::duration_cast<std::chrono::milliseconds>(end).count());
+}
+
+RoomReport GuardMachine::Private::room() const
+{
+    RoomReport room;
+    room.incarnation = m_settings.incarnation;
+    room.accepting = isAccepting();
+    if (m_upstream) {
+        room.service = m_upstream->announced.service;
+        room.capacity = m_upstream->announced.capacity;
+        room.free = freeRoom();
+        room.waiting = static_cast<std::uint32_t>(m_book.waiting().size());
+        room.labels = m_upstream->announced.labels;
+    }
+    return room;
+}
+
+void GuardMachine::Private::tellRoom(GuardStep &step)
+{
+    if (auto now = room(); now != m_told) {
+        m_told = now;
+        step.emit(RoomChanged{std::move(now)});
+    }
+}
+
+void GuardMachine::Private::setTimer(GuardStep &step)
+{
+    auto wake = MonotonicTime::max();
+    if (!m_book.waiting().empty()) {
+        wake = m_book.waiting().begin()->first.first;
+    }
+    for (const auto &[run, record] : m_book.runs()) {
+        if (record.stopDue) {
+            wake = std::min(wake, *record.stopDue);
+        }
+    }
+    if (m_upstream && !m_upstream->renewing) {
+        wake = std::min(wake, step.now() + RenewalPause);
+    }
+    if (m_drainUntil && !m_stopped) {
+        wake = std::min(wake, *m_drainUntil);
+    }
+    if (wake != MonotonicTime::max()) {
+        step.emit(SetTimer{wake});
+    }
+}
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/core/src/scheduler/job_order.cpp
@@ -0,0 +1,72 @@
+// The order in which waiting jobs get room, and how long a new one would wait.
+#include "job_order.h"
+
+#include <algorithm>
+
+namespace Sycamoremoor
+{
+
+namespace
+{
+
+constexpr Duration RateWindow = std::chrono::milliseconds(500); ///< longer than most tasks, shorter than bursts
+
+} // namespace
+
+void JobOrder::put(const ScheduledJob &job, WorkAmount work)
+{
+    remove(job.number);
+    const Key key{!job.begun, job.latestStart, job.number};
+    m_jobs.emplace(key, work);
+    m_keys.emplace(job.number, key);
+}
+
+void JobOrder::remove(JobNumber job)
+{
+    if (const auto found = m_keys.find(job); found != m_keys.end()) {
+        m_jobs.erase(found->second);
+        m_keys.erase(found);
+    }
+}
+
+void JobOrder::sent(MonotonicTime now, WorkAmount work)
+{
+    m_sent.emplace_back(now, work);
+    while (m_sent.front().first + RateWindow < now) {
+        m_sent.pop_front();
+    }
+}
+
+double JobOrder::recentRate(MonotonicTime now) const
+{
+    double sum = 0;
+    for (const auto &[at, work] : m_sent) {
+        if (at + RateWindow >= now) {
+            sum += static_cast<double>(work.value());
+        }
+    }
+    return sum / static_cast<double>(RateWindow.count());
+}
+
+Duration JobOrder::expectedWait(MonotonicTime now, MonotonicTime latestStart) const
+{
+    double before = 0;
+    for (const auto &[key, work] : m_jobs) {
+        if (key.isNew && key.latestStart > latestStart) {
+            break;
+        }
+        before += static_cast<double>(work.value());
+    }
+    const auto rate = recentRate(now);
+    if (before <= 0 || rate <= 0) {
+        return Duration::zero();
+    }
+    return Duration(static_cast<std::int64_t>(before / rate));
+}
+
+const std::map<JobOrder::Key, WorkAmount> &JobOrder::jobs() const
+{
+    return m_jobs;
+}
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/core/src/scheduler/scheduler_private.h
@@ -0,0 +1,116 @@
+// State of a scheduler.
+#pragma once
+
+#include "../dispatch/run_time_estimator.h"
+#include "job_order.h"
+#include "scheduled_job.h"
+#include "worker_table.h"
+
+#include <sycamoremoor/core/scheduler_machine.h>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace Sycamoremoor
+{
+
+/** One step of a scheduler: its time and where its outputs go. */
+struct SchedulerStep {
+    const StepContext &context;
+    SchedulerOutputs &outputs;
+
+    [[nodiscard]] MonotonicTime now() const
+    {
+        return context.now;
+    }
+
+    template<typename Output>
+    void emit(Output output)
+    {
+        outputs.emplace_back(std::move(output));
+    }
+
+    void log(Severity severity, std::string text)
+    {
+        outputs.emplace_back(LogLine{severity, "scheduler", std::move(text)});
+    }
+};
+
+class SchedulerMachine::Private
+{
+public:
+    explicit Private(SchedulerSettings settings);
+
+    void take(SchedulerStep &step, const Tick &input);
+    void take(SchedulerStep &step, const QueuesRead &input);
+    void take(SchedulerStep &step, const WorkSubmitted &input);
+    void take(SchedulerStep &step, const CallerGone &input);
+    void take(SchedulerStep &step, const RoomReported &input);
+    void take(SchedulerStep &step, const WorkerSilent &input);
+    void take(SchedulerStep &step, const RunReported &input);
+    void take(SchedulerStep &step, const BatchBroken &input);
+    void take(SchedulerStep &step, const DrainRequested &input);
+
+    /** Does what has become due or possible, and sets the timer. */
+    void settle(SchedulerStep &step);
+
+    [[nodiscard]] const QueueSetPointer &queues() const;
+    [[nodiscard]] bool isReady() const;
+
+private:
+    /** A batch whose exchange is open. */
+    struct OpenBatch {
+        JobNumber job;
+        AgentName agent;
+        std::vector<std::size_t> tasks; ///< of the job, by position of the order
+        std::vector<bool> reported;     ///< by position of the order
+    };
+
+    /** Tasks of one job that were placed on one worker in one step. */
+    struct PlacedBatch {
+        BatchNumber number;
+        std::vector<std::size_t> tasks;
+    };
+
+    ScheduledJob makeJob(SchedulerStep &step, const WorkSubmitted &input);
+    void setTimes(ScheduledJob &job) const;
+    [[nodiscard]] ErrorKind refusalOf(SchedulerStep &step, const ScheduledJob &job, Duration &retryAfter) const;
+    void refuse(SchedulerStep &step, const ScheduledJob &job, ErrorKind error, Duration retryAfter);
+    void answer(SchedulerStep &step, ScheduledJob &job, WorkResult result, ErrorKind error);
+    void cancelBatches(SchedulerStep &step, ScheduledJob &job);
+    void erase(ScheduledJob &job);
+    void unblockSteps(ScheduledJob &job);
+    void queue(ScheduledJob &job);
+    void taskWaits(ScheduledJob &job, ScheduledTask &task);
+    void rest(SchedulerStep &step, ScheduledJob &job, std::size_t task, Duration rest);
+    void runEnded(SchedulerStep &step, ScheduledJob &job, std::size_t task, const OpenBatch &batch, const RunReport &report);
+    void runFailed(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const AgentName &agent);
+    void endRests(SchedulerStep &step);
+    void giveUpLate(SchedulerStep &step);
+    void place(SchedulerStep &step);
+    bool placeJob(SchedulerStep &step, ScheduledJob &job);
+    [[nodiscard]] TaskNeed needOf(SchedulerStep &step, const ScheduledJob &job, const ScheduledTask &task) const;
+    void send(SchedulerStep &step, ScheduledJob &job, const AgentName &agent, const PlacedBatch &batch);
+    [[nodiscard]] WorkAmount waitingWork(const ScheduledJob &job) const;
+    void setTimer(SchedulerStep &step);
+
+    SchedulerSettings m_settings;
+    QueueSetPointer m_queues;
+    WorkerTable m_workers;
+    RunTimeEstimator m_runTimes;
+    std::map<JobNumber, ScheduledJob> m_jobs;
+    std::unordered_map<ConnectionId, JobNumber> m_callers;
+    std::map<WorkId, JobNumber> m_byWork;
+    std::map<BatchNumber, OpenBatch> m_batches;
+    JobOrder m_order;
+    std::set<std::pair<MonotonicTime, JobNumber>> m_checks;                  ///< when jobs may have to be given up
+    std::multimap<MonotonicTime, std::pair<JobNumber, std::size_t>> m_rests; ///< tasks that rest, by their end
+    std::uint64_t m_lastJob = 0;
+    std::uint64_t m_lastBatch = 0;
+    std::optional<MonotonicTime> m_drainSince;
+    bool m_stopped = false;
+};
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/core/src/scheduler_machine.cpp
@@ -0,0 +1,572 @@
+// The decisions of a scheduler: takes jobs of callers, places their tasks on all workers, answers when they ended.
+#include <sycamoremoor/core/scheduler_machine.h>
+
+#include "scheduler/scheduler_private.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Sycamoremoor
+{
+
+namespace
+{
+
+constexpr Duration TransitAllowance = std::chrono::milliseconds(15); ///< network and processing of both ways of a run and its answer
+constexpr double LateFactor = 3;     ///< beyond so many times its objective a job is of no use to its caller
+constexpr double RunLimitFactor = 4; ///< declarations and learned times are off by less than this
+constexpr Duration RunLimitSlack = std::chrono::milliseconds(200);
+constexpr Duration BrokenRest = std::chrono::milliseconds(1500);     ///< a guard notices a dead exchange, or its upstream's leases end
+constexpr Duration LeastRetryAfter = std::chrono::milliseconds(500); ///< sooner, the same burst is still on
+constexpr std::size_t JobsTried = 24;                                ///< waiting jobs that are tried for room in one step
+
+Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()) + " ms";
+}
+
+} // namespace
+
+SchedulerMachine::SchedulerMachine(SchedulerSettings settings)
+    : d(std::make_unique<Private>(std::move(settings)))
+{
+}
+
+SchedulerMachine::~SchedulerMachine() = default;
+SchedulerMachine::SchedulerMachine(SchedulerMachine &&) noexcept = default;
+SchedulerMachine &SchedulerMachine::operator=(SchedulerMachine &&) noexcept = default;
+
+void SchedulerMachine::step(const StepContext &context, SchedulerInput input, SchedulerOutputs &outputs)
+{
+    SchedulerStep step{context, outputs};
+    std::visit([&](const auto &content) { d->take(step, content); }, input);
+    d->settle(step);
+}
+
+const QueueSetPointer &SchedulerMachine::queues() const
+{
+    return d->queues();
+}
+
+bool SchedulerMachine::isReady() const
+{
+    return d->isReady();
+}
+
+SchedulerMachine::Private::Private(SchedulerSettings settings)
+    : m_settings(std::move(settings))
+{
+}
+
+void SchedulerMachine::Private::take(SchedulerStep & /*step*/, const Tick & /*input*/) { }
+
+void SchedulerMachine::Private::take(SchedulerStep &step, const QueuesRead &input)
+{
+    if (m_queues && input.queues->version <= m_queues->version) {
+        return; // a read that was overtaken
+    }
+    m_queues = input.queues;
+    step.emit(Count{CounterMetric::ConfigChanges, 1});
+    step.log(Severity::Info,
+             "Version " + std::to_string(m_queues->version.value()) + " of the configuration is in force, with "
+                 + std::to_string(m_queues->queues.size()) + " queues.");
+}
+
+void SchedulerMachine::Private::take(SchedulerStep &step, const WorkSubmitted &input)
+{
+    if (const auto same = m_byWork.find(input.work->id); same != m_byWork.end() && *m_jobs.at(same->second).work == *input.work) {
+        step.emit(Count{CounterMetric::JobsResubmitted, 1});
+        m_jobs.at(same->second).connections.push_back(input.connection);
+        m_callers[input.connection] = same->second;
+        return;
+    }
+    auto job = makeJob(step, input);
+    Duration retryAfter{};
+    if (const auto error = refusalOf(step, job, retryAfter); error != ErrorKind::None) {
+        refuse(step, job, error, retryAfter);
+        return;
+    }
+    step.emit(Count{CounterMetric::JobsAccepted, 1});
+    m_callers[input.connection] = job.number;
+    m_byWork[job.work->id] = job.number;
+    m_checks.emplace(job.latestStart, job.number);
+    auto &kept = m_jobs.emplace(job.number, std::move(job)).first->second;
+    unblockSteps(kept);
+    queue(kept);
+}
+
+ScheduledJob SchedulerMachine::Private::makeJob(SchedulerStep &step, const WorkSubmitted &input)
+{
+    ScheduledJob job;
+    job.number = JobNumber(++m_lastJob);
+    job.connections.push_back(input.connection);
+    job.queue = input.queue;
+    job.work = input.work;
+    job.arrivedAt = step.now();
+    const auto &steps = input.work->steps;
+    for (std::uint32_t index = 0; index < steps.size(); ++index) {
+        job.expected.push_back(m_runTimes.expected(input.queue.service, TaskKind(input.queue.name.value()), steps[index].declaredRunTime));
+        job.openTasks.push_back(steps[index].count);
+        for (std::uint32_t task = 0; task < steps[index].count; ++task) {
+            job.tasks.push_back({.step = index, .index = task});
+        }
+    }
+    setTimes(job);
+    if (input.patience > Duration::zero()) {
+        job.giveUpAt = std::min(job.giveUpAt, job.arrivedAt + input.patience);
+    }
+    return job;
+}
+
+void SchedulerMachine::Private::setTimes(ScheduledJob &job) const
+{
+    const auto &steps = job.work->steps;
+    std::vector<Duration> chains(steps.size());
+    Duration longest{};
+    for (std::size_t index = 0; index < steps.size(); ++index) {
+        for (const auto before : steps[index].after) {
+            chains[index] = std::max(chains[index], chains[before]);
+        }
+        chains[index] += job.expected[index];
+        longest = std::max(longest, chains[index]);
+    }
+    job.objective = scaled(longest, job.queue.stretch) + job.queue.latencyAllowance;
+    job.latestStart = job.arrivedAt + job.objective - longest - TransitAllowance;
+    job.giveUpAt = job.arrivedAt + scaled(job.objective, LateFactor);
+}
+
+ErrorKind SchedulerMachine::Private::refusalOf(SchedulerStep &step, const ScheduledJob &job, Duration &retryAfter) const
+{
+    if (m_drainSince && step.now() >= *m_drainSince + m_settings.drainGrace) {
+        return ErrorKind::Draining;
+    }
+    for (const auto &part : job.work->steps) {
+        if (!m_workers.everFits(job.queue.service, part.size)) {
+            return ErrorKind::NeverFits;
+        }
+    }
+    const auto wait = m_order.expectedWait(step.now(), job.latestStart);
+    if (step.now() + wait <= job.latestStart) {
+        return ErrorKind::None;
+    }
+    retryAfter = wait;
+    return ErrorKind::QueueFull;
+}
+
+void SchedulerMachine::Private::refuse(SchedulerStep &step, const ScheduledJob &job, ErrorKind error, Duration retryAfter)
+{
+    step.emit(Count{CounterMetric::JobsRefused, 1});
+    step.log(Severity::Debug,
+             "Job " + job.work->id.value() + " of queue " + job.queue.name.value() + " is refused: " + std::string(errorRow(error).code)
+                 + ", expected wait " + milliseconds(retryAfter) + ".");
+    for (const auto connection : job.connections) {
+        step.emit(AnswerWork{connection, WorkResult::Refused, error, std::max(LeastRetryAfter, retryAfter)});
+    }
+}
+
+void SchedulerMachine::Private::take(SchedulerStep &step, const CallerGone &input)
+{
+    const auto caller = m_callers.find(input.connection);
+    if (caller == m_callers.end()) {
+        return;
+    }
+    auto &job = m_jobs.at(caller->second);
+    std::erase(job.connections, input.connection);
+    m_callers.erase(caller);
+    if (!job.connections.empty()) {
+        return;
+    }
+    step.log(Severity::Debug, "The caller of job " + job.work->id.value() + " is gone; what runs of it is stopped.");
+    cancelBatches(step, job);
+    erase(job);
+}
+
+void SchedulerMachine::Private::cancelBatches(SchedulerStep &step, ScheduledJob &job)
+{
+    for (const auto &number : job.batches) {
+        const auto batch = m_batches.find(number);
+        const auto left = std::ranges::count(batch->second.reported, false);
+        m_workers.returned(batch->second.agent, static_cast<std::uint32_t>(left));
+        step.emit(CancelBatch{number});
+        m_batches.erase(batch);
+    }
+    job.batches.clear();
+}
+
+void SchedulerMachine::Private::erase(ScheduledJob &job)
+{
+    for (const auto connection : job.connections) {
+        m_callers.erase(connection);
+    }
+    if (const auto named = m_byWork.find(job.work->id); named != m_byWork.end() && named->second == job.number) {
+        m_byWork.erase(named);
+    }
+    m_order.remove(job.number);
+    std::erase_if(m_rests, [&](const auto &item) { return item.second.first == job.number; });
+    std::erase_if(m_checks, [&](const auto &item) { return item.second == job.number; });
+    const auto number = job.number;
+    m_jobs.erase(number);
+}
+
+void SchedulerMachine::Private::answer(SchedulerStep &step, ScheduledJob &job, WorkResult result, ErrorKind error)
+{
+    cancelBatches(step, job);
+    const auto took = step.now() - job.arrivedAt;
+    const std::chrono::duration<double> seconds = took;
+    step.emit(Observation{HistogramMetric::JobSeconds, seconds.count()});
+    step.emit(Count{result == WorkResult::Complete ? CounterMetric::JobsComplete : CounterMetric::JobsFailed, 1});
+    const bool onTime = result == WorkResult::Complete && took <= job.objective;
+    step.log(onTime ? Severity::Debug : Severity::Info,
+             "Job " + job.work->id.value() + " of queue " + job.queue.name.value() + " ended after " + milliseconds(took) + ", objective "
+                 + milliseconds(job.objective) + ": " + std::string(errorRow(error).code) + ".");
+    for (const auto connection : job.connections) {
+        step.emit(AnswerWork{connection, result, error, LeastRetryAfter});
+    }
+    erase(job);
+}
+
+void SchedulerMachine::Private::unblockSteps(ScheduledJob &job)
+{
+    const auto &steps = job.work->steps;
+    const auto isOpen = [&](std::uint32_t index) {
+        return std::ranges::all_of(steps[index].after, [&](std::uint32_t before) { return job.openTasks[before] == 0; });
+    };
+    for (auto &task : job.tasks) {
+        if (task.stage == ScheduledStage::Blocked && isOpen(task.step)) {
+            taskWaits(job, task);
+        }
+    }
+}
+
+void SchedulerMachine::Private::taskWaits(ScheduledJob &job, ScheduledTask &task)
+{
+    task.stage = ScheduledStage::Waiting;
+    ++job.waiting;
+}
+
+void SchedulerMachine::Private::queue(ScheduledJob &job)
+{
+    if (job.waiting > 0) {
+        m_order.put(job, waitingWork(job));
+    } else {
+        m_order.remove(job.number);
+    }
+}
+
+WorkAmount SchedulerMachine::Private::waitingWork(const ScheduledJob &job) const
+{
+    WorkAmount work{0};
+    for (const auto &task : job.tasks) {
+        if (task.stage == ScheduledStage::Waiting) {
+            work += WorkAmount(job.work->steps[task.step].size.cores.value() * job.expected[task.step].count());
+        }
+    }
+    return work;
+}
+
+void SchedulerMachine::Private::take(SchedulerStep &step, const RoomReported &input)
+{
+    m_workers.report(step.now(), input);
+}
+
+void SchedulerMachine::Private::take(SchedulerStep &step, const WorkerSilent &input)
+{
+    step.log(Severity::Warning, "Nothing is heard of worker " + input.agent.value() + "; it gets no new work.");
+    m_workers.silence(input.agent);
+}
+
+void SchedulerMachine::Private::take(SchedulerStep &step, const RunReported &input)
+{
+    const auto found = m_batches.find(input.batch);
+    const auto order = input.report.order;
+    if (found == m_batches.end() || order >= found->second.tasks.size() || found->second.reported[order]) {
+        return; // cancelled, or reported before
+    }
+    found->second.reported[order] = true;
+    const auto batch = found->second;
+    auto &job = m_jobs.at(batch.job);
+    if (std::ranges::find(batch.reported, false) == batch.reported.end()) {
+        job.batches.erase(input.batch);
+        m_batches.erase(found);
+    }
+    m_workers.returned(batch.agent, 1);
+    runEnded(step, job, batch.tasks[order], batch, input.report);
+}
+
+void SchedulerMachine::Private::runEnded(
+    SchedulerStep &step, ScheduledJob &job, std::size_t index, const OpenBatch &batch, const RunReport &report)
+{
+    auto &task = job.tasks[index];
+    --job.placed[task.step][batch.agent];
+    switch (report.outcome) {
+    case RunOutcome::Done: {
+        const auto declared = job.work->steps[task.step].declaredRunTime;
+        m_workers.succeeded(step.now(), batch.agent, job.expected[task.step], report.runTime);
+        m_runTimes.learn(job.queue.service, TaskKind(job.queue.name.value()), declared, report.runTime);
+        task.stage = ScheduledStage::Done;
+        if (--job.openTasks[task.step] == 0) {
+            unblockSteps(job);
+        }
+        if (std::ranges::all_of(job.openTasks, [](std::uint32_t open) { return open == 0; })) {
+            answer(step, job, WorkResult::Complete, ErrorKind::None);
+            return;
+        }
+        break;
+    }
+    case RunOutcome::Failed:
+        if (++task.failures >= job.queue.maxAttempts) {
+            step.log(Severity::Info,
+                     "Task " + workTaskIdToString({job.work->id, task.step, task.index}) + " failed for the last time, on worker "
+                         + batch.agent.value() + ".");
+            runFailed(step, job, task, batch.agent);
+            answer(step, job, WorkResult::Failed, ErrorKind::TaskFailed);
+            return;
+        }
+        runFailed(step, job, task, batch.agent);
+        taskWaits(job, task);
+        break;
+    case RunOutcome::Stopped: // it was over its limit
+    case RunOutcome::Lapsed:
+        runFailed(step, job, task, batch.agent);
+        taskWaits(job, task);
+        break;
+    default:
+        step.log(Severity::Debug,
+                 "Task " + workTaskIdToString({job.work->id, task.step, task.index}) + " was not started by worker " + batch.agent.value()
+                     + ": " + std::string(errorRow(report.why).code) + ".");
+        task.avoided.push_back(batch.agent);
+        taskWaits(job, task);
+        break;
+    }
+    queue(job);
+}
+
+void SchedulerMachine::Private::runFailed(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const AgentName &agent)
+{
+    task.avoided.push_back(agent);
+    if (m_workers.failed(step.now(), agent, job.number.value())) {
+        step.emit(Count{CounterMetric::WorkersEjected, 1});
+        step.log(Severity::Warning, "Worker " + agent.value() + " is set aside: tasks of several jobs failed on it in a row.");
+    }
+}
+
+void SchedulerMachine::Private::take(SchedulerStep &step, const BatchBroken &input)
+{
+    const auto found = m_batches.find(input.batch);
+    if (found == m_batches.end()) {
+        return;
+    }
+    const auto batch = found->second;
+    m_batches.erase(found);
+    auto &job = m_jobs.at(batch.job);
+    job.batches.erase(input.batch);
+    m_workers.notArrived(batch.agent, input.batch);
+    const bool arrived = input.delivery != Delivery::NotSent;
+    step.log(Severity::Warning,
+             "The exchange with worker " + batch.agent.value() + " about job " + job.work->id.value()
+                 + (arrived ? " broke; its tasks rest until they are surely over." : " was never opened."));
+    for (std::size_t order = 0; order < batch.tasks.size(); ++order) {
+        if (batch.reported[order]) {
+            continue;
+        }
+        auto &task = job.tasks[batch.tasks[order]];
+        m_workers.returned(batch.agent, 1);
+        --job.placed[task.step][batch.agent];
+        task.avoided.push_back(batch.agent);
+        if (arrived) {
+            rest(step, job, batch.tasks[order], BrokenRest);
+        } else {
+            taskWaits(job, task);
+        }
+    }
+    queue(job);
+}
+
+void SchedulerMachine::Private::rest(SchedulerStep &step, ScheduledJob &job, std::size_t index, Duration rest)
+{
+    auto &task = job.tasks[index];
+    task.stage = ScheduledStage::Resting;
+    task.restUntil = step.now() + rest;
+    m_rests.emplace(task.restUntil, std::pair(job.number, index));
+}
+
+void SchedulerMachine::Private::endRests(SchedulerStep &step)
+{
+    while (!m_rests.empty() && m_rests.begin()->first <= step.now()) {
+        const auto [number, index] = m_rests.begin()->second;
+        m_rests.erase(m_rests.begin());
+        auto &job = m_jobs.at(number);
+        taskWaits(job, job.tasks[index]);
+        queue(job);
+    }
+}
+
+void SchedulerMachine::Private::take(SchedulerStep &step, const DrainRequested & /*input*/)
+{
+    if (!m_drainSince) {
+        m_drainSince = step.now();
+    }
+}
+
+void SchedulerMachine::Private::settle(SchedulerStep &step)
+{
+    endRests(step);
+    place(step);
+    giveUpLate(step);
+    if (m_drainSince && !m_stopped) {
+        const bool done = m_jobs.empty() && step.now() >= *m_drainSince + m_settings.drainGrace;
+        if (done || step.now() >= *m_drainSince + m_settings.drainTimeout) {
+            m_stopped = true;
+            step.emit(Stopped{static_cast<std::uint32_t>(m_jobs.size())});
+        }
+    }
+    setTimer(step);
+}
+
+void SchedulerMachine::Private::giveUpLate(SchedulerStep &step)
+{
+    while (!m_checks.empty() && m_checks.begin()->first <= step.now()) {
+        const auto number = m_checks.begin()->second;
+        m_checks.erase(m_checks.begin());
+        auto &job = m_jobs.at(number);
+        if (!job.begun) {
+            const auto wait = m_order.expectedWait(step.now(), job.latestStart);
+            refuse(step, job, ErrorKind::QueueFull, wait);
+            erase(job);
+        } else if (step.now() >= job.giveUpAt) {
+            answer(step, job, WorkResult::Lost, ErrorKind::DeadlineUnreachable);
+        } else {
+            m_checks.emplace(job.giveUpAt, number);
+        }
+    }
+}
+
+void SchedulerMachine::Private::place(SchedulerStep &step)
+{
+    std::vector<JobNumber> numbers;
+    for (const auto &[key, work] : m_order.jobs()) {
+        if (numbers.size() >= JobsTried) {
+            break;
+        }
+        numbers.push_back(key.job);
+    }
+    for (const auto &number : numbers) {
+        if (!placeJob(step, m_jobs.at(number))) {
+            return;
+        }
+    }
+}
+
+TaskNeed SchedulerMachine::Private::needOf(SchedulerStep &step, const ScheduledJob &job, const ScheduledTask &task) const
+{
+    const auto &part = job.work->steps[task.step];
+    TaskNeed need;
+    need.service = job.queue.service;
+    need.size = part.size;
+    need.label = part.requiredLabel;
+    need.rack = part.dataRack;
+    need.mostPerWorker = part.mostPerWorker;
+    const std::chrono::duration<double> left = job.giveUpAt - step.now();
+    const std::chrono::duration<double> expected = job.expected[task.step];
+    need.slowestAllowed = std::max(1.0, left.count() / std::max(expected.count(), 1e-3));
+    return need;
+}
+
+bool SchedulerMachine::Private::placeJob(SchedulerStep &step, ScheduledJob &job)
+{
+    std::map<AgentName, PlacedBatch> chosen;
+    bool placedAll = true;
+    for (std::size_t index = 0; index < job.tasks.size(); ++index) {
+        auto &task = job.tasks[index];
+        if (task.stage != ScheduledStage::Waiting) {
+            continue;
+        }
+        auto &ofStep = job.placed[task.step];
+        const auto need = needOf(step, job, task);
+        const auto *agent = m_workers.choose(step.now(), need, task.avoided, ofStep, step.context.entropy + index);
+        if (agent == nullptr && !task.avoided.empty()) {
+            agent = m_workers.choose(step.now(), need, {}, ofStep, step.context.entropy + index);
+        }
+        if (agent == nullptr) {
+            placedAll = false;
+            continue;
+        }
+        task.stage = ScheduledStage::Sent;
+        --job.waiting;
+        ++ofStep[*agent];
+        m_order.sent(step.now(), WorkAmount(need.size.cores.value() * job.expected[task.step].count()));
+        auto &batch = chosen[*agent];
+        if (batch.tasks.empty()) {
+            batch.number = BatchNumber(++m_lastBatch);
+        }
+        batch.tasks.push_back(index);
+        m_workers.sent(*agent, batch.number, need.size, 1);
+    }
+    for (const auto &[agent, batch] : chosen) {
+        send(step, job, agent, batch);
+    }
+    queue(job);
+    return placedAll;
+}
+
+void SchedulerMachine::Private::send(SchedulerStep &step, ScheduledJob &job, const AgentName &agent, const PlacedBatch &batch)
+{
+    SendBatch output;
+    output.agent = agent;
+    output.batch.scheduler = m_settings.name;
+    output.batch.batch = batch.number;
+    output.batch.payload = job.work->payload;
+    for (const auto index : batch.tasks) {
+        auto &task = job.tasks[index];
+        ++task.runs;
+        RunOrder order;
+        order.run = {{job.work->id, task.step, task.index}, task.runs};
+        order.size = job.work->steps[task.step].size;
+        order.startWithin = std::max(Duration::zero(), job.giveUpAt - step.now());
+        order.runLimit = scaled(job.expected[task.step], RunLimitFactor) + RunLimitSlack;
+        output.batch.orders.push_back(std::move(order));
+    }
+    job.begun = true;
+    job.batches.insert(batch.number);
+    m_batches[batch.number] = {job.number, agent, batch.tasks, std::vector<bool>(batch.tasks.size(), false)};
+    step.emit(Count{CounterMetric::TasksSent, batch.tasks.size()});
+    step.emit(std::move(output));
+}
+
+void SchedulerMachine::Private::setTimer(SchedulerStep &step)
+{
+    auto wake = MonotonicTime::max();
+    if (!m_checks.empty()) {
+        wake = std::min(wake, m_checks.begin()->first);
+    }
+    if (!m_rests.empty()) {
+        wake = std::min(wake, m_rests.begin()->first);
+    }
+    if (const auto next = m_workers.nextReturn(step.now()); next && !m_order.jobs().empty()) {
+        wake = std::min(wake, *next);
+    }
+    if (m_drainSince && !m_stopped) {
+        const auto grace = *m_drainSince + m_settings.drainGrace;
+        wake = std::min(wake, grace > step.now() ? grace : *m_drainSince + m_settings.drainTimeout);
+    }
+    if (wake != MonotonicTime::max()) {
+        step.emit(SetTimer{wake});
+    }
+}
+
+const QueueSetPointer &SchedulerMachine::Private::queues() const
+{
+    return m_queues;
+}
+
+bool SchedulerMachine::Private::isReady() const
+{
+    return m_queues && !m_drainSince && m_workers.hasWorker();
+}
+
+} // namespace Sycamoremoor
--- a/ctl/src/config_print_func.h
+++ b/ctl/src/config_print_func.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <sycamoremoor/core/config_func.h>
-#include <sycamoremoor/platform/key_value_type.h>
+#include <sycamoremoor/gateway/key_value_type.h>
 
 #include <iosfwd>
 #include <optional>
--- a/ctl/src/config_store.h
+++ b/ctl/src/config_store.h
@@ -4,7 +4,7 @@
 #include "event_loop.h"
 
 #include <sycamoremoor/core/config_type.h>
-#include <sycamoremoor/platform/key_value_client.h>
+#include <sycamoremoor/gateway/key_value_client.h>
 #include <sycamoremoor/wire/config_codec.h>
 
 #include <optional>
--- a/ctl/src/entry_directory.cpp
+++ b/ctl/src/entry_directory.cpp
@@ -5,7 +5,7 @@
 #include "http_caller.h"
 #include "options.h"
 
-#include <sycamoremoor/platform/key_value_client.h>
+#include <sycamoremoor/gateway/key_value_client.h>
 #include <sycamoremoor/wire/message_codec.h>
 #include <sycamoremoor/wire/text_codec.h>
 
--- a/ctl/src/entry_directory.h
+++ b/ctl/src/entry_directory.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <sycamoremoor/core/endpoint_type.h>
-#include <sycamoremoor/platform/http_connection.h>
+#include <sycamoremoor/gateway/http_connection.h>
 
 #include <string>
 #include <vector>
--- a/ctl/src/http_caller.h
+++ b/ctl/src/http_caller.h
@@ -1,7 +1,7 @@
 // HTTP calls of the command line: many at once, each with its hook.
 #pragma once
 
-#include <sycamoremoor/platform/http_connection.h>
+#include <sycamoremoor/gateway/http_connection.h>
 
 #include <functional>
 #include <map>
--- a/daemon/src/daemon.cpp
+++ b/daemon/src/daemon.cpp
@@ -1,9 +1,12 @@
 // sycamoremoord: settings, signals, exit codes.
 #include <sycamoremoor/daemon/daemon.h>
 
+#include "guard_task.h"
 #include "option_reader.h"
+#include "scheduler_task.h"
 
 #include <sycamoremoor/net/agent_task.h>
+#include <sycamoremoor/net/clock_func.h>
 #include <sycamoremoor/net/entry_task.h>
 #include <sycamoremoor/net/event_loop.h>
 #include <sycamoremoor/net/log_func.h>
@@ -74,6 +77,33 @@
     return task;
 }
 
+SchedulerTaskSettings schedulerSettings(const DaemonSettings &settings)
+{
+    SchedulerTaskSettings task;
+    task.machine = settings.scheduler;
+    task.machine.name = EntryName(settings.name);
+    task.machine.zone = ZoneName(settings.zone);
+    task.listen = settings.listen;
+    task.callers = settings.callers;
+    task.readiness = settings.readiness;
+    task.store = settings.platform.front();
+    return task;
+}
+
+GuardTaskSettings guardSettings(const DaemonSettings &settings)
+{
+    GuardTaskSettings task;
+    task.machine = settings.guard;
+    task.machine.incarnation = makeIncarnation();
+    // Rises from life to life as long as the clock does; a guard that meets a higher token raises its own.
+    task.machine.firstToken = FencingToken(std::chrono::duration_cast<std::chrono::milliseconds>(wallNow().time_since_epoch()).count());
+    task.record = {AgentName(settings.name), advertisedBy(settings), ZoneName(settings.zone)};
+    task.listen = settings.listen;
+    task.announcements = settings.announcements;
+    task.store = settings.platform.front();
+    return task;
+}
+
 /** Runs one task on a thread of its own; the main thread waits for signals and for the task's end. */
 template<typename Task, typename Settings>
 class TaskRunner
@@ -85,12 +115,15 @@
         m_task.signalStopped().connect([this](std::uint32_t cutOff) { m_mainLoop.post([this, cutOff] { ended(cutOff); }); });
         watchSignal(SIGTERM, m_terminate);
         watchSignal(SIGINT, m_interrupt);
+        m_hangUp = evsignal_new(m_mainLoop.base(), SIGHUP, &TaskRunner::hangUpReceived, this);
+        evsignal_add(m_hangUp, nullptr);
     }
 
     ~TaskRunner()
     {
         event_free(m_terminate);
         event_free(m_interrupt);
+        event_free(m_hangUp);
     }
 
     TaskRunner(const TaskRunner &) = delete;
@@ -120,6 +153,11 @@
         static_cast<TaskRunner *>(self)->beginStop();
     }
 
+    static void hangUpReceived(int /*signal*/, short /*what*/, void * /*self*/)
+    {
+        writeLog({Severity::Info, "daemon", "SIGHUP changes nothing: settings are flags and variables, read at the start."});
+    }
+
     void beginStop()
     {
         if (std::exchange(m_stopping, true)) {
@@ -142,18 +180,23 @@
     Task m_task;
     event *m_terminate = nullptr;
     event *m_interrupt = nullptr;
+    event *m_hangUp = nullptr;
     bool m_stopping = false;
     std::uint32_t m_cutOff = 0;
 };
 
 DaemonExit runRole(const DaemonSettings &settings)
 {
-    if (settings.role == DaemonRole::Entry) {
-        TaskRunner<EntryTask, EntryTaskSettings> runner(entrySettings(settings));
-        return runner.run();
+    switch (settings.role) {
+    case DaemonRole::Entry:
+        return TaskRunner<EntryTask, EntryTaskSettings>(entrySettings(settings)).run();
+    case DaemonRole::Scheduler:
+        return TaskRunner<SchedulerTask, SchedulerTaskSettings>(schedulerSettings(settings)).run();
+    case DaemonRole::Guard:
+        return TaskRunner<GuardTask, GuardTaskSettings>(guardSettings(settings)).run();
+    default:
+        return TaskRunner<AgentTask, AgentTaskSettings>(agentSettings(settings)).run();
     }
-    TaskRunner<AgentTask, AgentTaskSettings> runner(agentSettings(settings));
-    return runner.run();
 }
 
 DaemonExit runGuarded(const DaemonSettings &settings)
--- a/daemon/src/daemon_settings_type.h
+++ b/daemon/src/daemon_settings_type.h
@@ -3,6 +3,8 @@
 
 #include <sycamoremoor/core/agent_settings_type.h>
 #include <sycamoremoor/core/entry_settings_type.h>
+#include <sycamoremoor/core/guard_machine.h>
+#include <sycamoremoor/core/scheduler_machine.h>
 #include <sycamoremoor/net/log_func.h>
 
 #include <string>
@@ -16,8 +18,21 @@
     Unset,
     Entry,
     Agent,
+    Scheduler,
+    Guard,
+    End,
 };
 
+/** A set of roles. */
+using DaemonRoles = unsigned;
+
+constexpr DaemonRoles rolesOf(DaemonRole role)
+{
+    return 1U << static_cast<unsigned>(role);
+}
+
+inline constexpr DaemonRoles AllRoles = ~0U;
+
 /** Everything that flags and environment variables can set. */
 struct DaemonSettings {
     DaemonRole role = DaemonRole::Unset;
@@ -26,10 +41,15 @@
     Endpoint advertise; ///< port 0: the listening address
     std::string zone;
     std::string region;
+    Endpoint callers;       ///< where a scheduler takes jobs
+    Endpoint readiness;     ///< where a scheduler tells the balancer whether it takes new callers
+    Endpoint announcements; ///< where a guard's upstream announces itself
     std::vector<Endpoint> platform;
     std::vector<Endpoint> entries;
-    EntrySettings entry; ///< timing only
-    AgentSettings agent; ///< timing, upstream, service and capacity only
+    EntrySettings entry;         ///< timing only
+    AgentSettings agent;         ///< timing, upstream, service and capacity only
+    GuardSettings guard;         ///< timing only
+    SchedulerSettings scheduler; ///< timing only
     Severity logLevel = Severity::Info;
     LogFormat logFormat = LogFormat::Text;
     bool checkOnly = false;
--- /dev/null
+++ b/daemon/src/guard_task.cpp
@@ -0,0 +1,85 @@
+// A guard as a task: its sockets and its machine on one event loop.
+#include "guard_task.h"
+
+#include <sycamoremoor/net/event_loop.h>
+#include <sycamoremoor/net/process_pages_func.h>
+#include <sycamoremoor/platform/store_client.h>
+
+#include <sigc++/functors/mem_fun.h>
+
+#include <type_traits>
+
+namespace Sycamoremoor
+{
+
+namespace
+{
+
+template<typename Part, typename Output>
+concept CarriesOut = requires(Part &part, const Output &output)
+{
+    part.carryOut(output);
+};
+
+HttpServerSettings schedulerConnections()
+{
+    HttpServerSettings settings;
+    settings.unacknowledgedLimit = std::chrono::seconds(1); // a scheduler that is silent for so long is gone, and its runs stop
+    return settings;
+}
+
+} // namespace
+
+GuardTask::GuardTask(EventLoop &loop, const GuardTaskSettings &settings)
+    : m_router(m_metrics, [this] { return m_randomBits(); })
+    , m_server(loop, settings.listen, schedulerConnections(), [this](const HttpExchangePointer &exchange) { m_router.route(exchange); })
+    , m_client(loop)
+    , m_guardServer(loop, m_router, m_metrics)
+    , m_runnerDoor(m_client)
+    , m_announcements(loop, settings.announcements, {}, [this](const HttpExchangePointer &exchange) { m_runnerDoor.take(exchange); })
+    , m_publisher(loop, makeStoreHooks(m_client, settings.store), settings.record)
+    , m_stopWatcher(loop, m_server)
+    , m_driver(
+          loop, GuardMachine(settings.machine), m_metrics, [this] { return m_randomBits(); }, *this)
+{
+    addProcessPages(m_router, m_metrics, [this] { return m_driver.machine().room().accepting; });
+    const auto feed = sigc::mem_fun(m_driver, &Driver::feed);
+    m_guardServer.signalInput().connect(feed);
+    m_runnerDoor.signalInput().connect(feed);
+}
+
+void GuardTask::start()
+{
+    m_publisher.start();
+    m_driver.feed(Tick{});
+}
+
+void GuardTask::drain()
+{
+    m_driver.feed(DrainRequested{});
+}
+
+const Endpoint &GuardTask::endpoint() const
+{
+    return m_server.endpoint();
+}
+
+sigc::signal<void(std::uint32_t)> &GuardTask::signalStopped()
+{
+    return m_stopWatcher.signalStopped();
+}
+
+template<typename Output>
+void GuardTask::carryOut(const Output &output)
+{
+    if constexpr (std::is_same_v<Output, Stopped>) {
+        m_guardServer.endWatches();
+        m_stopWatcher.machineStopped(output.cutOff);
+    } else if constexpr (CarriesOut<GuardServer, Output>) {
+        m_guardServer.carryOut(output);
+    } else {
+        m_runnerDoor.carryOut(output);
+    }
+}
+
+} // namespace Sycamoremoor
--- a/daemon/src/option_reader.cpp
+++ b/daemon/src/option_reader.cpp
@@ -106,7 +106,7 @@
 {
     for (std::size_t row = 0; row < OptionTable.size(); ++row) {
         const auto &option = OptionTable.at(row);
-        const bool applies = option.role == DaemonRole::Unset || option.role == settings.role;
+        const bool applies = (option.roles & rolesOf(settings.role)) != 0;
         if (option.required && applies && !given.contains(row)) {
             errors.push_back("--" + std::string(option.flag) + " is missing; it must be " + option.allowed + ".");
         }
@@ -155,16 +155,36 @@
     return errors;
 }
 
+namespace
+{
+
+/** Returns the names of some roles for the help, or nothing for all. */
+std::string roleNames(DaemonRoles roles)
+{
+    if (roles == AllRoles) {
+        return "";
+    }
+    std::string names;
+    for (const auto role : {DaemonRole::Entry, DaemonRole::Agent, DaemonRole::Scheduler, DaemonRole::Guard}) {
+        if ((roles & rolesOf(role)) != 0) {
+            names += (names.empty() ? "" : ", ") + std::string(roleName(role));
+        }
+    }
+    return names + ": ";
+}
+
+} // namespace
+
 std::string helpText()
 {
     std::ostringstream out;
-    out << "Usage: sycamoremoord --role=entry|agent [--FLAG=VALUE ..]\n\n"
+    out << "Usage: sycamoremoord --role=entry|agent|scheduler|guard [--FLAG=VALUE ..]\n\n"
         << "Each flag has an environment variable: SYCAMOREMOOR_ and the flag in capitals, with underscores.\n"
         << "SIGTERM or SIGINT begins a planned stop.\n\n";
     for (const auto &option : OptionTable) {
         const std::string flag = "  --" + std::string(option.flag) + "=" + option.value;
-        const char *role = option.role == DaemonRole::Entry ? "entry: " : option.role == DaemonRole::Agent ? "agent: " : "";
-        out << flag << std::string(flag.size() < HelpColumn ? HelpColumn - flag.size() : 1, ' ') << role << option.help << '\n';
+        out << flag << std::string(flag.size() < HelpColumn ? HelpColumn - flag.size() : 1, ' ') << roleNames(option.roles) << option.help
+            << '\n';
     }
     out << "  --check-settings              check the settings, start nothing\n"
         << "  --help                        this text\n"
--- a/daemon/src/option_value_func.cpp
+++ b/daemon/src/option_value_func.cpp
@@ -4,6 +4,7 @@
 #include <sycamoremoor/wire/text_codec.h>
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <charconv>
 
@@ -23,17 +24,22 @@
     return std::isalnum(static_cast<unsigned char>(character)) != 0 || character == '.' || character == '-' || character == '_';
 }
 
+constexpr std::array<const char *, static_cast<std::size_t>(DaemonRole::End)> RoleNames{"", "entry", "agent", "scheduler", "guard"};
+
 } // namespace
 
+const char *roleName(DaemonRole role)
+{
+    return RoleNames.at(static_cast<std::size_t>(role));
+}
+
 bool readRole(const std::string &text, DaemonRole &role)
 {
-    if (text == "entry") {
-        role = DaemonRole::Entry;
-    } else if (text == "agent") {
-        role = DaemonRole::Agent;
-    } else {
+    const auto found = std::find(RoleNames.begin() + 1, RoleNames.end(), text);
+    if (found == RoleNames.end()) {
         return false;
     }
+    role = static_cast<DaemonRole>(found - RoleNames.begin());
     return true;
 }
 
--- a/daemon/src/option_value_func.h
+++ b/daemon/src/option_value_func.h
@@ -18,6 +18,9 @@
 inline constexpr const char *EndpointsAllowed = "IP:PORT with an IP number, or several with commas between";
 inline constexpr const char *DurationAllowed = "a whole number of milliseconds from 1 to 86400000";
 
+/** Returns the name of a role as it is set. */
+const char *roleName(DaemonRole role);
+
 bool readRole(const std::string &text, DaemonRole &role);
 bool readName(const std::string &text, std::string &name);
 bool readEndpoint(const std::string &text, Endpoint &endpoint);
--- a/daemon/src/table/option_table.h
+++ b/daemon/src/table/option_table.h
@@ -16,82 +16,94 @@
     const char *flag;
     const char *value; ///< placeholder in the help
     const char *help;
-    DaemonRole role; ///< Unset: both
-    bool required;   ///< for its role
+    DaemonRoles roles;
+    bool required; ///< for its roles
     bool (*read)(const std::string &text, DaemonSettings &settings);
     const char *allowed; ///< what a value must be
 };
 
 using Settings = DaemonSettings;
 
+inline constexpr DaemonRoles EntryRole = rolesOf(DaemonRole::Entry);
+inline constexpr DaemonRoles AgentRole = rolesOf(DaemonRole::Agent);
+inline constexpr DaemonRoles SchedulerRole = rolesOf(DaemonRole::Scheduler);
+inline constexpr DaemonRoles GuardRole = rolesOf(DaemonRole::Guard);
+
 inline constexpr std::array OptionTable{
     // clang-format off
-    OptionRow{"role", "ROLE", "what this process is", DaemonRole::Unset, true,
-              [](const std::string &text, Settings &to) { return readRole(text, to.role); }, "entry or agent"},
-    OptionRow{"name", "NAME", "name of this process, stable across restarts", DaemonRole::Unset, true,
+    OptionRow{"role", "ROLE", "what this process is", AllRoles, true,
+              [](const std::string &text, Settings &to) { return readRole(text, to.role); }, "entry, agent, scheduler or guard"},
+    OptionRow{"name", "NAME", "name of this process, stable across restarts", AllRoles, true,
               [](const std::string &text, Settings &to) { return readName(text, to.name); }, NameAllowed},
-    OptionRow{"listen", "IP:PORT", "where it listens", DaemonRole::Unset, true,
+    OptionRow{"listen", "IP:PORT", "where it listens", AllRoles, true,
               [](const std::string &text, Settings &to) { return readEndpoint(text, to.listen); }, EndpointAllowed},
-    OptionRow{"advertise", "IP:PORT", "where other processes reach it, if not where it listens", DaemonRole::Unset, false,
+    OptionRow{"advertise", "IP:PORT", "where other processes reach it, if not where it listens", AllRoles, false,
               [](const std::string &text, Settings &to) { return readEndpoint(text, to.advertise); }, EndpointAllowed},
-    OptionRow{"zone", "ZONE", "its availability zone", DaemonRole::Unset, true,
+    OptionRow{"zone", "ZONE", "its availability zone", AllRoles, true,
               [](const std::string &text, Settings &to) { return readName(text, to.zone); }, NameAllowed},
-    OptionRow{"region", "REGION", "its region", DaemonRole::Unset, true,
+    OptionRow{"region", "REGION", "its region", AllRoles, true,
               [](const std::string &text, Settings &to) { return readName(text, to.region); }, NameAllowed},
-    OptionRow{"platform", "IP:PORT,..", "the platform's key-value service", DaemonRole::Entry, true,
+    OptionRow{"platform", "IP:PORT,..", "the platform's key-value service", EntryRole | SchedulerRole | GuardRole, true,
               [](const std::string &text, Settings &to) { return readEndpoints(text, to.platform); }, EndpointsAllowed},
-    OptionRow{"entries", "IP:PORT,..", "entries to ask first for the roster", DaemonRole::Unset, false,
+    OptionRow{"callers", "IP:PORT", "where it takes jobs", SchedulerRole, true,
+              [](const std::string &text, Settings &to) { return readEndpoint(text, to.callers); }, EndpointAllowed},
+    OptionRow{"readiness", "IP:PORT", "where it tells the balancer whether it takes new callers", SchedulerRole, true,
+              [](const std::string &text, Settings &to) { return readEndpoint(text, to.readiness); }, EndpointAllowed},
+    OptionRow{"announcements", "IP:PORT", "where its upstream announces itself", GuardRole, true,
+              [](const std::string &text, Settings &to) { return readEndpoint(text, to.announcements); }, EndpointAllowed},
+    OptionRow{"entries", "IP:PORT,..", "entries to ask first for the roster", EntryRole | AgentRole, false,
               [](const std::string &text, Settings &to) { return readEndpoints(text, to.entries); }, EndpointsAllowed},
-    OptionRow{"upstream", "IP:PORT", "the runner beside it", DaemonRole::Agent, true,
+    OptionRow{"upstream", "IP:PORT", "the runner beside it", AgentRole, true,
               [](const std::string &text, Settings &to) { return readEndpoint(text, to.agent.upstream); }, EndpointAllowed},
-    OptionRow{"service", "SERVICE", "what its upstream runs", DaemonRole::Agent, true,
+    OptionRow{"service", "SERVICE", "what its upstream runs", AgentRole, true,
               [](const std::string &text, Settings &to) { return readStrongName(text, to.agent.service); }, NameAllowed},
-    OptionRow{"slots", "COUNT", "tasks its upstream runs side by side", DaemonRole::Agent, false,
+    OptionRow{"slots", "COUNT", "tasks its upstream runs side by side", AgentRole, false,
               [](const std::string &text, Settings &to) { return readAmount(text, 1, 100'000, to.agent.capacity.slots); }, "a whole number from 1 to 100000"},
-    OptionRow{"connections", "COUNT", "connections its upstream accepts", DaemonRole::Agent, false,
+    OptionRow{"connections", "COUNT", "connections its upstream accepts", AgentRole, false,
               [](const std::string &text, Settings &to) { return readAmount(text, 1, 100'000, to.agent.capacity.connections); }, "a whole number from 1 to 100000"},
-    OptionRow{"cores", "COUNT", "processor cores of the worker", DaemonRole::Agent, false,
+    OptionRow{"cores", "COUNT", "processor cores of the worker", AgentRole, false,
               [](const std::string &text, Settings &to) { return readCores(text, to.agent.capacity.cores); }, "a whole number from 1 to 4096"},
-    OptionRow{"memory-mb", "COUNT", "memory of the worker in megabytes", DaemonRole::Agent, false,
+    OptionRow{"memory-mb", "COUNT", "memory of the worker in megabytes", AgentRole, false,
               [](const std::string &text, Settings &to) { return readAmount(text, 1, 1LL << 30U, to.agent.capacity.memory); }, "a whole number from 1 to 1073741824"},
-    OptionRow{"accelerators", "COUNT", "accelerators of the worker", DaemonRole::Agent, false,
+    OptionRow{"accelerators", "COUNT", "accelerators of the worker", AgentRole, false,
               [](const std::string &text, Settings &to) { return readAmount(text, 0, 1'024, to.agent.capacity.accelerators); }, "a whole number from 0 to 1024"},
-    OptionRow{"heartbeat-ms", "MS", "between heartbeats, same everywhere", DaemonRole::Unset, false,
+    OptionRow{"heartbeat-ms", "MS", "between heartbeats, same everywhere", EntryRole | AgentRole, false,
               [](const std::string &text, Settings &to) {
                   return readDuration(text, to.entry.peerHeartbeatInterval) && readDuration(text, to.entry.agentHeartbeatInterval)
                       && readDuration(text, to.agent.heartbeatInterval);
               }, DurationAllowed},
-    OptionRow{"failure-timeout-ms", "MS", "silence after which a process counts as failed", DaemonRole::Unset, false,
+    OptionRow{"failure-timeout-ms", "MS", "silence after which a process counts as failed", EntryRole | AgentRole, false,
               [](const std::string &text, Settings &to) {
                   return readDuration(text, to.entry.failureTimeout) && readDuration(text, to.agent.failureTimeout);
               }, DurationAllowed},
-    OptionRow{"drain-timeout-ms", "MS", "a planned stop ends by then", DaemonRole::Unset, false,
+    OptionRow{"drain-timeout-ms", "MS", "a planned stop ends by then", AllRoles, false,
               [](const std::string &text, Settings &to) {
-                  return readDuration(text, to.entry.drainTimeout) && readDuration(text, to.agent.drainTimeout);
+                  return readDuration(text, to.entry.drainTimeout) && readDuration(text, to.agent.drainTimeout)
+                      && readDuration(text, to.guard.drainTimeout) && readDuration(text, to.scheduler.drainTimeout);
               }, DurationAllowed},
-    OptionRow{"head-read-ms", "MS", "between reads of roster and configuration", DaemonRole::Entry, false,
+    OptionRow{"head-read-ms", "MS", "between reads of roster and configuration", EntryRole, false,
               [](const std::string &text, Settings &to) { return readDuration(text, to.entry.headReadInterval); }, DurationAllowed},
-    OptionRow{"serving-lease-ms", "MS", "how long a proof of membership holds, same at all entries", DaemonRole::Entry, false,
+    OptionRow{"serving-lease-ms", "MS", "how long a proof of membership holds, same at all entries", EntryRole, false,
               [](const std::string &text, Settings &to) { return readDuration(text, to.entry.servingLease); }, DurationAllowed},
-    OptionRow{"agent-lost-ms", "MS", "silence after which an agent's tasks are unknown", DaemonRole::Entry, false,
+    OptionRow{"agent-lost-ms", "MS", "silence after which an agent's tasks are unknown", EntryRole, false,
               [](const std::string &text, Settings &to) { return readDuration(text, to.entry.agentLostTimeout); }, DurationAllowed},
-    OptionRow{"clock-skew-ms", "MS", "bound between any two clocks, same everywhere", DaemonRole::Entry, false,
+    OptionRow{"clock-skew-ms", "MS", "bound between any two clocks, same everywhere", EntryRole, false,
               [](const std::string &text, Settings &to) { return readDuration(text, to.entry.clockSkew); }, DurationAllowed},
-    OptionRow{"key-max-age-ms", "MS", "older keys are refused, same everywhere", DaemonRole::Entry, false,
+    OptionRow{"key-max-age-ms", "MS", "older keys are refused, same everywhere", EntryRole, false,
               [](const std::string &text, Settings &to) { return readDuration(text, to.entry.keyMaxAge); }, DurationAllowed},
-    OptionRow{"query-delay-ms", "MS", "how long a task may be missing at its agent before it is asked about", DaemonRole::Entry, false,
+    OptionRow{"query-delay-ms", "MS", "how long a task may be missing at its agent before it is asked about", EntryRole, false,
               [](const std::string &text, Settings &to) { return readDuration(text, to.entry.queryDelay); }, DurationAllowed},
-    OptionRow{"start-max-age-ms", "MS", "a start that left its owner longer ago is refused", DaemonRole::Agent, false,
+    OptionRow{"start-max-age-ms", "MS", "a start that left its owner longer ago is refused", AgentRole, false,
               [](const std::string &text, Settings &to) { return readDuration(text, to.agent.startMaxAge); }, DurationAllowed},
-    OptionRow{"report-retry-ms", "MS", "a report not acknowledged by then is sent again", DaemonRole::Agent, false,
+    OptionRow{"report-retry-ms", "MS", "a report not acknowledged by then is sent again", AgentRole, false,
               [](const std::string &text, Settings &to) { return readDuration(text, to.agent.reportRetryDelay); }, DurationAllowed},
-    OptionRow{"ledger-retention-ms", "MS", "how long ended tasks are remembered", DaemonRole::Agent, false,
+    OptionRow{"ledger-retention-ms", "MS", "how long ended tasks are remembered", AgentRole, false,
               [](const std::string &text, Settings &to) { return readDuration(text, to.agent.ledgerRetention); }, DurationAllowed},
-    OptionRow{"upstream-probe-ms", "MS", "between health checks of the upstream", DaemonRole::Agent, false,
+    OptionRow{"upstream-probe-ms", "MS", "between health checks of the upstream", AgentRole, false,
               [](const std::string &text, Settings &to) { return readDuration(text, to.agent.upstreamProbeInterval); }, DurationAllowed},
-    OptionRow{"log-level", "LEVEL", "least level that is logged", DaemonRole::Unset, false,
+    OptionRow{"log-level", "LEVEL", "least level that is logged", AllRoles, false,
               [](const std::string &text, Settings &to) { return assignIf(severityFromName(text), to.logLevel); }, "debug, info, warning or error"},
-    OptionRow{"log-format", "FORMAT", "form of log lines", DaemonRole::Unset, false,
+    OptionRow{"log-format", "FORMAT", "form of log lines", AllRoles, false,
               [](const std::string &text, Settings &to) { return assignIf(logFormatFromName(text), to.logFormat); }, "text or json"},
     // clang-format on
 };
--- a/daemon/tests/option_reader_test.cpp
+++ b/daemon/tests/option_reader_test.cpp
@@ -27,6 +27,22 @@
                                           "--upstream=127.0.0.1:8003",
                                           "--service=reclaim-desk"};
 
+const std::vector<std::string> schedulerFlags{"--role=scheduler",
+                                              "--name=front-1",
+                                              "--listen=127.0.0.1:8004",
+                                              "--callers=127.0.0.1:8005",
+                                              "--readiness=127.0.0.1:8006",
+                                              "--zone=trnava-a",
+                                              "--region=sk-west",
+                                              "--platform=127.0.0.1:2379"};
+const std::vector<std::string> guardFlags{"--role=guard",
+                                          "--name=side-1",
+                                          "--listen=127.0.0.1:8007",
+                                          "--announcements=127.0.0.1:8008",
+                                          "--zone=trnava-a",
+                                          "--region=sk-west",
+                                          "--platform=127.0.0.1:2379"};
+
 std::vector<std::string> readArguments(std::vector<std::string> arguments, const Variables &variables, DaemonSettings &settings)
 {
     arguments.insert(arguments.begin(), "sycamoremoord");
@@ -58,7 +74,7 @@
 };
 
 constexpr std::array WrongSettings{
-    WrongSetting{"Role", "--role=owner", "--role: \"owner\" is not allowed; it must be entry or agent."},
+    WrongSetting{"Role", "--role=owner", "--role: \"owner\" is not allowed; it must be entry, agent, scheduler or guard."},
     WrongSetting{"EmptyName", "--name=", "--name: \"\" is not allowed; it must be 1 to 128 letters"},
     WrongSetting{"NameWithBlank", "--name=a b", "--name: \"a b\" is not allowed"},
     WrongSetting{"HostName", "--listen=localhost:80", "--listen: \"localhost:80\" is not allowed; it must be IP:PORT"},
@@ -94,7 +110,7 @@
 
 TEST(OptionReaderTest, EachRequiredFlagIsMissedByName)
 {
-    for (const auto &flags : {entryFlags, agentFlags}) {
+    for (const auto &flags : {entryFlags, agentFlags, schedulerFlags, guardFlags}) {
         DaemonSettings whole;
         EXPECT_EQ(joined(readArguments(flags, {}, whole)), "");
         for (std::size_t left = 0; left < flags.size(); ++left) {
--- a/platform/include/sycamoremoor/platform/key_value_client.h
+++ b/gateway/include/sycamoremoor/gateway/key_value_client.h
@@ -1,7 +1,7 @@
 // Asynchronous client of the platform's key-value service, by the etcd v3 JSON gateway.
 #pragma once
 
-#include <sycamoremoor/platform/key_value_type.h>
+#include <sycamoremoor/gateway/key_value_type.h>
 
 #include <functional>
 #include <memory>
--- a/platform/src/gateway_codec.cpp
+++ b/gateway/src/gateway_codec.cpp
@@ -1,7 +1,7 @@
 // JSON bodies of the etcd v3 gateway: base64 keys and values, 64-bit numbers as strings.
 #include "gateway_codec.h"
 
-#include "base64_func.h"
+#include <sycamoremoor/wire/base64_func.h>
 
 #include <nlohmann/json.hpp>
 
--- a/platform/src/gateway_codec.h
+++ b/gateway/src/gateway_codec.h
@@ -1,7 +1,7 @@
 // JSON bodies of the etcd v3 gateway.
 #pragma once
 
-#include <sycamoremoor/platform/key_value_type.h>
+#include <sycamoremoor/gateway/key_value_type.h>
 
 #include <string>
 #include <string_view>
--- a/platform/src/http_connection.cpp
+++ b/gateway/src/http_connection.cpp
@@ -1,5 +1,5 @@
 // One HTTP connection of a client, on evhttp.
-#include <sycamoremoor/platform/http_connection.h>
+#include <sycamoremoor/gateway/http_connection.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
--- a/platform/src/key_value_client.cpp
+++ b/gateway/src/key_value_client.cpp
@@ -1,9 +1,9 @@
 // Calls over a pool of connections: each call on one connection at a time, each watch on its own.
-#include <sycamoremoor/platform/key_value_client.h>
+#include <sycamoremoor/gateway/key_value_client.h>
 
 #include "gateway_codec.h"
 #include "watch_stream.h"
-#include <sycamoremoor/platform/http_connection.h>
+#include <sycamoremoor/gateway/http_connection.h>
 
 #include <event2/event.h>
 
--- a/platform/src/key_value_func.cpp
+++ b/gateway/src/key_value_func.cpp
@@ -1,5 +1,5 @@
 // Names and key ranges of the key-value service.
-#include <sycamoremoor/platform/key_value_type.h>
+#include <sycamoremoor/gateway/key_value_type.h>
 
 #include <array>
 #include <limits>
--- a/platform/src/watch_stream.h
+++ b/gateway/src/watch_stream.h
@@ -1,9 +1,9 @@
 // One watch on a connection of its own.
 #pragma once
 
-#include <sycamoremoor/platform/http_connection.h>
+#include <sycamoremoor/gateway/http_connection.h>
 
-#include <sycamoremoor/platform/key_value_type.h>
+#include <sycamoremoor/gateway/key_value_type.h>
 
 #include <memory>
 #include <string>
--- a/platform/tests/gateway_codec_test.cpp
+++ b/gateway/tests/gateway_codec_test.cpp
@@ -1,6 +1,6 @@
 // JSON bodies of the gateway: round trips and refusals.
-#include "../src/base64_func.h"
 #include "../src/gateway_codec.h"
+#include <sycamoremoor/wire/base64_func.h>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- /dev/null
+++ b/net/include/sycamoremoor/net/agent_directory.h
@@ -0,0 +1,48 @@
+// Where guards listen: published by each guard, read by every scheduler.
+#pragma once
+
+#include <sycamoremoor/core/guard_message_type.h>
+#include <sycamoremoor/net/prefix_watcher.h>
+
+#include <sigc++/signal.h>
+
+#include <map>
+
+namespace Sycamoremoor
+{
+
+/** The guards that are published in the store. */
+class AgentDirectory
+{
+public:
+    using Agents = std::map<AgentName, AgentRecord>;
+
+    AgentDirectory(EventLoop &loop, StoreHooks store);
+
+    /** Emitted when the directory changed. */
+    sigc::signal<void(const Agents &)> &signalChanged();
+
+    void start();
+
+private:
+    PrefixWatcher m_watcher;
+    sigc::signal<void(const Agents &)> m_changed;
+};
+
+/** Keeps the record of one guard published: writes it again whenever the store lacks it. */
+class AgentPublisher
+{
+public:
+    AgentPublisher(EventLoop &loop, StoreHooks store, const AgentRecord &record);
+
+    void start();
+
+private:
+    void check(const PrefixWatcher::Items &items);
+
+    StoreHooks m_store;
+    StoreItem m_item;
+    PrefixWatcher m_watcher;
+};
+
+} // namespace Sycamoremoor
--- /dev/null
+++ b/net/include/sycamoremoor/net/batch_sender.h
@@ -0,0 +1,54 @@
+// Sends batches of a scheduler to guards, and reads the reports that stream back.
+#pragma once
+
+#include <sycamoremoor/core/scheduler_output_type.h>
+#include <sycamoremoor/net/http_client.h>
+
+#include <sigc++/signal.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace Sycamoremoor
+{
+
+class MetricRegistry;
+
+/** One exchange for each batch. It lasts until every run of the batch was reported; closing it stops what is left. */
+class BatchSender
+{
+public:
+    using FindGuard = std::function<std::optional<Endpoint>(const AgentName &)>;
+
+    /** @param findGuard tells where the guard of a worker listens */
+    BatchSender(HttpClient &client, MetricRegistry &metrics, FindGuard findGuard);
+    ~BatchSender();
+
+    BatchSender(const BatchSender &) = delete;
+    BatchSender &operator=(const BatchSender &) = delete;
+
+    /** Emitted for reports and broken exchanges. */
+    sigc::signal<void(SchedulerInput)> &signalInput();
+
+    void carryOut(const SendBatch &output);
+    void carryOut(const CancelBatch &output);
+
+private:
+    struct Exchange;
+
+    void received(BatchNumber batch, std::string_view part);
+    void takeLine(BatchNumber batch, std::string_view line);
+    void ended(BatchNumber batch, const ClientResult &result);
+
+    HttpClient &m_client;
+    MetricRegistry &m_metrics;
+    FindGuard m_findGuard;
+    sigc::signal<void(SchedulerInput)> m_input;
+    std::map<BatchNumber, std::unique_ptr<Exchange>> m_exchanges;
+};
+
+} // namespace Sycamoremoor
--- a/net/include/sycamoremoor/net/entry_task.h
+++ b/net/include/sycamoremoor/net/entry_task.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <sycamoremoor/core/entry_machine.h>
+#include <sycamoremoor/gateway/key_value_client.h>
 #include <sycamoremoor/net/agent_sender.h>
 #include <sycamoremoor/net/entry_server.h>
 #include <sycamoremoor/net/http_client.h>
@@ -13,7 +14,6 @@
 #include <sycamoremoor/net/random_bits.h>
 #include <sycamoremoor/net/router.h>
 #include <sycamoremoor/net/stop_watcher.h>
-#include <sycamoremoor/platform/key_value_client.h>
 
 #include <sigc++/signal.h>
 
--- /dev/null
+++ b/net/include/sycamoremoor/net/guard_server.h
@@ -0,0 +1,69 @@
+// The interface of a guard towards schedulers: batches, and a stream of its room.
+#pragma once
+
+#include <sycamoremoor/core/guard_output_type.h>
+#include <sycamoremoor/net/router.h>
+#include <sycamoremoor/net/timer.h>
+
+#include <sigc++/signal.h>
+
+#include <cstdint>
+#include <map>
+
+namespace Sycamoremoor
+{
+
+class EventLoop;
+
+/** Turns requests of schedulers into inputs, and reports into streamed answers. */
+class GuardServer
+{
+public:
+    GuardServer(EventLoop &loop, Router &router, MetricRegistry &metrics);
+
+    /** Emitted for each thing that happened. */
+    sigc::signal<void(GuardInput)> &signalInput();
+
+    void carryOut(const ReportRun &output);
+    void carryOut(const EndBatch &output);
+    void carryOut(const RoomChanged &output);
+
+    /** Ends the streams of room: this guard stops. */
+    void endWatches();
+
+private:
+    /** A scheduler that is told of the room here. */
+    struct Watcher {
+        EntryName scheduler;
+        HttpExchangePointer exchange;
+    };
+
+    /** An open batch. */
+    struct Batch {
+        EntryName scheduler;
+        HttpExchangePointer exchange;
+    };
+
+    void takeBatch(const RoutedRequest &request);
+    void takeWatch(const RoutedRequest &request);
+    void watcherGone(std::uint64_t watcher);
+    void tellAll();
+    void tell(const Watcher &watcher);
+    [[nodiscard]] bool isWatched(const EntryName &scheduler) const;
+    void dropUnwatched();
+
+    MetricRegistry &m_metrics;
+    sigc::signal<void(GuardInput)> m_input;
+    std::uint64_t m_lastConnection = 0;
+    std::uint64_t m_lastWatcher = 0;
+    RoomReport m_room;
+    std::map<std::uint64_t, Watcher> m_watchers;
+    std::map<EntryName, BatchNumber> m_seen; ///< highest batch by scheduler
+    std::map<ConnectionId, Batch> m_batches;
+    std::map<EntryName, MonotonicTime> m_unwatchedSince; ///< schedulers whose stream broke
+    Timer m_tellTimer;                                   ///< gathers changes
+    Timer m_steadyTimer;                                 ///< tells without a change
+    bool m_telling = false;
+};
+
+} // namespace Sycamoremoor
--- a/net/include/sycamoremoor/net/http_client.h
+++ b/net/include/sycamoremoor/net/http_client.h
@@ -4,6 +4,7 @@
 #include <sycamoremoor/net/http_type.h>
 #include <sycamoremoor/net/timer.h>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -15,6 +16,8 @@
 class ClientConnection;
 class EventLoop;
 
+using CallNumber = std::uint64_t; ///< names a call of one client, never zero
+
 /** Sends requests, one at a time on each connection. */
 class HttpClient
 {
@@ -29,7 +32,10 @@
     HttpClient &operator=(const HttpClient &) = delete;
 
     /** Sends a request. @param done called once, never from within this call */
-    void send(ClientCall call, Done done);
+    CallNumber send(ClientCall call, Done done);
+
+    /** Breaks a call off by closing its connection. Its hook is not called. Without effect when the call has ended. */
+    void cancel(const Endpoint &endpoint, CallNumber call);
 
     /** Returns how many connections are open or kept for reuse. */
     [[nodiscard]] std::size_t connections() const;
@@ -47,6 +53,7 @@
     Connections m_discarded;
     Timer m_freeDiscarded;
     Timer m_sweep;
+    CallNumber m_lastCall = 0;
 };
 
 } // namespace Sycamoremoor
--- a/net/include/sycamoremoor/net/http_type.h
+++ b/net/include/sycamoremoor/net/http_type.h
@@ -18,6 +18,7 @@
 enum class RequestMethod {
     Get,
     Post,
+    Put,
     Delete,
     Other,
     End,
@@ -36,6 +37,8 @@
 inline constexpr std::string_view ContentTypeHeader = "Content-Type";
 inline constexpr std::string_view IdempotencyKeyHeader = "Idempotency-Key";
 inline constexpr std::string_view RequestIdHeader = "X-Request-Id";
+inline constexpr std::string_view HostHeader = "Host";
+inline constexpr std::string_view DeadlineHeader = "X-Deadline-Ms";
 
 /** What a server answers. */
 struct ServerReply {
@@ -50,6 +53,7 @@
     std::size_t maxBodyBytes = std::size_t{16} << 20U;           ///< larger bodies are answered 413 by the library
     std::size_t maxHeaderBytes = std::size_t{16} << 10U;         ///< of all headers of one request
     Duration receiveLimit = std::chrono::seconds(10);            ///< from the first byte of a request to its last
+    Duration unacknowledgedLimit = std::chrono::seconds(4);      ///< connections whose bytes are not acknowledged are closed
     std::chrono::seconds quietLimit = std::chrono::seconds(120); ///< connections without a byte either way are closed
 };
 
@@ -59,6 +63,7 @@
     RequestMethod method = RequestMethod::Post;
     std::string path;
     std::string body;
+    std::map<std::string, std::string> headers;      ///< besides those that every request has
     Duration timeLimit = std::chrono::seconds(5);    ///< until the whole answer is there
     Duration connectLimit = std::chrono::seconds(1); ///< until the first byte of the request could be sent
     bool newConnection = false;                      ///< do not use one that has been used before
--- /dev/null
+++ b/net/src/batch_sender.cpp
@@ -0,0 +1,124 @@
+// Sends batches of a scheduler to guards, and reads the reports that stream back.
+#include <sycamoremoor/net/batch_sender.h>
+
+#include <sycamoremoor/net/line_reader.h>
+#include <sycamoremoor/net/log_func.h>
+#include <sycamoremoor/net/metric_registry.h>
+#include <sycamoremoor/net/path_type.h>
+#include <sycamoremoor/wire/message_codec.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace Sycamoremoor
+{
+
+namespace
+{
+
+constexpr Duration ConnectLimit = std::chrono::milliseconds(300); ///< guards answer within milliseconds, or not at all
+constexpr Duration ExchangeSlack = std::chrono::seconds(2);       ///< beyond the last run's limit, for the guard to report its stop
+
+} // namespace
+
+/** An open exchange with a guard. */
+struct BatchSender::Exchange {
+    Endpoint endpoint;
+    CallNumber call = 0;
+    std::size_t unreported = 0;
+    LineReader lines;
+};
+
+BatchSender::BatchSender(HttpClient &client, MetricRegistry &metrics, FindGuard findGuard)
+    : m_client(client)
+    , m_metrics(metrics)
+    , m_findGuard(std::move(findGuard))
+{
+}
+
+BatchSender::~BatchSender() = default;
+
+sigc::signal<void(SchedulerInput)> &BatchSender::signalInput()
+{
+    return m_input;
+}
+
+void BatchSender::carryOut(const SendBatch &output)
+{
+    const auto number = output.batch.batch;
+    const auto endpoint = m_findGuard(output.agent);
+    if (!endpoint) {
+        writeLog({Severity::Warning, "batches", "Worker " + output.agent.value() + " is not in the directory any more."});
+        m_input.emit(BatchBroken{number, Delivery::NotSent});
+        return;
+    }
+    ClientCall call;
+    call.endpoint = *endpoint;
+    call.path = Path::StartBatch;
+    call.body = encode(output.batch);
+    call.connectLimit = ConnectLimit;
+    call.timeLimit = ExchangeSlack;
+    for (const auto &order : output.batch.orders) {
+        call.timeLimit = std::max(call.timeLimit, order.startWithin + order.runLimit + ExchangeSlack);
+    }
+    call.received = [this, number](std::string_view part) {
+        received(number, part);
+    };
+    m_metrics.addMessage(MessageDirection::Out, Path::StartBatch, call.body.size());
+    auto exchange = std::make_unique<Exchange>();
+    exchange->endpoint = *endpoint;
+    exchange->unreported = output.batch.orders.size();
+    exchange->call = m_client.send(std::move(call), [this, number](const ClientResult &result) { ended(number, result); });
+    m_exchanges[number] = std::move(exchange);
+}
+
+void BatchSender::carryOut(const CancelBatch &output)
+{
+    if (const auto found = m_exchanges.find(output.batch); found != m_exchanges.end()) {
+        m_client.cancel(found->second->endpoint, found->second->call);
+        m_exchanges.erase(found);
+    }
+}
+
+void BatchSender::received(BatchNumber batch, std::string_view part)
+{
+    // A report may cancel the exchange, and with it the reader of its lines.
+    if (const auto found = m_exchanges.find(batch); found != m_exchanges.end()) {
+        std::vector<std::string> lines;
+        found->second->lines.take(part, [&lines](std::string_view line) { lines.emplace_back(line); });
+        for (const auto &line : lines) {
+            takeLine(batch, line);
+        }
+    }
+}
+
+void BatchSender::takeLine(BatchNumber batch, std::string_view line)
+{
+    const auto found = m_exchanges.find(batch);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    RunReport report;
+    if (const auto error = decode(line, report)) {
+        writeLog({Severity::Error, "batches", "A report cannot be read: " + error->detail + "."});
+        return;
+    }
+    found->second->unreported -= std::min<std::size_t>(found->second->unreported, 1);
+    m_input.emit(RunReported{batch, report});
+}
+
+void BatchSender::ended(BatchNumber batch, const ClientResult &result)
+{
+    const auto found = m_exchanges.find(batch);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    const auto unreported = found->second->unreported;
+    m_exchanges.erase(found);
+    if (unreported > 0) {
+        m_input.emit(BatchBroken{batch, result.answered ? Delivery::Unknown : result.delivery});
+    }
+}
+
+} // namespace Sycamoremoor
--- a/net/src/client_connection.cpp
+++ b/net/src/client_connection.cpp
@@ -29,6 +29,8 @@
     switch (method) {
     case RequestMethod::Get:
         return EVHTTP_REQ_GET;
+    case RequestMethod::Put:
+        return EVHTTP_REQ_PUT;
     case RequestMethod::Delete:
         return EVHTTP_REQ_DELETE;
     default:
@@ -48,7 +50,10 @@
 {
     auto *headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Host", endpointToString(call.endpoint).c_str());
-    if (call.method == RequestMethod::Post) {
+    for (const auto &[name, value] : call.headers) {
+        evhttp_add_header(headers, name.c_str(), value.c_str());
+    }
+    if (call.method == RequestMethod::Post || call.method == RequestMethod::Put) {
         evhttp_add_header(headers, "Content-Type", "application/json");
         evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(), call.body.size());
     }
@@ -75,8 +80,9 @@
     evhttp_connection_free(m_connection);
 }
 
-void ClientConnection::send(ClientCall call, HttpClient::Done done)
+void ClientConnection::send(ClientCall call, CallNumber number, HttpClient::Done done)
 {
+    m_number = number;
     m_call = std::move(call);
     m_done = std::move(done);
     m_idle = false;
@@ -105,6 +111,11 @@
     return m_endpoint;
 }
 
+CallNumber ClientConnection::number() const
+{
+    return m_idle ? 0 : m_number;
+}
+
 MonotonicTime ClientConnection::idleSince() const
 {
     return m_idleSince;
@@ -154,6 +165,7 @@
     m_limit.stop();
     result.delivery = m_sent ? Delivery::Unknown : Delivery::NotSent;
     m_idle = true;
+    m_number = 0;
     m_idleSince = monotonicNow();
     m_call = {};
     const auto done = std::exchange(m_done, nullptr);
--- a/net/src/client_connection.h
+++ b/net/src/client_connection.h
@@ -24,12 +24,15 @@
     ClientConnection(const ClientConnection &) = delete;
     ClientConnection &operator=(const ClientConnection &) = delete;
 
-    void send(ClientCall call, HttpClient::Done done);
+    void send(ClientCall call, CallNumber number, HttpClient::Done done);
 
     [[nodiscard]] bool isIdle() const;
     [[nodiscard]] const Endpoint &endpoint() const;
     [[nodiscard]] MonotonicTime idleSince() const;
 
+    /** Returns the number of the call under way, zero if none. */
+    [[nodiscard]] CallNumber number() const;
+
 private:
     static void bytesMoved(evbuffer *buffer, const evbuffer_cb_info *info, void *self);
     static void answered(evhttp_request *request, void *self);
@@ -41,6 +44,7 @@
     Finished m_finished;
     evhttp_connection *m_connection;
     Timer m_limit;
+    CallNumber m_number = 0;
     ClientCall m_call;
     HttpClient::Done m_done;
     bool m_idle = true;
--- /dev/null
+++ b/net/src/guard_server.cpp
@@ -0,0 +1,190 @@
+// The interface of a guard towards schedulers: batches, and a stream of its room.
+#include <sycamoremoor/net/guard_server.h>
+
+#include "internal_request_func.h"
+
+#include <sycamoremoor/net/clock_func.h>
+#include <sycamoremoor/net/log_func.h>
+#include <sycamoremoor/net/metric_registry.h>
+#include <sycamoremoor/net/path_type.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace Sycamoremoor
+{
+
+namespace
+{
+
+constexpr Duration GatherTime = std::chrono::milliseconds(4);        ///< a job's tasks end and begin in groups
+constexpr Duration SteadyInterval = std::chrono::milliseconds(250);  ///< a quarter of the silence that schedulers bear
+constexpr Duration UnwatchedLimit = std::chrono::milliseconds(1200); ///< a scheduler that lives watches anew within a second
+
+} // namespace
+
+GuardServer::GuardServer(EventLoop &loop, Router &router, MetricRegistry &metrics)
+    : m_metrics(metrics)
+    , m_tellTimer(loop, [this] { tellAll(); })
+    , m_steadyTimer(loop, [this] {
+        dropUnwatched();
+        tellAll();
+    })
+{
+    router.add(RequestMethod::Post, Path::StartBatch, [this](const RoutedRequest &request) { takeBatch(request); });
+    router.add(RequestMethod::Get, Path::WatchRoom, [this](const RoutedRequest &request) { takeWatch(request); });
+    m_steadyTimer.start(SteadyInterval);
+}
+
+sigc::signal<void(GuardInput)> &GuardServer::signalInput()
+{
+    return m_input;
+}
+
+void GuardServer::takeBatch(const RoutedRequest &request)
+{
+    StartBatch batch;
+    if (!decodeOrRefuse(request, batch)) {
+        return;
+    }
+    if (batch.orders.empty()) {
+        request.exchange->endStream();
+        return;
+    }
+    m_metrics.addMessage(MessageDirection::In, Path::StartBatch, request.exchange->request().body.size());
+    const ConnectionId connection(++m_lastConnection);
+    auto &seen = m_seen[batch.scheduler];
+    seen = std::max(seen, batch.batch);
+    m_batches[connection] = {batch.scheduler, request.exchange};
+    request.exchange->onGone([this, connection] {
+        m_batches.erase(connection);
+        m_input.emit(BatchGone{connection});
+    });
+    m_input.emit(BatchReceived{connection, std::move(batch)});
+}
+
+void GuardServer::takeWatch(const RoutedRequest &request)
+{
+    const auto &parameters = request.exchange->request().parameters;
+    const auto scheduler = parameters.find("scheduler");
+    if (scheduler == parameters.end()) {
+        replyError(request, ErrorKind::InvalidValue, "the parameter scheduler is missing");
+        return;
+    }
+    const auto number = ++m_lastWatcher;
+    const auto &watcher = m_watchers.emplace(number, Watcher{EntryName(scheduler->second), request.exchange}).first->second;
+    request.exchange->onGone([this, number] { watcherGone(number); });
+    m_unwatchedSince.erase(watcher.scheduler);
+    tell(watcher);
+}
+
+void GuardServer::watcherGone(std::uint64_t watcher)
+{
+    const auto found = m_watchers.find(watcher);
+    if (found == m_watchers.end()) {
+        return;
+    }
+    const auto scheduler = found->second.scheduler;
+    m_watchers.erase(found);
+    if (!isWatched(scheduler)) {
+        m_unwatchedSince[scheduler] = monotonicNow();
+    }
+}
+
+bool GuardServer::isWatched(const EntryName &scheduler) const
+{
+    return std::ranges::any_of(m_watchers, [&](const auto &item) { return item.second.scheduler == scheduler; });
+}
+
+void GuardServer::dropUnwatched()
+{
+    const auto now = monotonicNow();
+    for (auto position = m_unwatchedSince.begin(); position != m_unwatchedSince.end();) {
+        const auto &[scheduler, since] = *position;
+        if (now - since < UnwatchedLimit) {
+            ++position;
+            continue;
+        }
+        std::vector<ConnectionId> dropped;
+        for (const auto &[connection, batch] : m_batches) {
+            if (batch.scheduler == scheduler) {
+                dropped.push_back(connection);
+            }
+        }
+        if (!dropped.empty()) {
+            writeLog({Severity::Warning,
+                      "guard",
+                      "Scheduler " + scheduler.value() + " is gone; its " + std::to_string(dropped.size()) + " batches are stopped."});
+        }
+        m_seen.erase(scheduler);
+        position = m_unwatchedSince.erase(position);
+        for (const auto connection : dropped) {
+            m_batches.at(connection).exchange->endStream();
+            m_batches.erase(connection);
+            m_input.emit(BatchGone{connection});
+        }
+    }
+}
+
+void GuardServer::carryOut(const ReportRun &output)
+{
+    if (const auto found = m_batches.find(output.connection); found != m_batches.end()) {
+        found->second.exchange->stream(encode(output.report) + "\n");
+    }
+}
+
+void GuardServer::carryOut(const EndBatch &output)
+{
+    if (const auto found = m_batches.find(output.connection); found != m_batches.end()) {
+        const auto exchange = found->second.exchange;
+        m_batches.erase(found);
+        exchange->onGone(nullptr);
+        exchange->endStream();
+    }
+}
+
+void GuardServer::carryOut(const RoomChanged &output)
+{
+    const bool urgent = output.room.accepting != m_room.accepting;
+    m_room = output.room;
+    if (urgent) {
+        tellAll();
+    } else if (!std::exchange(m_telling, true)) {
+        m_tellTimer.start(GatherTime);
+    }
+}
+
+void GuardServer::tellAll()
+{
+    m_telling = false;
+    m_steadyTimer.start(SteadyInterval);
+    std::vector<std::uint64_t> watchers;
+    for (const auto &[number, watcher] : m_watchers) {
+        watchers.push_back(number);
+    }
+    for (const auto number : watchers) {
+        if (const auto found = m_watchers.find(number); found != m_watchers.end()) {
+            tell(found->second);
+        }
+    }
+}
+
+void GuardServer::endWatches()
+{
+    for (const auto &[number, watcher] : std::exchange(m_watchers, {})) {
+        watcher.exchange->onGone(nullptr);
+        watcher.exchange->endStream();
+    }
+}
+
+void GuardServer::tell(const Watcher &watcher)
+{
+    auto room = m_room;
+    if (const auto seen = m_seen.find(watcher.scheduler); seen != m_seen.end()) {
+        room.seen = seen->second;
+    }
+    watcher.exchange->stream(encode(room) + "\n");
+}
+
+} // namespace Sycamoremoor
--- a/net/src/http_client.cpp
+++ b/net/src/http_client.cpp
@@ -30,10 +30,26 @@
 
 HttpClient::~HttpClient() = default;
 
-void HttpClient::send(ClientCall call, Done done)
+CallNumber HttpClient::send(ClientCall call, Done done)
 {
     auto *connection = connectionFor(call);
-    connection->send(std::move(call), std::move(done));
+    connection->send(std::move(call), ++m_lastCall, std::move(done));
+    return m_lastCall;
+}
+
+void HttpClient::cancel(const Endpoint &endpoint, CallNumber call)
+{
+    const auto found = m_connections.find(endpoint);
+    if (found == m_connections.end()) {
+        return;
+    }
+    auto &connections = found->second;
+    const auto position = std::ranges::find(connections, call, [](const auto &connection) { return connection->number(); });
+    if (position != connections.end()) {
+        m_discarded.push_back(std::move(*position));
+        connections.erase(position);
+        m_freeDiscarded.start(Duration::zero());
+    }
 }
 
 std::size_t HttpClient::connections() const
--- a/net/src/http_server.cpp
+++ b/net/src/http_server.cpp
@@ -26,7 +26,7 @@
 namespace
 {
 
-constexpr std::array ReadHeaders{ContentTypeHeader, IdempotencyKeyHeader, RequestIdHeader};
+constexpr std::array ReadHeaders{ContentTypeHeader, IdempotencyKeyHeader, RequestIdHeader, HostHeader, DeadlineHeader};
 
 RequestMethod methodOf(evhttp_request *handle)
 {
@@ -35,6 +35,8 @@
         return RequestMethod::Get;
     case EVHTTP_REQ_POST:
         return RequestMethod::Post;
+    case EVHTTP_REQ_PUT:
+        return RequestMethod::Put;
     case EVHTTP_REQ_DELETE:
         return RequestMethod::Delete;
     default:
@@ -167,6 +169,7 @@
 void HttpServer::take(evhttp_request *handle)
 {
     auto *transport = evhttp_connection_get_bufferevent(evhttp_request_get_connection(handle));
+    setConnectionOptions(bufferevent_getfd(transport), m_settings.unacknowledgedLimit);
     if (const auto found = m_receiving.find(transport); found != m_receiving.end()) {
         found->second->requestReceived();
     }
--- a/net/src/platform_task.cpp
+++ b/net/src/platform_task.cpp
@@ -1,9 +1,9 @@
 // Serves an entry's reads and writes of the platform's key-value service.
 #include <sycamoremoor/net/platform_task.h>
 
+#include <sycamoremoor/gateway/key_value_client.h>
 #include <sycamoremoor/net/clock_func.h>
 #include <sycamoremoor/net/log_func.h>
-#include <sycamoremoor/platform/key_value_client.h>
 #include <sycamoremoor/wire/config_codec.h>
 #include <sycamoremoor/wire/message_codec.h>
 
--- a/standin/tests/key_value_client_test.cpp
+++ b/standin/tests/key_value_client_test.cpp
@@ -2,7 +2,7 @@
 #include "platform_standin.h"
 #include "signal_loop.h"
 
-#include <sycamoremoor/platform/key_value_client.h>
+#include <sycamoremoor/gateway/key_value_client.h>
 
 #include <gtest/gtest.h>
 
--- a/platform/src/base64_func.h
+++ b/wire/include/sycamoremoor/wire/base64_func.h
@@ -1,4 +1,4 @@
-// Base64 as the gateway uses it for keys and values.
+// Base64 of keys and values of stores.
 #pragma once
 
 #include <optional>
--- a/wire/include/sycamoremoor/wire/message_codec.h
+++ b/wire/include/sycamoremoor/wire/message_codec.h
@@ -3,6 +3,7 @@
 
 #include <sycamoremoor/core/account_type.h>
 #include <sycamoremoor/core/agent_message_type.h>
+#include <sycamoremoor/core/guard_message_type.h>
 #include <sycamoremoor/core/peer_message_type.h>
 #include <sycamoremoor/wire/decode_error_type.h>
 #include <sycamoremoor/wire/status_reply_type.h>
@@ -39,7 +40,11 @@
                                 HandoverReply,
                                 ForwardJob,
                                 ForwardCancel,
-                                ForwardQuery>;
+                                ForwardQuery,
+                                StartBatch,
+                                RunReport,
+                                RoomReport,
+                                AgentRecord>;
 
 /**
  * Returns @p message as one line of JSON, without a line break.
--- a/platform/src/base64_func.cpp
+++ b/wire/src/base64_func.cpp
@@ -1,5 +1,5 @@
 // Base64 by OpenSSL's block functions.
-#include "base64_func.h"
+#include <sycamoremoor/wire/base64_func.h>
 
 #include <openssl/evp.h>
 
--- a/wire/src/describe_func.h
+++ b/wire/src/describe_func.h
@@ -3,6 +3,7 @@
 
 #include <sycamoremoor/core/account_type.h>
 #include <sycamoremoor/core/agent_message_type.h>
+#include <sycamoremoor/core/guard_message_type.h>
 #include <sycamoremoor/core/peer_message_type.h>
 #include <sycamoremoor/wire/status_reply_type.h>
 
@@ -470,4 +471,60 @@
     archive("key", message.key);
 }
 
+void describe(auto &archive, Described<WorkTaskId> auto &task)
+{
+    archive("work", task.work);
+    archive("step", task.step);
+    archive("index", task.index);
+}
+
+void describe(auto &archive, Described<RunId> auto &run)
+{
+    archive("task", run.task);
+    archive("number", run.number);
+}
+
+void describe(auto &archive, Described<RunOrder> auto &order)
+{
+    archive("run", order.run);
+    archive("size", order.size);
+    archive("start_within", order.startWithin);
+    archive("run_limit", order.runLimit);
+}
+
+void describe(auto &archive, Described<StartBatch> auto &batch)
+{
+    archive("scheduler", batch.scheduler);
+    archive("batch", batch.batch);
+    archive("payload", batch.payload);
+    archive("orders", batch.orders);
+}
+
+void describe(auto &archive, Described<RunReport> auto &report)
+{
+    archive("order", report.order);
+    archive("outcome", report.outcome);
+    archive("run_time", report.runTime);
+    archive.optional("why", report.why);
+}
+
+void describe(auto &archive, Described<RoomReport> auto &room)
+{
+    archive("incarnation", room.incarnation);
+    archive("accepting", room.accepting);
+    archive("service", room.service);
+    archive("capacity", room.capacity);
+    archive("free", room.free);
+    archive.optional("waiting", room.waiting);
+    archive("labels", room.labels);
+    archive("seen", room.seen);
+}
+
+void describe(auto &archive, Described<AgentRecord> auto &record)
+{
+    archive("agent", record.agent);
+    archive("endpoint", record.endpoint);
+    archive("zone", record.zone);
+}
+
 } // namespace Sycamoremoor
--- a/wire/src/enum_name.h
+++ b/wire/src/enum_name.h
@@ -5,6 +5,7 @@
 #include <sycamoremoor/core/error_type.h>
 #include <sycamoremoor/core/job_type.h>
 #include <sycamoremoor/core/task_type.h>
+#include <sycamoremoor/core/work_type.h>
 
 #include <array>
 #include <optional>
@@ -42,6 +43,11 @@
     return jobStateName(state);
 }
 
+inline std::string_view enumName(RunOutcome outcome)
+{
+    return runOutcomeName(outcome);
+}
+
 inline std::string_view enumName(AuditKind kind)
 {
     return AuditKindNames.at(static_cast<std::size_t>(kind));
--- a/wire/src/message_codec.cpp
+++ b/wire/src/message_codec.cpp
@@ -81,5 +81,13 @@
 template std::optional<DecodeError> decode(std::string_view, ForwardCancel &);
 template std::string encode(const ForwardQuery &);
 template std::optional<DecodeError> decode(std::string_view, ForwardQuery &);
+template std::string encode(const StartBatch &);
+template std::optional<DecodeError> decode(std::string_view, StartBatch &);
+template std::string encode(const RunReport &);
+template std::optional<DecodeError> decode(std::string_view, RunReport &);
+template std::string encode(const RoomReport &);
+template std::optional<DecodeError> decode(std::string_view, RoomReport &);
+template std::string encode(const AgentRecord &);
+template std::optional<DecodeError> decode(std::string_view, AgentRecord &);
 
 } // namespace Sycamoremoor
