Add: [core] Pool world: schedulers, guards and runners under random faults

Cause: what schedulers and guards promise had no proof without a bench. Change: a world in simulated time drives the machines against runners that lose answers and carry orders out late, with broken exchanges, killed schedulers and guards, crashed runners and callers that hang up. It judges room, runs of one task side by side, truth of refusals and whole answers. One failure on the way was the world's own: a second crash of a runner that was down began its life twice.

--- /dev/null
+++ b/core/tests/pool_runner.cpp
@@ -0,0 +1,139 @@
+// A runner of the pool's world: starts what it is told to, under leases, and guards no room.
+#include "pool_runner.h"
+
+#include <algorithm>
+
+namespace Sycamoremoor
+{
+
+namespace
+{
+
+constexpr Duration LongestLease = std::chrono::seconds(1);
+
+} // namespace
+
+void PoolRunner::restart(MonotonicTime now)
+{
+    *this = {};
+    m_born = now;
+    m_bornMs = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+    m_leaseUntil = now;
+}
+
+UpstreamTime PoolRunner::clock(MonotonicTime now) const
+{
+    return UpstreamTime(std::chrono::duration_cast<std::chrono::milliseconds>(now - m_born).count());
+}
+
+void PoolRunner::extendLease(MonotonicTime now, UpstreamTime leaseUntil)
+{
+    const auto until = std::min(m_born + Duration(std::chrono::milliseconds(leaseUntil.value())), now + LongestLease);
+    m_leaseUntil = std::max(m_leaseUntil, until);
+}
+
+StartAnswer
+PoolRunner::start(MonotonicTime now, const RunnerStart &start, UpstreamTime leaseUntil, FencingToken token, const RunnerRun &run)
+{
+    if (token < m_token) {
+        return StartAnswer::Fenced;
+    }
+    m_token = token;
+    extendLease(now, leaseUntil);
+    if (m_runs.contains(start.run)) {
+        return StartAnswer::Started;
+    }
+    if (const auto closed = m_closed.find(start.run.task); closed != m_closed.end() && start.run.number <= closed->second) {
+        return StartAnswer::Superseded;
+    }
+    if (m_leaseUntil <= now) {
+        return StartAnswer::TooLate;
+    }
+    m_runs.emplace(start.run, run);
+    return StartAnswer::Started;
+}
+
+void PoolRunner::stop(MonotonicTime /*now*/, const RunId &run, FencingToken token)
+{
+    if (token < m_token) {
+        return;
+    }
+    m_token = token;
+    auto &closed = m_closed[run.task];
+    closed = std::max(closed, run.number);
+    if (m_runs.contains(run)) {
+        end(run, RunOutcome::Stopped);
+    }
+}
+
+void PoolRunner::renew(MonotonicTime now, UpstreamTime leaseUntil, FencingToken token, std::uint64_t acknowledged)
+{
+    if (token < m_token) {
+        return;
+    }
+    m_token = token;
+    if (leaseUntil.value() != 0) {
+        extendLease(now, leaseUntil);
+    }
+    std::erase_if(m_ended, [&](const EndedRun &ended) { return ended.number <= acknowledged; });
+}
+
+void PoolRunner::end(const RunId &run, RunOutcome outcome)
+{
+    m_runs.erase(run);
+    auto &closed = m_closed[run.task];
+    closed = std::max(closed, run.number);
+    m_ended.push_back({++m_lastEnd, run, outcome});
+}
+
+std::vector<RunId> PoolRunner::advance(MonotonicTime now)
+{
+    std::vector<RunId> over;
+    const auto runs = m_runs;
+    for (const auto &[run, record] : runs) {
+        const bool lapsed = m_leaseUntil <= now;
+        if (record.endsAt <= now || lapsed) {
+            end(run, record.endsAt <= now ? record.outcome : RunOutcome::Lapsed);
+            over.push_back(run);
+        }
+    }
+    return over;
+}
+
+std::optional<MonotonicTime> PoolRunner::nextEnd() const
+{
+    if (m_runs.empty()) {
+        return std::nullopt;
+    }
+    auto next = m_leaseUntil;
+    for (const auto &[run, record] : m_runs) {
+        next = std::min(next, record.endsAt);
+    }
+    return next;
+}
+
+std::vector<RunId> PoolRunner::running() const
+{
+    std::vector<RunId> runs;
+    for (const auto &[run, record] : m_runs) {
+        runs.push_back(run);
+    }
+    return runs;
+}
+
+const std::vector<EndedRun> &PoolRunner::ended() const
+{
+    return m_ended;
+}
+
+std::int64_t PoolRunner::bornMs() const
+{
+    return m_bornMs;
+}
+
+bool PoolRunner::isRunning(const RunId &run) const
+{
+    return m_runs.contains(run);
+}
+
+} // namespace Sycamoremoor
