Change: [core] Jobs begin whole, and guards choose the most urgent run

Change: a job that is not begun is sent only when all of its tasks find room; a guard orders what waits by urgency and gives it back after 80 ms; ordinary work leaves a reserve of 3 % and urgent work may queue 30 % of a worker.

--- a/core/include/sycamoremoor/core/guard_message_type.h
+++ b/core/include/sycamoremoor/core/guard_message_type.h
@@ -3,6 +3,7 @@
 
 #include <sycamoremoor/core/work_type.h>
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -12,10 +13,19 @@
 
 using BatchNumber = StrongType<struct BatchNumberTag, std::uint64_t>; ///< numbers the batches of one scheduler from 1
 
+/** How soon a run is needed. Of runs that wait for room the lesser goes first. */
+struct Urgency {
+    bool isOrdinary = true; ///< false: its queue goes before all others
+    Duration slack{};       ///< time until it must begin to be on time; negative when that has passed
+
+    friend auto operator<=>(const Urgency &, const Urgency &) = default;
+};
+
 /** One run that a guard is to start. */
 struct RunOrder {
     RunId run;
     TaskSize size;
+    Urgency urgency;        ///< at its sending
     Duration startWithin{}; ///< from its receipt; not started later
     Duration runLimit{};    ///< a run that is not over by then hangs, and is stopped
 
--- a/core/src/guard/run_book.cpp
+++ b/core/src/guard/run_book.cpp
@@ -6,9 +6,20 @@
 namespace Sycamoremoor
 {
 
+namespace
+{
+
+WaitRank rankOf(const RunId &run, const GuardedRun &record)
+{
+    return {record.isOrdinary, record.latestStart, run};
+}
+
+} // namespace
+
 GuardedRun &RunBook::add(const RunId &run, GuardedRun record)
 {
-    m_waiting.emplace(std::pair(record.startBy, run), record.size);
+    m_waiting.emplace(rankOf(run, record), record.size);
+    m_startBys.emplace(record.startBy, run);
     m_asked += record.size;
     return m_runs.insert_or_assign(run, std::move(record)).first->second;
 }
@@ -16,8 +27,7 @@
 void RunBook::take(const RunId &run)
 {
     auto &record = m_runs.at(run);
-    m_waiting.erase({record.startBy, run});
-    m_asked -= record.size;
+    leaveQueue(run, record);
     m_taken += record.size;
     record.stage = RunStage::Starting;
 }
@@ -26,14 +36,20 @@
 {
     const auto found = m_runs.find(run);
     if (found->second.stage == RunStage::Waiting) {
-        m_waiting.erase({found->second.startBy, run});
-        m_asked -= found->second.size;
+        leaveQueue(run, found->second);
     } else {
         m_taken -= found->second.size;
     }
     m_runs.erase(found);
 }
 
+void RunBook::leaveQueue(const RunId &run, const GuardedRun &record)
+{
+    m_waiting.erase(rankOf(run, record));
+    m_startBys.erase({record.startBy, run});
+    m_asked -= record.size;
+}
+
 GuardedRun *RunBook::find(const RunId &run)
 {
     const auto found = m_runs.find(run);
@@ -66,9 +82,14 @@
     return m_asked;
 }
 
-const std::map<std::pair<MonotonicTime, RunId>, TaskSize> &RunBook::waiting() const
+const std::map<WaitRank, TaskSize> &RunBook::waiting() const
 {
     return m_waiting;
 }
 
+std::optional<std::pair<MonotonicTime, RunId>> RunBook::nextUseless() const
+{
+    return m_startBys.empty() ? std::nullopt : std::optional(*m_startBys.begin());
+}
+
 } // namespace Sycamoremoor
--- a/core/src/guard/run_book.h
+++ b/core/src/guard/run_book.h
@@ -4,11 +4,13 @@
 #include <sycamoremoor/core/guard_output_type.h>
 #include <sycamoremoor/core/room_func.h>
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
-#include <vector>
+#include <utility>
 
 namespace Sycamoremoor
 {
@@ -22,12 +24,23 @@
     End,
 };
 
+/** Place of a waiting run: the lesser goes first. */
+struct WaitRank {
+    bool isOrdinary = true;
+    MonotonicTime latestStart; ///< to be on time
+    RunId run;
+
+    friend auto operator<=>(const WaitRank &, const WaitRank &) = default;
+};
+
 /** A run and the batch that it belongs to. */
 struct GuardedRun {
     ConnectionId connection;
     std::uint32_t order = 0; ///< position in the batch
     TaskSize size;
     RunStage stage = RunStage::Waiting;
+    bool isOrdinary = true;                   ///< its queue does not go before all others
+    MonotonicTime latestStart;                ///< to be on time
     MonotonicTime startBy;                    ///< not started later
     Duration runLimit{};                      ///< stopped when it has run for so long
     MonotonicTime startedAt;                  ///< when the start was confirmed
@@ -67,11 +80,17 @@
     [[nodiscard]] const TaskSize &asked() const;
 
     /** Returns the waiting runs, the most urgent first. */
-    [[nodiscard]] const std::map<std::pair<MonotonicTime, RunId>, TaskSize> &waiting() const;
+    [[nodiscard]] const std::map<WaitRank, TaskSize> &waiting() const;
+
+    /** Returns when the first waiting run becomes useless, and which it is. */
+    [[nodiscard]] std::optional<std::pair<MonotonicTime, RunId>> nextUseless() const;
 
 private:
+    void leaveQueue(const RunId &run, const GuardedRun &record);
+
     Runs m_runs;
-    std::map<std::pair<MonotonicTime, RunId>, TaskSize> m_waiting;
+    std::map<WaitRank, TaskSize> m_waiting;
+    std::set<std::pair<MonotonicTime, RunId>> m_startBys; ///< of the waiting runs
     TaskSize m_taken = NoRoom;
     TaskSize m_asked = NoRoom;
 };
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -117,6 +117,8 @@
         record.connection = input.connection;
         record.order = index;
         record.size = order.size;
+        record.isOrdinary = order.urgency.isOrdinary;
+        record.latestStart = step.now() + order.urgency.slack;
         record.startBy = step.now() + order.startWithin;
         record.runLimit = order.runLimit;
         m_book.add(order.run, std::move(record));
@@ -379,8 +381,8 @@
 void GuardMachine::Private::dropLate(GuardStep &step)
 {
     const bool refuseAll = m_upstream->announced.leaving || !isAccepting();
-    while (!m_book.waiting().empty()) {
-        const auto [startBy, run] = m_book.waiting().begin()->first;
+    while (const auto useless = m_book.nextUseless()) {
+        const auto &[startBy, run] = *useless;
         if (!refuseAll && startBy > step.now()) {
             return;
         }
@@ -399,13 +401,13 @@
     std::vector<RunId> startable;
     auto free = room();
     std::size_t tried = 0;
-    for (const auto &[key, size] : m_book.waiting()) {
+    for (const auto &[rank, size] : m_book.waiting()) {
         if (++tried > BackfillLimit) {
             break;
         }
         if (fits(size, free)) {
             free -= size;
-            startable.push_back(key.second);
+            startable.push_back(rank.run);
         }
     }
     for (const auto &run : startable) {
@@ -499,8 +501,8 @@
 void GuardMachine::Private::setTimer(GuardStep &step)
 {
     auto wake = MonotonicTime::max();
-    if (!m_book.waiting().empty()) {
-        wake = m_book.waiting().begin()->first.first;
+    if (const auto useless = m_book.nextUseless()) {
+        wake = useless->first;
     }
     for (const auto &[run, record] : m_book.runs()) {
         if (record.stopDue) {
--- a/core/src/scheduler/job_order.cpp
+++ b/core/src/scheduler/job_order.cpp
@@ -13,10 +13,15 @@
 
 } // namespace
 
+JobOrder::Key JobOrder::keyOf(const ScheduledJob &job)
+{
+    return {!job.begun, job.queue.priority > 0, job.latestStart, job.number};
+}
+
 void JobOrder::put(const ScheduledJob &job, WorkAmount work)
 {
     remove(job.number);
-    const Key key{!job.begun, job.latestStart, job.number};
+    const auto key = keyOf(job);
     m_jobs.emplace(key, work);
     m_keys.emplace(job.number, key);
 }
@@ -48,11 +53,11 @@
     return sum / static_cast<double>(RateWindow.count());
 }
 
-Duration JobOrder::expectedWait(MonotonicTime now, MonotonicTime latestStart) const
+Duration JobOrder::expectedWait(MonotonicTime now, const Key &key) const
 {
     double before = 0;
-    for (const auto &[key, work] : m_jobs) {
-        if (key.isNew && key.latestStart > latestStart) {
+    for (const auto &[other, work] : m_jobs) {
+        if (other >= key) {
             break;
         }
         before += static_cast<double>(work.value());
--- a/core/src/scheduler/job_order.h
+++ b/core/src/scheduler/job_order.h
@@ -15,7 +15,8 @@
 using WorkAmount = StrongAmount<struct WorkAmountTag, std::int64_t>;
 
 /**
- * Jobs by urgency. Begun jobs go first, since half a job is worth nothing; the others by the time at which they must begin.
+ * Jobs by urgency. Begun jobs go first, since half a job is worth nothing; then those of queues of priority 0, and each by
+ * the time at which it must begin.
  *
  * The load that this order answers: bursts of up to twice the capacity for some seconds, of jobs whose objectives leave them
  * from a tenth of a second to a second of slack. Whoever can still be on time goes first; whoever cannot is refused on arrival.
@@ -26,12 +27,15 @@
     /** Place of a job in the order: earlier goes first. */
     struct Key {
         bool isNew = true;         ///< nothing of it was sent yet
+        bool isOrdinary = true;    ///< its queue does not go before all others
         MonotonicTime latestStart; ///< to be on time
         JobNumber job;
 
         friend auto operator<=>(const Key &, const Key &) = default;
     };
 
+    [[nodiscard]] static Key keyOf(const ScheduledJob &job);
+
     /** Adds a job, or moves it after a change. */
     void put(const ScheduledJob &job, WorkAmount work);
 
@@ -41,7 +45,7 @@
     void sent(MonotonicTime now, WorkAmount work);
 
     /** Returns how long a new job waits for those before it, judged by the rate at which work found room lately. */
-    [[nodiscard]] Duration expectedWait(MonotonicTime now, MonotonicTime latestStart) const;
+    [[nodiscard]] Duration expectedWait(MonotonicTime now, const Key &key) const;
 
     /** Returns the jobs that wait, the most urgent first. */
     [[nodiscard]] const std::map<Key, WorkAmount> &jobs() const;
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -68,6 +68,13 @@
         std::vector<bool> reported;     ///< by position of the order
     };
 
+    /** A task with the worker that was chosen for it, and the batch that will bring it there. */
+    struct PlacedTask {
+        std::size_t task = 0;
+        AgentName agent;
+        BatchNumber batch;
+    };
+
     /** Tasks of one job that were placed on one worker in one step. */
     struct PlacedBatch {
         BatchNumber number;
@@ -91,6 +98,8 @@
     void giveUpLate(SchedulerStep &step);
     void place(SchedulerStep &step);
     bool placeJob(SchedulerStep &step, ScheduledJob &job);
+    void placeTask(SchedulerStep &step, ScheduledJob &job, std::size_t index, std::vector<PlacedTask> &placed);
+    [[nodiscard]] bool mayBeginInPart(const ScheduledJob &job) const;
     [[nodiscard]] TaskNeed needOf(SchedulerStep &step, const ScheduledJob &job, const ScheduledTask &task) const;
     void send(SchedulerStep &step, ScheduledJob &job, const AgentName &agent, const PlacedBatch &batch);
     [[nodiscard]] WorkAmount waitingWork(const ScheduledJob &job) const;
--- a/core/src/scheduler/worker_table.cpp
+++ b/core/src/scheduler/worker_table.cpp
@@ -16,8 +16,10 @@
 constexpr std::uint32_t FailuresToSetAside = 3; ///< of different jobs: a single job that always fails must not cost a worker
 constexpr Duration FirstSetAside = std::chrono::milliseconds(1000); ///< an upstream that fails all does so for some seconds
 constexpr std::uint32_t MostDoublings = 3;
-constexpr double NearDataBonus = 1.5; ///< what a run far from its data costs in time
-constexpr double ScoreJitter = 0.3;   ///< schedulers that see the same room must not all choose the same worker
+constexpr double NearDataBonus = 1.5;    ///< what a run far from its data costs in time
+constexpr double UrgentQueueShare = 0.3; ///< of a worker's processors: urgent work that may wait at its guard
+constexpr double UrgentReserve = 0.03;   ///< of a worker's processors, left free by ordinary work
+constexpr double ScoreJitter = 0.2;      ///< schedulers that see the same room must not all choose the same worker
 
 /** Returns a number from 0 to 1 that depends on @p entropy and @p index. */
 double fractionOf(std::uint64_t entropy, std::uint64_t index)
@@ -43,9 +45,18 @@
     return standing.setAsideTimes > 0;
 }
 
-TaskSize freeOf(const ScheduledWorker &worker)
+/**
+ * Returns what may be sent to a worker now.
+ *
+ * Ordinary work is sent where it begins at once, and leaves a little for urgent work, which needs room for many tasks at the
+ * same time. Urgent work may wait in a short queue at the guard, where it goes before the ordinary work of all schedulers.
+ */
+TaskSize offeredRoom(const ScheduledWorker &worker, bool isOrdinary)
 {
-    return worker.room.free - worker.unseenSize;
+    const auto share = isOrdinary ? -UrgentReserve : UrgentQueueShare;
+    auto offered = worker.room.free - worker.unseenSize;
+    offered.cores += MilliCores(static_cast<std::int64_t>(static_cast<double>(worker.room.capacity.cores.value()) * share));
+    return offered;
 }
 
 bool hasLabel(const RoomReport &room, const std::string &label)
@@ -84,7 +95,8 @@
 double WorkerTable::score(MonotonicTime now, const ScheduledWorker &worker, const TaskNeed &need) const
 {
     const auto &standing = worker.standing;
-    if (!worker.heard || !worker.room.accepting || worker.room.service != need.service || !fits(need.size, freeOf(worker))) {
+    if (!worker.heard || !worker.room.accepting || worker.room.service != need.service
+        || !fits(need.size, offeredRoom(worker, need.isOrdinary))) {
         return 0;
     }
     if (!need.label.empty() && !hasLabel(worker.room, need.label)) {
@@ -97,7 +109,7 @@
     if (slowness > need.slowestAllowed) {
         return 0;
     }
-    const auto free = static_cast<double>(freeOf(worker).cores.value());
+    const auto free = static_cast<double>(offeredRoom(worker, need.isOrdinary).cores.value());
     const auto share = free / static_cast<double>(std::max<std::int64_t>(1, worker.room.capacity.cores.value()));
     const auto near = !need.rack.empty() && hasLabel(worker.room, need.rack) ? NearDataBonus : 1;
     return share * near / (slowness * slowness);
--- a/core/src/scheduler/worker_table.h
+++ b/core/src/scheduler/worker_table.h
@@ -38,8 +38,9 @@
 struct TaskNeed {
     ServiceName service;
     TaskSize size;
-    std::string label; ///< empty: any
-    std::string rack;  ///< preferred, empty: none
+    bool isOrdinary = true; ///< its queue does not go before all others
+    std::string label;      ///< empty: any
+    std::string rack;       ///< preferred, empty: none
     std::uint32_t mostPerWorker = 0;
     double slowestAllowed = 0; ///< a worker slower than so many times the expectation is of no use
 };
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -18,7 +18,9 @@
 constexpr Duration RunLimitSlack = std::chrono::milliseconds(200);
 constexpr Duration BrokenRest = std::chrono::milliseconds(1500);     ///< a guard notices a dead exchange, or its upstream's leases end
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(500); ///< sooner, the same burst is still on
-constexpr std::size_t JobsTried = 24;                                ///< waiting jobs that are tried for room in one step
+constexpr Duration GuardWait = std::chrono::milliseconds(80);        ///< a run that waits longer at its guard would begin sooner elsewhere
+constexpr double WideShare = 0.25;    ///< of all processors: a job that needs more begins in parts, since so much is never free at once
+constexpr std::size_t JobsTried = 24; ///< waiting jobs that are tried for room in one step
 
 Duration scaled(Duration duration, double factor)
 {
@@ -150,7 +152,7 @@
             return ErrorKind::NeverFits;
         }
     }
-    const auto wait = m_order.expectedWait(step.now(), job.latestStart);
+    const auto wait = m_order.expectedWait(step.now(), JobOrder::keyOf(job));
     if (step.now() + wait <= job.latestStart) {
         return ErrorKind::None;
     }
@@ -339,7 +341,9 @@
         step.log(Severity::Debug,
                  "Task " + workTaskIdToString({job.work->id, task.step, task.index}) + " was not started by worker " + batch.agent.value()
                      + ": " + std::string(errorRow(report.why).code) + ".");
-        task.avoided.push_back(batch.agent);
+        if (report.why != ErrorKind::DeadlineUnreachable) {
+            task.avoided.push_back(batch.agent);
+        }
         taskWaits(job, task);
         break;
     }
@@ -435,7 +439,7 @@
         m_checks.erase(m_checks.begin());
         auto &job = m_jobs.at(number);
         if (!job.begun) {
-            const auto wait = m_order.expectedWait(step.now(), job.latestStart);
+            const auto wait = m_order.expectedWait(step.now(), JobOrder::keyOf(job));
             refuse(step, job, ErrorKind::QueueFull, wait);
             erase(job);
         } else if (step.now() >= job.giveUpAt) {
@@ -468,6 +472,7 @@
     TaskNeed need;
     need.service = job.queue.service;
     need.size = part.size;
+    need.isOrdinary = job.queue.priority > 0;
     need.label = part.requiredLabel;
     need.rack = part.dataRack;
     need.mostPerWorker = part.mostPerWorker;
@@ -479,39 +484,61 @@
 
 bool SchedulerMachine::Private::placeJob(SchedulerStep &step, ScheduledJob &job)
 {
-    std::map<AgentName, PlacedBatch> chosen;
-    bool placedAll = true;
+    std::vector<PlacedTask> placed;
     for (std::size_t index = 0; index < job.tasks.size(); ++index) {
-        auto &task = job.tasks[index];
-        if (task.stage != ScheduledStage::Waiting) {
-            continue;
-        }
-        auto &ofStep = job.placed[task.step];
-        const auto need = needOf(step, job, task);
-        const auto *agent = m_workers.choose(step.now(), need, task.avoided, ofStep, step.context.entropy + index);
-        if (agent == nullptr && !task.avoided.empty()) {
-            agent = m_workers.choose(step.now(), need, {}, ofStep, step.context.entropy + index);
-        }
-        if (agent == nullptr) {
-            placedAll = false;
-            continue;
+        if (job.tasks[index].stage == ScheduledStage::Waiting) {
+            placeTask(step, job, index, placed);
         }
-        task.stage = ScheduledStage::Sent;
-        --job.waiting;
-        ++ofStep[*agent];
-        m_order.sent(step.now(), WorkAmount(need.size.cores.value() * job.expected[task.step].count()));
-        auto &batch = chosen[*agent];
-        if (batch.tasks.empty()) {
-            batch.number = BatchNumber(++m_lastBatch);
+    }
+    const bool whole = placed.size() == job.waiting;
+    if (!whole && !mayBeginInPart(job)) {
+        for (const auto &[task, agent, batch] : placed) {
+            --job.placed[job.tasks[task].step][agent];
+            m_workers.notArrived(agent, batch);
+            m_workers.returned(agent, 1);
         }
-        batch.tasks.push_back(index);
-        m_workers.sent(*agent, batch.number, need.size, 1);
+        return false;
+    }
+    std::map<AgentName, PlacedBatch> batches;
+    for (const auto &[task, agent, batch] : placed) {
+        auto &content = batches[agent];
+        content.number = batch;
+        content.tasks.push_back(task);
     }
-    for (const auto &[agent, batch] : chosen) {
+    for (const auto &[agent, batch] : batches) {
         send(step, job, agent, batch);
     }
     queue(job);
-    return placedAll;
+    return whole;
+}
+
+bool SchedulerMachine::Private::mayBeginInPart(const ScheduledJob &job) const
+{
+    MilliCores need{0};
+    for (const auto &task : job.tasks) {
+        need += task.stage == ScheduledStage::Waiting ? job.work->steps[task.step].size.cores : MilliCores(0);
+    }
+    const auto all = static_cast<double>(m_workers.cores(job.queue.service).value());
+    return job.begun || static_cast<double>(need.value()) > all * WideShare;
+}
+
+void SchedulerMachine::Private::placeTask(SchedulerStep &step, ScheduledJob &job, std::size_t index, std::vector<PlacedTask> &placed)
+{
+    const auto &task = job.tasks[index];
+    auto &ofStep = job.placed[task.step];
+    const auto need = needOf(step, job, task);
+    const auto *agent = m_workers.choose(step.now(), need, task.avoided, ofStep, step.context.entropy + index);
+    if (agent == nullptr && !task.avoided.empty()) {
+        agent = m_workers.choose(step.now(), need, {}, ofStep, step.context.entropy + index);
+    }
+    if (agent == nullptr) {
+        return;
+    }
+    const auto same = std::ranges::find(placed, *agent, &PlacedTask::agent);
+    const auto batch = same == placed.end() ? BatchNumber(++m_lastBatch) : same->batch;
+    ++ofStep[*agent];
+    m_workers.sent(*agent, batch, need.size, 1);
+    placed.push_back({index, *agent, batch});
 }
 
 void SchedulerMachine::Private::send(SchedulerStep &step, ScheduledJob &job, const AgentName &agent, const PlacedBatch &batch)
@@ -523,11 +550,15 @@
     output.batch.payload = job.work->payload;
     for (const auto index : batch.tasks) {
         auto &task = job.tasks[index];
+        task.stage = ScheduledStage::Sent;
+        --job.waiting;
         ++task.runs;
+        m_order.sent(step.now(), WorkAmount(job.work->steps[task.step].size.cores.value() * job.expected[task.step].count()));
         RunOrder order;
         order.run = {{job.work->id, task.step, task.index}, task.runs};
         order.size = job.work->steps[task.step].size;
-        order.startWithin = std::max(Duration::zero(), job.giveUpAt - step.now());
+        order.urgency = {job.queue.priority > 0, job.latestStart - step.now()};
+        order.startWithin = std::clamp(job.giveUpAt - job.expected[task.step] - step.now(), Duration::zero(), GuardWait);
         order.runLimit = scaled(job.expected[task.step], RunLimitFactor) + RunLimitSlack;
         output.batch.orders.push_back(std::move(order));
     }
--- a/core/tests/pool_property_test.cpp
+++ b/core/tests/pool_property_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <string>
 
 namespace Sycamoremoor
 {
@@ -93,7 +94,7 @@
         settings.lostOrders = GetParam().lostOrders;
         std::mt19937_64 runTimes(seed);
         settings.shapeRun = [&runTimes](const RunnerStart &start, RunnerRun &run) {
-            const auto mean = start.payload == "quick" ? 60'000.0 : 700'000.0;
+            const auto mean = std::stod(start.payload);
             run.endsAt += Duration(static_cast<std::int64_t>(mean * std::uniform_real_distribution<double>(0.5, 1.5)(runTimes)));
             run.outcome = runTimes() % 50 == 0 ? RunOutcome::Failed : RunOutcome::Done;
         };
--- a/core/tests/pool_world.cpp
+++ b/core/tests/pool_world.cpp
@@ -4,6 +4,7 @@
 #include <sycamoremoor/core/room_func.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace Sycamoremoor
@@ -501,14 +502,18 @@
 
 ConnectionId PoolWorld::submit(std::uint32_t scheduler, const PoolLoad &load, const std::string &id)
 {
+    std::normal_distribution<double> logarithm(0, load.spread);
+    const auto runTime = load.spread > 0 ? scaled(load.runTime, std::exp(logarithm(m_random))) : load.runTime;
+    const auto factor = load.spread > 0 ? std::exp(logarithm(m_random)) : 1;
+    const auto tasks = static_cast<std::uint32_t>(std::max(1.0, std::round(load.tasks * factor)));
     auto work = std::make_shared<WorkSpec>();
     work->id = WorkId(id);
-    work->payload = load.queue.name.value();
+    work->payload = std::to_string(runTime.count());
     WorkStep step;
-    step.count = load.tasks;
+    step.count = tasks;
     step.size = {load.cores, Megabytes(64), Accelerators(0)};
     const auto error = load.estimateError * std::uniform_real_distribution<double>(-1, 1)(m_random);
-    step.declaredRunTime = scaled(load.runTime, 1 + error);
+    step.declaredRunTime = scaled(runTime, 1 + error);
     work->steps.push_back(step);
     const ConnectionId connection(++m_lastCaller);
     auto &tally = m_tallies[load.queue.name];
@@ -521,9 +526,9 @@
     caller.scheduler = scheduler;
     caller.queue = load.queue.name;
     caller.work = work->id;
-    caller.tasks = load.tasks;
+    caller.tasks = tasks;
     caller.sentAt = m_now;
-    caller.objective = scaled(load.runTime, load.queue.stretch) + load.queue.latencyAllowance;
+    caller.objective = scaled(runTime, load.queue.stretch) + load.queue.latencyAllowance;
     m_callers[connection] = caller;
     feedScheduler(scheduler, WorkSubmitted{connection, load.queue, work, {}});
     return connection;
@@ -682,6 +687,11 @@
     feedGuard(worker, DrainRequested{});
 }
 
+Duration PoolWorld::time() const
+{
+    return m_now - m_start;
+}
+
 std::mt19937_64 &PoolWorld::random()
 {
     return m_random;
--- a/core/tests/pool_world.h
+++ b/core/tests/pool_world.h
@@ -38,6 +38,7 @@
     Duration runTime = std::chrono::milliseconds(60);
     double perSecond = 10;
     double estimateError = 0; ///< declared run time off by up to this share
+    double spread = 0;        ///< of the logarithms of the number of tasks and of their run time, from job to job
 };
 
 /** What became of the jobs of a queue. */
@@ -48,7 +49,7 @@
     std::uint32_t failed = 0;
     std::uint32_t refused = 0;
     std::uint32_t lost = 0;
-    std::vector<Duration> refusedAfter;
+    std::vector<Duration> refusedAfter; ///< from sending to the refusal
 
     [[nodiscard]] double onTimeShare() const
     {
@@ -87,6 +88,9 @@
     void drainScheduler(std::uint32_t scheduler);
     void drainGuard(std::uint32_t worker);
 
+    /** Returns the time from the start. */
+    [[nodiscard]] Duration time() const;
+
     [[nodiscard]] std::mt19937_64 &random();
     [[nodiscard]] const std::vector<std::string> &broken() const;
     [[nodiscard]] const PoolTally &tally(const QueueName &queue);
--- a/wire/src/describe_func.h
+++ b/wire/src/describe_func.h
@@ -484,10 +484,17 @@
     archive("number", run.number);
 }
 
+void describe(auto &archive, Described<Urgency> auto &urgency)
+{
+    archive("is_ordinary", urgency.isOrdinary);
+    archive("slack", urgency.slack);
+}
+
 void describe(auto &archive, Described<RunOrder> auto &order)
 {
     archive("run", order.run);
     archive("size", order.size);
+    archive("urgency", order.urgency);
     archive("start_within", order.startWithin);
     archive("run_limit", order.runLimit);
 }
