--- a/core/src/guard/run_book.cpp
+++ b/core/src/guard/run_book.cpp
@@ -1,8 +1,6 @@
 // Runs that a guard has taken on, and the room that they take.
 #include "run_book.h"
 
-#include <utility>
-
 namespace Sycamoremoor
 {
 
@@ -16,12 +14,12 @@
 
 } // namespace
 
-GuardedRun &RunBook::add(const RunId &run, GuardedRun record)
+GuardedRun &RunBook::add(const RunId &run, const GuardedRun &record)
 {
     m_waiting.emplace(rankOf(run, record), record.size);
     m_startBys.emplace(record.startBy, run);
     m_asked += record.size;
-    return m_runs.insert_or_assign(run, std::move(record)).first->second;
+    return m_runs.insert_or_assign(run, record).first->second;
 }
 
 void RunBook::take(const RunId &run)
--- a/core/src/guard/run_book.h
+++ b/core/src/guard/run_book.h
@@ -57,7 +57,7 @@
     using Runs = std::map<RunId, GuardedRun>;
 
     /** Adds a run that waits. */
-    GuardedRun &add(const RunId &run, GuardedRun record);
+    GuardedRun &add(const RunId &run, const GuardedRun &record);
 
     /** Moves a waiting run on: from here it takes room. */
     void take(const RunId &run);
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -76,7 +76,7 @@
     } else {
         step.log(Severity::Info, "The upstream " + announced.life.name + " announced itself.");
     }
-    m_upstream.emplace();
+    m_upstream = Upstream{};
     m_upstream->announced = announced;
     m_upstream->announced.leaving = false;
     m_upstream->heardAt = step.now();
@@ -121,7 +121,7 @@
         record.latestStart = step.now() + order.urgency.slack;
         record.startBy = step.now() + order.startWithin;
         record.runLimit = order.runLimit;
-        m_book.add(order.run, std::move(record));
+        m_book.add(order.run, record);
     }
 }
 
