Add: [net] Log lines are bounded, and refusals and odd ends of runs are logged with their inputs

Cause: a person on call has only logs; refusals were told at debug level, and nothing bounded the volume. Change: a process writes at most 200 lines a second and says how many it left out. Refusals tell slack, expected wait and what waits; runs that failed, lapsed or were stopped tell worker, reason and times.

--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -163,9 +163,12 @@
 void SchedulerMachine::Private::refuse(SchedulerStep &step, const ScheduledJob &job, ErrorKind error, Duration retryAfter)
 {
     step.emit(Count{CounterMetric::JobsRefused, 1});
-    step.log(Severity::Debug,
-             "Job " + job.work->id.value() + " of queue " + job.queue.name.value() + " is refused: " + std::string(errorRow(error).code)
-                 + ", expected wait " + milliseconds(retryAfter) + ".");
+    step.log(Severity::Info,
+             "Job " + job.work->id.value() + " of queue " + job.queue.name.value() + " is refused after "
+                 + milliseconds(step.now() - job.arrivedAt) + ": " + std::string(errorRow(error).code) + ", expected wait "
+                 + milliseconds(retryAfter) + ", slack " + milliseconds(job.latestStart - job.arrivedAt) + ", "
+                 + std::to_string(m_order.jobs().size()) + " jobs wait, workers offer "
+                 + std::to_string(m_workers.cores(job.queue.service).value()) + " thousandths of a core.");
     for (const auto connection : job.connections) {
         step.emit(AnswerWork{connection, WorkResult::Refused, error, std::max(LeastRetryAfter, retryAfter)});
     }
@@ -329,11 +332,18 @@
             answer(step, job, WorkResult::Failed, ErrorKind::TaskFailed);
             return;
         }
+        step.log(Severity::Info,
+                 "Task " + workTaskIdToString({job.work->id, task.step, task.index}) + " failed on worker " + batch.agent.value() + ", run "
+                     + std::to_string(task.failures) + " of " + std::to_string(job.queue.maxAttempts) + "; it is placed again.");
         runFailed(step, job, task, batch.agent);
         taskWaits(job, task);
         break;
     case RunOutcome::Stopped:
     case RunOutcome::Lapsed:
+        step.log(Severity::Info,
+                 "Task " + workTaskIdToString({job.work->id, task.step, task.index}) + " on worker " + batch.agent.value() + " ended as "
+                     + std::string(runOutcomeName(report.outcome)) + " (" + std::string(errorRow(report.why).code) + ") after "
+                     + milliseconds(report.runTime) + ", expected " + milliseconds(job.expected[task.step]) + "; it is placed again.");
         if (report.why == ErrorKind::UpstreamLost) {
             task.avoided.push_back(batch.agent); // the answer to an order was lost, which says nothing of the worker
         } else {
--- a/net/src/log_func.cpp
+++ b/net/src/log_func.cpp
@@ -1,6 +1,8 @@
 // The log: short sentences with the prefix of the part that speaks.
 #include <sycamoremoor/net/log_func.h>
 
+#include "line_budget.h"
+
 #include <sycamoremoor/net/clock_func.h>
 
 #include <boost/log/core.hpp>
@@ -16,6 +18,7 @@
 #include <atomic>
 #include <ctime>
 #include <iostream>
+#include <mutex>
 
 namespace Sycamoremoor
 {
@@ -29,6 +32,12 @@
 constexpr std::array<std::string_view, static_cast<std::size_t>(LogFormat::End)> FormatNames{"text", "json"};
 constexpr std::int64_t MicrosecondsPerSecond = 1'000'000;
 
+/** Of each process: a line costs some 20 us, so that logs take at most half a percent of a core. */
+constexpr std::uint32_t MostLinesPerSecond = 200;
+
+std::mutex budgetMutex;
+LineBudget budget(MostLinesPerSecond);
+
 std::atomic<LogFormat> currentFormat{LogFormat::Text};
 std::atomic<Severity> currentLevel{Severity::Info};
 
@@ -81,11 +90,11 @@
     logging::core::get()->add_sink(boost::make_shared<logging::sinks::synchronous_sink<Backend>>(backend));
 }
 
-void writeLog(const LogLine &line)
+namespace
+{
+
+void putLine(const LogLine &line)
 {
-    if (line.severity < currentLevel) {
-        return;
-    }
     static thread_local logging::sources::severity_logger<Severity> logger;
     if (auto record = logger.open_record(logging::keywords::severity = line.severity); record) {
         logging::record_ostream stream(record);
@@ -95,6 +104,27 @@
     }
 }
 
+} // namespace
+
+void writeLog(const LogLine &line)
+{
+    if (line.severity < currentLevel) {
+        return;
+    }
+    std::uint64_t leftOut = 0;
+    {
+        const std::lock_guard lock(budgetMutex);
+        if (!budget.take(monotonicNow())) {
+            return;
+        }
+        leftOut = budget.takeLeftOut();
+    }
+    if (leftOut > 0) {
+        putLine({Severity::Warning, "log", std::to_string(leftOut) + " lines were left out to bound the volume."});
+    }
+    putLine(line);
+}
+
 std::optional<Severity> severityFromName(std::string_view name)
 {
     return fromName<Severity>(SeverityNames, name);
