Fix: [core] Stops of a runner that is gone are paced; rooms wait for schedulers that read slowly

Two faults were found that fit, neither proved to be the whole cause: a stop whose connection was refused at once was sent again at once, without end; and reports of room piled up in the guard for a scheduler that did not read them. Change: a failed stop is sent again 30 ms after the one before; a scheduler with unsent bytes is skipped and told the newest room 20 ms later.

--- a/core/src/guard/run_book.h
+++ b/core/src/guard/run_book.h
@@ -47,6 +47,7 @@
     bool started = false;                        ///< the start was confirmed
     ErrorKind stopReason = ErrorKind::None;      ///< why it is stopped, if nobody asked for that
     std::optional<MonotonicTime> stopDue;        ///< when the stop is sent, or sent again
+    MonotonicTime stopSentAt;                    ///< last
     std::optional<RenewalNumber> confirmedAfter; ///< renewal last sent when the upstream confirmed its start or its stop
 };
 
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -12,6 +12,7 @@
 namespace
 {
 
+constexpr Duration StopRetry = std::chrono::milliseconds(30);            ///< after a stop that failed, as at once when the upstream is gone
 constexpr Duration StopRepeat = std::chrono::milliseconds(150);          ///< three times the upstream's bound for a stop
 constexpr Duration RenewalPause = std::chrono::milliseconds(50);         ///< after a renewal without an answer
 constexpr Duration UpstreamLeaseBound = std::chrono::milliseconds(1100); ///< a lease of one second on a clock that is 2% slow, and a stop
@@ -207,6 +208,7 @@
     record.stage = RunStage::Stopping;
     record.confirmedAfter.reset();
     record.stopDue = step.now() + StopRepeat;
+    record.stopSentAt = step.now();
     sendStop(step, run);
 }
 
@@ -222,7 +224,7 @@
         return;
     }
     if (!input.confirmed) {
-        record->stopDue = step.now(); // the time limit of the call has passed already
+        record->stopDue = std::max(step.now(), record->stopSentAt + StopRetry);
     } else {
         record->confirmedAfter = RenewalNumber(m_lastRenewal);
         record->stopDue.reset();
--- /dev/null
+++ b/core/tests/guard_machine_test.cpp
@@ -0,0 +1,186 @@
+// Single decisions of a guard: lost answers, an upstream that is gone, leaving, and a second copy of a task.
+#include <sycamoremoor/core/guard_machine.h>
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace Sycamoremoor
+{
+
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr std::int64_t RunnerCores = 10'000;
+
+/** Drives one guard whose upstream has announced itself and runs nothing. */
+class GuardDriver
+{
+public:
+    GuardDriver()
+        : m_machine(settings())
+    {
+        UpstreamAnnounced announced;
+        announced.life = Life;
+        announced.service = ServiceName("service");
+        announced.capacity = {MilliCores(RunnerCores), Megabytes(1'000), Accelerators(0)};
+        announced.sequence = 1;
+        feed(announced);
+        list({}, {});
+    }
+
+    /** Feeds one input; outputs() holds what came of it. */
+    void feed(GuardInput input)
+    {
+        m_outputs.clear();
+        m_machine.step({m_now, WallTime{}, 0}, std::move(input), m_outputs);
+        for (const auto &output : m_outputs) {
+            if (const auto *renewal = std::get_if<RenewLease>(&output)) {
+                m_renewal = renewal->number;
+            }
+        }
+    }
+
+    /** The upstream answers the renewal that was sent last. */
+    void list(const std::vector<RunId> &running, const std::vector<EndedRun> &ended)
+    {
+        UpstreamListed listed;
+        listed.renewal = m_renewal;
+        listed.life = Life;
+        listed.running = running;
+        listed.ended = ended;
+        feed(listed);
+    }
+
+    void pass(Duration time)
+    {
+        m_now += time;
+    }
+
+    /** Sends a batch of one run. */
+    void order(std::uint64_t connection, std::uint32_t index, std::int64_t cores)
+    {
+        StartBatch batch;
+        batch.scheduler = EntryName("S");
+        batch.batch = BatchNumber(connection);
+        RunOrder order;
+        order.run = run(index);
+        order.size = {MilliCores(cores), Megabytes(1), Accelerators(0)};
+        order.startWithin = milliseconds(80);
+        order.runLimit = milliseconds(500);
+        batch.orders.push_back(order);
+        feed(BatchReceived{ConnectionId(connection), batch});
+    }
+
+    static RunId run(std::uint32_t index)
+    {
+        return {{WorkId("job"), 0, index}, 1};
+    }
+
+    template<typename Output>
+    [[nodiscard]] std::vector<Output> all() const
+    {
+        std::vector<Output> found;
+        for (const auto &output : m_outputs) {
+            if (const auto *match = std::get_if<Output>(&output)) {
+                found.push_back(*match);
+            }
+        }
+        return found;
+    }
+
+private:
+    static GuardSettings settings()
+    {
+        GuardSettings settings;
+        settings.incarnation = Incarnation(7);
+        settings.firstToken = FencingToken(100);
+        return settings;
+    }
+
+    static inline const UpstreamLife Life{"runner", 5};
+
+    MonotonicTime m_now{std::chrono::hours(1)};
+    GuardMachine m_machine;
+    GuardOutputs m_outputs;
+    RenewalNumber m_renewal;
+};
+
+} // namespace
+
+TEST(GuardMachineTest, StopsOfAnUpstreamThatRefusesConnectionsArePaced)
+{
+    GuardDriver driver;
+    driver.order(1, 0, 1'000);
+    driver.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::NoAnswer});
+    auto stops = driver.all<StopRun>().size();
+    for (int millisecond = 0; millisecond < 300; ++millisecond) {
+        driver.pass(milliseconds(1));
+        driver.feed(RunStopAnswered{GuardDriver::run(0), false});
+        stops += driver.all<StopRun>().size();
+    }
+    EXPECT_GE(stops, 5U);
+    EXPECT_LE(stops, 11U) << "at most one in 30 ms";
+}
+
+TEST(GuardMachineTest, RoomOfALostStartIsKeptUntilAListAfterItsStopLacksIt)
+{
+    GuardDriver driver;
+    driver.order(1, 0, RunnerCores);
+    ASSERT_EQ(driver.all<StartRun>().size(), 1U);
+    driver.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::NoAnswer});
+    driver.list({}, {});
+    EXPECT_TRUE(driver.all<ReportRun>().empty()) << "the order may still be carried out";
+    driver.order(2, 1, RunnerCores);
+    EXPECT_TRUE(driver.all<StartRun>().empty());
+    driver.feed(RunStopAnswered{GuardDriver::run(0), true});
+    driver.list({}, {});
+    ASSERT_EQ(driver.all<ReportRun>().size(), 1U);
+    EXPECT_EQ(driver.all<ReportRun>()[0].report.outcome, RunOutcome::NotStarted);
+    EXPECT_EQ(driver.all<StartRun>().size(), 1U) << "now the other one has room";
+}
+
+TEST(GuardMachineTest, ASecondCopyOfATaskIsNotStartedBesideTheFirst)
+{
+    GuardDriver driver;
+    driver.order(1, 0, 1'000);
+    driver.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+    driver.order(2, 0, 1'000);
+    EXPECT_TRUE(driver.all<StartRun>().empty());
+    ASSERT_EQ(driver.all<ReportRun>().size(), 1U);
+    EXPECT_EQ(driver.all<ReportRun>()[0].connection, ConnectionId(2));
+    EXPECT_EQ(driver.all<ReportRun>()[0].report.outcome, RunOutcome::NotStarted);
+}
+
+TEST(GuardMachineTest, ALeavingUpstreamGetsNothingNew)
+{
+    GuardDriver driver;
+    UpstreamAnnounced announced;
+    announced.life = {"runner", 5};
+    announced.service = ServiceName("service");
+    announced.capacity = {MilliCores(RunnerCores), Megabytes(1'000), Accelerators(0)};
+    announced.leaving = true;
+    announced.sequence = 2;
+    driver.feed(announced);
+    ASSERT_EQ(driver.all<RoomChanged>().size(), 1U);
+    EXPECT_FALSE(driver.all<RoomChanged>()[0].room.accepting);
+    driver.order(1, 0, 1'000);
+    EXPECT_TRUE(driver.all<StartRun>().empty());
+    EXPECT_EQ(driver.all<ReportRun>().size(), 1U);
+}
+
+TEST(GuardMachineTest, ABrokenExchangeStopsItsRuns)
+{
+    GuardDriver driver;
+    driver.order(1, 0, 1'000);
+    driver.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+    driver.feed(BatchGone{ConnectionId(1)});
+    EXPECT_EQ(driver.all<StopRun>().size(), 1U);
+    driver.list({}, {EndedRun{1, GuardDriver::run(0), RunOutcome::Stopped}});
+    EXPECT_TRUE(driver.all<ReportRun>().empty()) << "nobody waits for it";
+}
+
+} // namespace Sycamoremoor
--- a/net/include/sycamoremoor/net/guard_server.h
+++ b/net/include/sycamoremoor/net/guard_server.h
@@ -28,6 +28,9 @@
     void carryOut(const EndBatch &output);
     void carryOut(const RoomChanged &output);
 
+    /** Returns how much of the streams of room waits for schedulers that do not read. */
+    [[nodiscard]] std::size_t unsentBytes() const;
+
     /** Ends the streams of room: this guard stops. */
     void endWatches();
 
@@ -48,7 +51,8 @@
     void takeWatch(const RoutedRequest &request);
     void watcherGone(std::uint64_t watcher);
     void tellAll();
-    void tell(const Watcher &watcher);
+    /** Tells one scheduler. @return false if it is behind with reading */
+    bool tell(const Watcher &watcher);
     [[nodiscard]] bool isWatched(const EntryName &scheduler) const;
     void dropUnwatched();
 
--- a/net/include/sycamoremoor/net/http_exchange.h
+++ b/net/include/sycamoremoor/net/http_exchange.h
@@ -3,6 +3,7 @@
 
 #include <sycamoremoor/net/http_type.h>
 
+#include <cstddef>
 #include <functional>
 #include <string_view>
 
@@ -40,6 +41,9 @@
     /** Ends a streamed answer. */
     void endStream();
 
+    /** Returns how much of the answer waits in this process because the other end does not read. */
+    [[nodiscard]] std::size_t unsentBytes() const;
+
 private:
     friend class HttpServer;
 
--- a/net/src/guard_server.cpp
+++ b/net/src/guard_server.cpp
@@ -19,6 +19,7 @@
 {
 
 constexpr Duration GatherTime = std::chrono::milliseconds(4);        ///< a job's tasks end and begin in groups
+constexpr Duration SlowReaderDelay = std::chrono::milliseconds(20);  ///< until a scheduler that was behind is told again
 constexpr Duration SteadyInterval = std::chrono::milliseconds(250);  ///< a quarter of the silence that schedulers bear
 constexpr Duration UnwatchedLimit = std::chrono::milliseconds(1200); ///< a scheduler that lives watches anew within a second
 
@@ -163,11 +164,24 @@
     for (const auto &[number, watcher] : m_watchers) {
         watchers.push_back(number);
     }
+    bool allTold = true;
     for (const auto number : watchers) {
         if (const auto found = m_watchers.find(number); found != m_watchers.end()) {
-            tell(found->second);
+            allTold = tell(found->second) && allTold;
         }
     }
+    if (!allTold && !std::exchange(m_telling, true)) {
+        m_tellTimer.start(SlowReaderDelay);
+    }
+}
+
+std::size_t GuardServer::unsentBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[number, watcher] : m_watchers) {
+        bytes += watcher.exchange->unsentBytes();
+    }
+    return bytes;
 }
 
 void GuardServer::endWatches()
@@ -178,13 +192,17 @@
     }
 }
 
-void GuardServer::tell(const Watcher &watcher)
+bool GuardServer::tell(const Watcher &watcher)
 {
+    if (watcher.exchange->unsentBytes() > 0) {
+        return false; // it reads more slowly than room changes: the next report is newer than all that it misses
+    }
     auto room = m_room;
     if (const auto seen = m_seen.find(watcher.scheduler); seen != m_seen.end()) {
         room.seen = seen->second;
     }
     watcher.exchange->stream(encode(room) + "\n");
+    return true;
 }
 
 } // namespace Sycamoremoor
--- a/net/src/http_exchange.cpp
+++ b/net/src/http_exchange.cpp
@@ -90,6 +90,15 @@
     evhttp_send_reply_end(handle);
 }
 
+std::size_t HttpExchange::unsentBytes() const
+{
+    if (m_handle == nullptr) {
+        return 0;
+    }
+    auto *transport = evhttp_connection_get_bufferevent(evhttp_request_get_connection(m_handle));
+    return evbuffer_get_length(bufferevent_get_output(transport));
+}
+
 void HttpExchange::startStream()
 {
     if (!m_streaming) {
--- /dev/null
+++ b/net/tests/guard_server_test.cpp
@@ -0,0 +1,63 @@
+// The stream of room that a guard holds with each scheduler.
+#include <sycamoremoor/net/event_loop.h>
+#include <sycamoremoor/net/guard_server.h>
+#include <sycamoremoor/net/http_server.h>
+#include <sycamoremoor/net/metric_registry.h>
+#include <sycamoremoor/net/timer.h>
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <string_view>
+
+namespace Sycamoremoor
+{
+
+using std::chrono::milliseconds;
+
+TEST(GuardServerTest, ASchedulerThatDoesNotReadTakesNoMemory)
+{
+    constexpr std::size_t LabelBytes = 4'000;
+    constexpr int Changes = 5'000;
+    EventLoop loop;
+    MetricRegistry metrics;
+    Router router(metrics, [] { return std::uint64_t{1}; });
+    HttpServer server(loop, {"127.0.0.1", 0}, {}, [&router](const HttpExchangePointer &exchange) { router.route(exchange); });
+    GuardServer guard(loop, router, metrics);
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(server.endpoint().port);
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    ASSERT_EQ(::connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof address), 0);
+    constexpr std::string_view Request = "GET /internal/v1/watch-room?scheduler=S HTTP/1.1\r\nHost: a\r\n\r\n";
+    ASSERT_EQ(::send(socket, Request.data(), Request.size(), 0), static_cast<ssize_t>(Request.size()));
+    RoomReport room;
+    room.labels.emplace_back(LabelBytes, 'x');
+    int changes = 0;
+    std::size_t mostUnsent = 0;
+    Timer change(loop, [&] {
+        for (int step = 0; step < 50; ++step) {
+            room.accepting = !room.accepting;
+            guard.carryOut(RoomChanged{room});
+        }
+        mostUnsent = std::max(mostUnsent, guard.unsentBytes());
+        changes += 50;
+        if (changes >= Changes) {
+            loop.stop();
+        } else {
+            change.start(milliseconds(1));
+        }
+    });
+    change.start(milliseconds(50));
+    loop.run();
+    ::close(socket);
+    EXPECT_LT(mostUnsent, 4 * LabelBytes);
+}
+
+} // namespace Sycamoremoor
