Fix: [net] Nothing is heard of a call that was cancelled or whose limit passed

In the same round a request that was reported as not sent could still leave; a task was started twice there (not proved to be this). Change: ended calls take no part and no answer; a connection whose limit passed is closed at once.

--- a/core/tests/guard_machine_test.cpp
+++ b/core/tests/guard_machine_test.cpp
@@ -24,7 +24,7 @@
         : m_machine(settings())
     {
         UpstreamAnnounced announced;
-        announced.life = Life;
+        announced.life = life();
         announced.service = ServiceName("service");
         announced.capacity = {MilliCores(RunnerCores), Megabytes(1'000), Accelerators(0)};
         announced.sequence = 1;
@@ -49,7 +49,7 @@
     {
         UpstreamListed listed;
         listed.renewal = m_renewal;
-        listed.life = Life;
+        listed.life = life();
         listed.running = running;
         listed.ended = ended;
         feed(listed);
@@ -75,6 +75,11 @@
         feed(BatchReceived{ConnectionId(connection), batch});
     }
 
+    static UpstreamLife life()
+    {
+        return {"runner", 5};
+    }
+
     static RunId run(std::uint32_t index)
     {
         return {{WorkId("job"), 0, index}, 1};
@@ -101,8 +106,6 @@
         return settings;
     }
 
-    static inline const UpstreamLife Life{"runner", 5};
-
     MonotonicTime m_now{std::chrono::hours(1)};
     GuardMachine m_machine;
     GuardOutputs m_outputs;
@@ -159,7 +162,7 @@
 {
     GuardDriver driver;
     UpstreamAnnounced announced;
-    announced.life = {"runner", 5};
+    announced.life = GuardDriver::life();
     announced.service = ServiceName("service");
     announced.capacity = {MilliCores(RunnerCores), Megabytes(1'000), Accelerators(0)};
     announced.leaving = true;
--- a/net/src/client_connection.cpp
+++ b/net/src/client_connection.cpp
@@ -75,9 +75,18 @@
 
 ClientConnection::~ClientConnection()
 {
+    close();
+}
+
+void ClientConnection::close()
+{
+    if (m_connection == nullptr) {
+        return;
+    }
     auto *transport = evhttp_connection_get_bufferevent(m_connection);
     evbuffer_remove_cb(bufferevent_get_output(transport), &ClientConnection::bytesMoved, this);
     evhttp_connection_free(m_connection);
+    m_connection = nullptr;
 }
 
 void ClientConnection::send(ClientCall call, CallNumber number, HttpClient::Done done)
@@ -134,14 +143,21 @@
 {
     auto *connection = static_cast<ClientConnection *>(self);
     const auto part = takeBytes(request);
+    if (connection->m_idle) {
+        return; // the call has ended; the connection is closed in the next round of the loop
+    }
     if (evhttp_request_get_response_code(request) == HTTP_OK) {
-        connection->m_call.received(part);
+        const auto received = connection->m_call.received; // the hook may cancel the call, and with it itself
+        received(part);
     }
 }
 
 void ClientConnection::answered(evhttp_request *request, void *self)
 {
     auto *connection = static_cast<ClientConnection *>(self);
+    if (connection->m_idle) {
+        return;
+    }
     const int status = request == nullptr ? 0 : evhttp_request_get_response_code(request);
     ClientResult result;
     result.answered = status != 0;
@@ -153,9 +169,19 @@
     connection->end(reusable, std::move(result));
 }
 
+void ClientConnection::abandon()
+{
+    m_limit.stop();
+    m_idle = true;
+    m_number = 0;
+    m_call = {};
+    m_done = nullptr;
+}
+
 void ClientConnection::limitPassed()
 {
     if (!m_idle) {
+        close(); // else a request that is reported as not sent could still leave in this round of the loop
         end(false, {});
     }
 }
--- a/net/src/client_connection.h
+++ b/net/src/client_connection.h
@@ -26,6 +26,9 @@
 
     void send(ClientCall call, CallNumber number, HttpClient::Done done);
 
+    /** Forgets the call under way without calling its hooks. The connection is of no more use. */
+    void abandon();
+
     [[nodiscard]] bool isIdle() const;
     [[nodiscard]] const Endpoint &endpoint() const;
     [[nodiscard]] MonotonicTime idleSince() const;
@@ -38,6 +41,7 @@
     static void answered(evhttp_request *request, void *self);
     static void partReceived(evhttp_request *request, void *self);
     void limitPassed();
+    void close();
     void end(bool reusable, ClientResult result);
 
     Endpoint m_endpoint;
--- a/net/src/http_client.cpp
+++ b/net/src/http_client.cpp
@@ -46,6 +46,7 @@
     auto &connections = found->second;
     const auto position = std::ranges::find(connections, call, [](const auto &connection) { return connection->number(); });
     if (position != connections.end()) {
+        (*position)->abandon();
         m_discarded.push_back(std::move(*position));
         connections.erase(position);
         m_freeDiscarded.start(Duration::zero());
