Codechange: [core] One step for the new machines, and what reading the change found twice or unused

Change: MachineStep and toSeconds in one header, OpenExchange, CarriesOut beside the driver, serves(); the unused is gone. Behaviour is meant to stay as it is.

--- a/core/src/entry/entry_step.h
+++ b/core/src/entry/entry_step.h
@@ -1,6 +1,8 @@
 // One step of the entry: its time, randomness and outputs.
 #pragma once
 
+#include "../machine_step.h"
+
 #include <sycamoremoor/core/entry_output_type.h>
 
 #include <string>
@@ -57,10 +59,4 @@
     EntryOutputs &m_outputs;
 };
 
-/** Returns @p duration in seconds. */
-inline double toSeconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace Sycamoremoor
--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -1,6 +1,7 @@
 // State of a guard.
 #pragma once
 
+#include "../machine_step.h"
 #include "run_book.h"
 
 #include <sycamoremoor/core/guard_machine.h>
@@ -13,27 +14,7 @@
 namespace Sycamoremoor
 {
 
-/** One step of a guard: its time and where its outputs go. */
-struct GuardStep {
-    const StepContext &context;
-    GuardOutputs &outputs;
-
-    [[nodiscard]] MonotonicTime now() const
-    {
-        return context.now;
-    }
-
-    template<typename Output>
-    void emit(Output output)
-    {
-        outputs.emplace_back(std::move(output));
-    }
-
-    void log(Severity severity, std::string text)
-    {
-        outputs.emplace_back(LogLine{severity, "guard", std::move(text)});
-    }
-};
+using GuardStep = MachineStep<GuardOutputs>;
 
 class GuardMachine::Private
 {
@@ -77,7 +58,7 @@
     void report(GuardStep &step, const RunId &run, RunOutcome outcome, ErrorKind why);
     void refuse(GuardStep &step, ConnectionId connection, std::uint32_t order, ErrorKind why);
     void sendReport(GuardStep &step, ConnectionId connection, const RunReport &report);
-    [[nodiscard]] ErrorKind refusalOf(GuardStep &step, const RunOrder &order) const;
+    [[nodiscard]] ErrorKind refusalOf(const RunOrder &order) const;
     void startWaiting(GuardStep &step);
     void dropLate(GuardStep &step);
     void start(GuardStep &step, const RunId &run);
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -38,7 +38,7 @@
 
 void GuardMachine::step(const StepContext &context, GuardInput input, GuardOutputs &outputs)
 {
-    GuardStep step{context, outputs};
+    GuardStep step{context, outputs, "guard"};
     std::visit([&](const auto &content) { d->take(step, content); }, input);
     d->settle(step);
 }
@@ -110,7 +110,7 @@
     m_payloads[input.connection] = batch.payload;
     for (std::uint32_t index = 0; index < batch.orders.size(); ++index) {
         const auto &order = batch.orders[index];
-        if (const auto why = refusalOf(step, order); why != ErrorKind::None) {
+        if (const auto why = refusalOf(order); why != ErrorKind::None) {
             refuse(step, input.connection, index, why);
             continue;
         }
@@ -126,7 +126,7 @@
     }
 }
 
-ErrorKind GuardMachine::Private::refusalOf(GuardStep & /*step*/, const RunOrder &order) const
+ErrorKind GuardMachine::Private::refusalOf(const RunOrder &order) const
 {
     if (m_drainUntil || (m_upstream && m_upstream->announced.leaving)) {
         return ErrorKind::Draining;
@@ -335,8 +335,7 @@
     report.why = why;
     if (record.started) {
         report.runTime = step.now() - record.startedAt;
-        const std::chrono::duration<double> seconds = report.runTime;
-        step.emit(Observation{HistogramMetric::TaskRunSeconds, seconds.count()});
+        step.emit(Observation{HistogramMetric::TaskRunSeconds, toSeconds(report.runTime)});
     }
     sendReport(step, record.connection, report);
 }
@@ -387,7 +386,7 @@
 
 void GuardMachine::Private::dropLate(GuardStep &step)
 {
-    const bool refuseAll = m_upstream->announced.leaving || !isAccepting();
+    const bool refuseAll = !isAccepting();
     while (const auto useless = m_book.nextUseless()) {
         const auto &[startBy, run] = *useless;
         if (!refuseAll && startBy > step.now()) {
@@ -402,11 +401,8 @@
     if (!isAccepting()) {
         return;
     }
-    const auto room = [&] {
-        return m_upstream->announced.capacity - m_book.taken();
-    };
     std::vector<RunId> startable;
-    auto free = room();
+    auto free = m_upstream->announced.capacity - m_book.taken();
     std::size_t tried = 0;
     for (const auto &[rank, size] : m_book.waiting()) {
         if (++tried > BackfillLimit) {
--- a/core/src/scheduler/scheduled_job.h
+++ b/core/src/scheduler/scheduled_job.h
@@ -29,9 +29,8 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0; ///< in its step
     ScheduledStage stage = ScheduledStage::Blocked;
-    std::uint32_t runs = 0;     ///< starts that were sent
-    std::uint32_t failures = 0; ///< runs that ended as failed
-    MonotonicTime restUntil;
+    std::uint32_t runs = 0;         ///< starts that were sent
+    std::uint32_t failures = 0;     ///< runs that ended as failed
     std::vector<AgentName> avoided; ///< workers that refused it or on which it failed
 };
 
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "../dispatch/run_time_estimator.h"
+#include "../machine_step.h"
 #include "job_order.h"
 #include "scheduled_job.h"
 #include "worker_table.h"
@@ -16,27 +17,7 @@
 namespace Sycamoremoor
 {
 
-/** One step of a scheduler: its time and where its outputs go. */
-struct SchedulerStep {
-    const StepContext &context;
-    SchedulerOutputs &outputs;
-
-    [[nodiscard]] MonotonicTime now() const
-    {
-        return context.now;
-    }
-
-    template<typename Output>
-    void emit(Output output)
-    {
-        outputs.emplace_back(std::move(output));
-    }
-
-    void log(Severity severity, std::string text)
-    {
-        outputs.emplace_back(LogLine{severity, "scheduler", std::move(text)});
-    }
-};
+using SchedulerStep = MachineStep<SchedulerOutputs>;
 
 class SchedulerMachine::Private
 {
--- a/core/src/scheduler/worker_table.cpp
+++ b/core/src/scheduler/worker_table.cpp
@@ -59,6 +59,12 @@
     return offered;
 }
 
+/** Tells whether a worker takes work of @p service at all. */
+bool serves(const ScheduledWorker &worker, const ServiceName &service)
+{
+    return worker.heard && worker.room.accepting && worker.room.service == service;
+}
+
 bool hasLabel(const RoomReport &room, const std::string &label)
 {
     return std::ranges::find(room.labels, label) != room.labels.end();
@@ -66,7 +72,7 @@
 
 } // namespace
 
-void WorkerTable::report(MonotonicTime /*now*/, const RoomReported &input)
+void WorkerTable::report(const RoomReported &input)
 {
     auto &worker = m_workers[input.agent];
     if (worker.room.incarnation != input.room.incarnation) {
@@ -74,7 +80,6 @@
         worker.unseenSize = NoRoom;
         worker.standing = {};
     }
-    worker.zone = input.zone;
     worker.room = input.room;
     worker.heard = true;
     while (!worker.unseen.empty() && worker.unseen.begin()->first <= input.room.seen) {
@@ -95,8 +100,8 @@
 double WorkerTable::score(MonotonicTime now, const ScheduledWorker &worker, const TaskNeed &need) const
 {
     const auto &standing = worker.standing;
-    if (!worker.heard || !worker.room.accepting || worker.room.service != need.service
-        || !fits(need.size, offeredRoom(worker, need.isOrdinary))) {
+    const auto offered = offeredRoom(worker, need.isOrdinary);
+    if (!serves(worker, need.service) || !fits(need.size, offered)) {
         return 0;
     }
     if (!need.label.empty() && !hasLabel(worker.room, need.label)) {
@@ -109,8 +114,8 @@
     if (slowness > need.slowestAllowed) {
         return 0;
     }
-    const auto free = static_cast<double>(offeredRoom(worker, need.isOrdinary).cores.value());
-    const auto share = free / static_cast<double>(std::max<std::int64_t>(1, worker.room.capacity.cores.value()));
+    const auto share
+        = static_cast<double>(offered.cores.value()) / static_cast<double>(std::max<std::int64_t>(1, worker.room.capacity.cores.value()));
     const auto near = !need.rack.empty() && hasLabel(worker.room, need.rack) ? NearDataBonus : 1;
     return share * near / (slowness * slowness);
 }
@@ -196,11 +201,13 @@
 {
     bool anyHeard = false;
     for (const auto &[agent, worker] : m_workers) {
-        const bool serves = worker.heard && worker.room.accepting && worker.room.service == service;
-        anyHeard = anyHeard || serves;
-        if (serves && fits(size, worker.room.capacity)) {
+        if (!serves(worker, service)) {
+            continue;
+        }
+        if (fits(size, worker.room.capacity)) {
             return true;
         }
+        anyHeard = true;
     }
     return !anyHeard;
 }
@@ -214,7 +221,7 @@
 {
     MilliCores sum{0};
     for (const auto &[agent, worker] : m_workers) {
-        if (worker.heard && worker.room.accepting && worker.room.service == service) {
+        if (serves(worker, service)) {
             sum += worker.room.capacity.cores;
         }
     }
--- a/core/src/scheduler/worker_table.h
+++ b/core/src/scheduler/worker_table.h
@@ -25,7 +25,6 @@
 
 /** A worker. */
 struct ScheduledWorker {
-    ZoneName zone;
     RoomReport room;
     bool heard = false;                     ///< its guard reports
     std::map<BatchNumber, TaskSize> unseen; ///< batches that its last report does not count yet
@@ -52,7 +51,7 @@
     using Counts = std::map<AgentName, std::uint32_t>;
 
     /** Takes in what a guard reports. */
-    void report(MonotonicTime now, const RoomReported &input);
+    void report(const RoomReported &input);
 
     /** No room is believed until the guard reports again. */
     void silence(const AgentName &agent);
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -19,8 +19,9 @@
 constexpr Duration BrokenRest = std::chrono::milliseconds(1500);     ///< a guard notices a dead exchange, or its upstream's leases end
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(500); ///< sooner, the same burst is still on
 constexpr Duration GuardWait = std::chrono::milliseconds(80);        ///< a run that waits longer at its guard would begin sooner elsewhere
-constexpr double WideShare = 0.25;    ///< of all processors: a job that needs more begins in parts, since so much is never free at once
-constexpr std::size_t JobsTried = 24; ///< waiting jobs that are tried for room in one step
+constexpr double WideShare = 0.25; ///< of all processors: a job that needs more begins in parts, since so much is never free at once
+constexpr double LeastExpectedSeconds = 1e-3; ///< declarations may be zero
+constexpr std::size_t JobsTried = 24;         ///< waiting jobs that are tried for room in one step
 
 Duration scaled(Duration duration, double factor)
 {
@@ -45,7 +46,7 @@
 
 void SchedulerMachine::step(const StepContext &context, SchedulerInput input, SchedulerOutputs &outputs)
 {
-    SchedulerStep step{context, outputs};
+    SchedulerStep step{context, outputs, "scheduler"};
     std::visit([&](const auto &content) { d->take(step, content); }, input);
     d->settle(step);
 }
@@ -222,8 +223,7 @@
 {
     cancelBatches(step, job);
     const auto took = step.now() - job.arrivedAt;
-    const std::chrono::duration<double> seconds = took;
-    step.emit(Observation{HistogramMetric::JobSeconds, seconds.count()});
+    step.emit(Observation{HistogramMetric::JobSeconds, toSeconds(took)});
     step.emit(Count{result == WorkResult::Complete ? CounterMetric::JobsComplete : CounterMetric::JobsFailed, 1});
     const bool onTime = result == WorkResult::Complete && took <= job.objective;
     step.log(onTime ? Severity::Debug : Severity::Info,
@@ -274,9 +274,9 @@
     return work;
 }
 
-void SchedulerMachine::Private::take(SchedulerStep &step, const RoomReported &input)
+void SchedulerMachine::Private::take(SchedulerStep & /*step*/, const RoomReported &input)
 {
-    m_workers.report(step.now(), input);
+    m_workers.report(input);
 }
 
 void SchedulerMachine::Private::take(SchedulerStep &step, const WorkerSilent &input)
@@ -409,8 +409,7 @@
 {
     auto &task = job.tasks[index];
     task.stage = ScheduledStage::Resting;
-    task.restUntil = step.now() + rest;
-    m_rests.emplace(task.restUntil, std::pair(job.number, index));
+    m_rests.emplace(step.now() + rest, std::pair(job.number, index));
 }
 
 void SchedulerMachine::Private::endRests(SchedulerStep &step)
@@ -490,9 +489,8 @@
     need.label = part.requiredLabel;
     need.rack = part.dataRack;
     need.mostPerWorker = part.mostPerWorker;
-    const std::chrono::duration<double> left = job.giveUpAt - step.now();
-    const std::chrono::duration<double> expected = job.expected[task.step];
-    need.slowestAllowed = std::max(1.0, left.count() / std::max(expected.count(), 1e-3));
+    const auto expected = std::max(toSeconds(job.expected[task.step]), LeastExpectedSeconds);
+    need.slowestAllowed = std::max(1.0, toSeconds(job.giveUpAt - step.now()) / expected);
     return need;
 }
 
--- a/core/tests/pool_load_test.cpp
+++ b/core/tests/pool_load_test.cpp
@@ -85,7 +85,6 @@
     sum.failed += tally.failed;
     sum.refused += tally.refused;
     sum.lost += tally.lost;
-    sum.refusedAfter.insert(sum.refusedAfter.end(), tally.refusedAfter.begin(), tally.refusedAfter.end());
     return sum;
 }
 
--- a/core/tests/pool_property_test.cpp
+++ b/core/tests/pool_property_test.cpp
@@ -73,7 +73,7 @@
     PoolFault{"CallersHangUp",
               0.03,
               [](PoolWorld &world, std::uint32_t, std::uint32_t) {
-                  for (const auto connection : std::vector<ConnectionId>(world.callersOpen())) {
+                  for (const auto connection : world.openCallers()) {
                       world.hangUp(connection);
                   }
               }},
--- a/core/tests/pool_world.cpp
+++ b/core/tests/pool_world.cpp
@@ -34,7 +34,6 @@
     bool up = false;
     std::unique_ptr<SchedulerMachine> machine;
     std::uint64_t timer = 0;
-    bool stopped = false;
 };
 
 /** A guard process and the runner beside it. */
@@ -47,12 +46,10 @@
     std::map<RunId, TaskSize> sizes;           ///< of every run that was ordered
     PoolRunner runner;
     bool runnerUp = true;
-    bool leaving = false;
     std::uint64_t sequence = 0;
     std::uint64_t runnerTimer = 0;
     std::set<RenewalNumber> listening; ///< renewals whose answer waits for an end
     bool listenSoon = false;
-    bool stopped = false;
 };
 
 /** The exchange of a batch. */
@@ -167,7 +164,6 @@
     announced.life = {"R" + std::to_string(worker), node.runner.bornMs()};
     announced.service = ServiceName("service");
     announced.capacity = m_settings.capacity;
-    announced.leaving = node.leaving;
     announced.clock = node.runner.clock(m_now);
     announced.sequence = ++node.sequence;
     feedGuard(worker, announced);
@@ -220,8 +216,6 @@
                 feedScheduler(scheduler, Tick{});
             }
         });
-    } else if (std::holds_alternative<Stopped>(output)) {
-        node.stopped = true;
     }
 }
 
@@ -398,8 +392,6 @@
                 feedGuard(worker, Tick{});
             }
         });
-    } else if (std::holds_alternative<Stopped>(output)) {
-        node.stopped = true;
     }
 }
 
@@ -564,7 +556,6 @@
         break;
     case WorkResult::Refused:
         ++tally.refused;
-        tally.refusedAfter.push_back(m_now - caller.sentAt);
         m_refusedWork.insert(caller.work);
         if (m_startsOfWork[caller.work] > 0) {
             m_broken.push_back("job " + caller.work.value() + " is refused after a task of it started");
@@ -673,21 +664,6 @@
     }
 }
 
-void PoolWorld::drainRunner(std::uint32_t worker)
-{
-    m_guards[worker]->leaving = true;
-}
-
-void PoolWorld::drainScheduler(std::uint32_t scheduler)
-{
-    feedScheduler(scheduler, DrainRequested{});
-}
-
-void PoolWorld::drainGuard(std::uint32_t worker)
-{
-    feedGuard(worker, DrainRequested{});
-}
-
 Duration PoolWorld::time() const
 {
     return m_now - m_start;
@@ -718,23 +694,13 @@
     return static_cast<std::uint32_t>(m_guards[worker]->runner.running().size());
 }
 
-bool PoolWorld::isStopped(std::uint32_t worker) const
-{
-    return m_guards[worker]->stopped;
-}
-
-std::size_t PoolWorld::openCallers() const
-{
-    return m_callers.size();
-}
-
-const std::vector<ConnectionId> &PoolWorld::callersOpen()
+std::vector<ConnectionId> PoolWorld::openCallers() const
 {
-    m_openCallers.clear();
+    std::vector<ConnectionId> open;
     for (const auto &[connection, caller] : m_callers) {
-        m_openCallers.push_back(connection);
+        open.push_back(connection);
     }
-    return m_openCallers;
+    return open;
 }
 
 } // namespace Sycamoremoor
--- a/core/tests/pool_world.h
+++ b/core/tests/pool_world.h
@@ -49,7 +49,6 @@
     std::uint32_t failed = 0;
     std::uint32_t refused = 0;
     std::uint32_t lost = 0;
-    std::vector<Duration> refusedAfter; ///< from sending to the refusal
 
     [[nodiscard]] double onTimeShare() const
     {
@@ -84,9 +83,6 @@
     void crashRunner(std::uint32_t worker);
     void breakExchanges(double share);
     void hangUp(ConnectionId connection);
-    void drainRunner(std::uint32_t worker);
-    void drainScheduler(std::uint32_t scheduler);
-    void drainGuard(std::uint32_t worker);
 
     /** Returns the time from the start. */
     [[nodiscard]] Duration time() const;
@@ -96,9 +92,7 @@
     [[nodiscard]] const PoolTally &tally(const QueueName &queue);
     [[nodiscard]] std::uint32_t unanswered() const;
     [[nodiscard]] std::uint32_t runsAt(std::uint32_t worker) const;
-    [[nodiscard]] bool isStopped(std::uint32_t worker) const;
-    [[nodiscard]] std::size_t openCallers() const;
-    [[nodiscard]] const std::vector<ConnectionId> &callersOpen();
+    [[nodiscard]] std::vector<ConnectionId> openCallers() const;
 
 private:
     struct SchedulerNode;
@@ -149,7 +143,6 @@
     std::map<std::uint64_t, Exchange> m_exchanges;
     std::uint64_t m_lastExchange = 0;
     std::map<ConnectionId, Caller> m_callers;
-    std::vector<ConnectionId> m_openCallers;
     std::uint64_t m_lastCaller = 0;
     std::map<WorkTaskId, std::uint32_t> m_runningTasks; ///< worker on which a task runs now
     std::map<WorkId, std::uint32_t> m_startsOfWork;
--- a/daemon/src/guard_task.cpp
+++ b/daemon/src/guard_task.cpp
@@ -15,12 +15,6 @@
 namespace
 {
 
-template<typename Part, typename Output>
-concept CarriesOut = requires(Part &part, const Output &output)
-{
-    part.carryOut(output);
-};
-
 HttpServerSettings schedulerConnections()
 {
     HttpServerSettings settings;
--- a/net/include/sycamoremoor/net/guard_server.h
+++ b/net/include/sycamoremoor/net/guard_server.h
@@ -35,14 +35,8 @@
     void endWatches();
 
 private:
-    /** A scheduler that is told of the room here. */
-    struct Watcher {
-        EntryName scheduler;
-        HttpExchangePointer exchange;
-    };
-
-    /** An open batch. */
-    struct Batch {
+    /** An exchange that a scheduler holds open: a batch, or a stream of room. */
+    struct OpenExchange {
         EntryName scheduler;
         HttpExchangePointer exchange;
     };
@@ -52,7 +46,7 @@
     void watcherGone(std::uint64_t watcher);
     void tellAll();
     /** Tells one scheduler. @return false if it is behind with reading */
-    bool tell(const Watcher &watcher);
+    bool tell(const OpenExchange &watcher);
     [[nodiscard]] bool isWatched(const EntryName &scheduler) const;
     void dropUnwatched();
 
@@ -61,9 +55,9 @@
     std::uint64_t m_lastConnection = 0;
     std::uint64_t m_lastWatcher = 0;
     RoomReport m_room;
-    std::map<std::uint64_t, Watcher> m_watchers;
-    std::map<EntryName, BatchNumber> m_seen; ///< highest batch by scheduler
-    std::map<ConnectionId, Batch> m_batches;
+    std::map<std::uint64_t, OpenExchange> m_watchers; ///< streams of room
+    std::map<EntryName, BatchNumber> m_seen;          ///< highest batch by scheduler
+    std::map<ConnectionId, OpenExchange> m_batches;
     std::map<EntryName, MonotonicTime> m_unwatchedSince; ///< schedulers whose stream broke
     Timer m_tellTimer;                                   ///< gathers changes
     Timer m_steadyTimer;                                 ///< tells without a change
--- a/net/include/sycamoremoor/net/machine_driver.h
+++ b/net/include/sycamoremoor/net/machine_driver.h
@@ -24,6 +24,13 @@
 /** Writes an audit record to the log. */
 void logAudit(const AuditRecord &record);
 
+/** A part of a task that carries out outputs of one kind. */
+template<typename Part, typename Output>
+concept CarriesOut = requires(Part &part, const Output &output)
+{
+    part.carryOut(output);
+};
+
 /**
  * Drives one machine.
  *
--- a/net/src/entry_task.cpp
+++ b/net/src/entry_task.cpp
@@ -6,7 +6,6 @@
 
 #include <sigc++/functors/mem_fun.h>
 
-#include <concepts>
 #include <type_traits>
 #include <utility>
 
@@ -24,12 +23,6 @@
     return settings;
 }
 
-template<typename Part, typename Output>
-concept CarriesOut = requires(Part &part, const Output &output)
-{
-    part.carryOut(output);
-};
-
 } // namespace
 
 EntryTask::EntryTask(EventLoop &loop, EntryTaskSettings settings)
--- a/net/src/guard_server.cpp
+++ b/net/src/guard_server.cpp
@@ -74,7 +74,7 @@
         return;
     }
     const auto number = ++m_lastWatcher;
-    const auto &watcher = m_watchers.emplace(number, Watcher{EntryName(scheduler->second), request.exchange}).first->second;
+    const auto &watcher = m_watchers.emplace(number, OpenExchange{EntryName(scheduler->second), request.exchange}).first->second;
     request.exchange->onGone([this, number] { watcherGone(number); });
     m_unwatchedSince.erase(watcher.scheduler);
     tell(watcher);
@@ -192,7 +192,7 @@
     }
 }
 
-bool GuardServer::tell(const Watcher &watcher)
+bool GuardServer::tell(const OpenExchange &watcher)
 {
     if (watcher.exchange->unsentBytes() > 0) {
         return false; // it reads more slowly than room changes: the next report is newer than all that it misses
