--- a/core/tests/world_faults_test.cpp
+++ b/core/tests/world_faults_test.cpp
@@ -30,6 +30,14 @@
     {"AllEntriesRestarted",
      0,
      {{Kind::Run, 1, 0}, {Kind::Restart, 992, 0}, {Kind::Submit, 0, 0}, {Kind::Restart, 936, 0}, {Kind::Restart, 0, 0}}},
+    // The copy of a start found its agent dead, and the world told the owner that the start had never left.
+    {"CopyOfADeliveredStart",
+     393,
+     {{Kind::Run, 1965, 13289},    {Kind::Run, 3541, 10826},     {Kind::Pause, 427, 23702},     {Kind::Run, 1990, 32535},
+      {Kind::Drain, 2194, 27336},  {Kind::Submit, 2919, 19539},  {Kind::Run, 2317, 36802},      {Kind::Restart, 142, 5279},
+      {Kind::Resume, 3562, 24002}, {Kind::Submit, 1167, 6882},   {Kind::Drop, 139, 25044},      {Kind::Cancel, 1584, 25822},
+      {Kind::Drop, 3419, 39829},   {Kind::Weather, 925, 4902},   {Kind::Submit, 481, 23065},    {Kind::Run, 423, 292},
+      {Kind::Kill, 2610, 5607},    {Kind::Run, 1712, 1078}}},
     {"AnswerAskedForByKeyLater", 83, {{Kind::Cut, 65, 0}, {Kind::Submit, 0, 0}, {Kind::Run, 50, 0}, {Kind::Conflict, 0, 0}}},
 };
 
