Fix: [core] A task that was adopted goes elsewhere when its agent did not start it

An owner that took a task over failed its job as soon as the agent said that the task never started, though nothing had run and other workers had room. The test DispatchRefusal.SendsAnAdoptedTaskElsewhere failed before.

--- a/core/include/sycamoremoor/core/dispatcher.h
+++ b/core/include/sycamoremoor/core/dispatcher.h
@@ -100,8 +100,11 @@
     /** Queues tasks of a job. @param tasks which of them, @param deadline when the job must have ended */
     void enqueue(MonotonicTime now, const JobSpecPointer &job, const std::vector<TaskIndex> &tasks, MonotonicTime deadline);
 
-    /** Counts a task as placed that another owner placed: adopted at a takeover. It comes back by ended(). */
-    void adopt(MonotonicTime now, const JobSpecPointer &job, TaskIndex task, const AgentName &agent);
+    /**
+     * Counts a task as placed that another owner placed: adopted at a takeover. It comes back by ended(), and is queued
+     * like any other if its agent did not start it.
+     */
+    void adopt(MonotonicTime now, const JobSpecPointer &job, TaskIndex task, const AgentName &agent, MonotonicTime deadline);
 
     /** Takes the tasks of a job that were not placed out of the queue. Returns them. */
     std::vector<TaskIndex> cancel(const SubmissionKey &job);
--- a/core/src/dispatch/dispatcher_private.h
+++ b/core/src/dispatch/dispatcher_private.h
@@ -39,7 +39,6 @@
         std::uint64_t generation = 0; ///< life of the worker in which it was placed
         WorkerRoom room;
         MonotonicTime at;
-        bool adopted = false; ///< another owner placed it; it is never queued here
     };
 
     [[nodiscard]] const ServiceRecord *serviceRecord(const ServiceName &name) const;
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -48,11 +48,12 @@
     d->refresh(entry);
 }
 
-void Dispatcher::adopt(MonotonicTime now, const JobSpecPointer &job, TaskIndex task, const AgentName &agent)
+void Dispatcher::adopt(MonotonicTime now, const JobSpecPointer &job, TaskIndex task, const AgentName &agent, MonotonicTime deadline)
 {
     auto &entry = d->jobEntry(now, job);
+    entry.deadline = deadline;
     auto &worker = d->workerEntry(agent);
-    const Private::PlacedTask placed{&entry, &worker, worker.generation, roomOf(job->tasks[task.value()].size), now, true};
+    const Private::PlacedTask placed{&entry, &worker, worker.generation, roomOf(job->tasks[task.value()].size), now};
     if (d->placed.try_emplace({job->key, task}, placed).second) {
         d->countPlaced(entry, worker, placed);
     }
@@ -96,7 +97,7 @@
     d->placed.erase(found);
     d->judge(now, placed, task.index, end);
     const bool isRefused = end.kind == PlacementEnd::Kind::Refused;
-    const bool mayGoBack = (isRefused || end.kind == PlacementEnd::Kind::NotStarted) && !placed.adopted && !entry.cancelled;
+    const bool mayGoBack = (isRefused || end.kind == PlacementEnd::Kind::NotStarted) && !entry.cancelled;
     if (isRefused && mayGoBack) {
         entry.refusals[task.index].insert(Refusal{placed.worker->state.agent, placed.generation});
     }
--- a/core/src/entry/job_controller.cpp
+++ b/core/src/entry/job_controller.cpp
@@ -92,7 +92,7 @@
     task.sentAt = step.now();
     task.onlyStartSent = false;
     m_placed[adopted.agent].insert(id);
-    m_parts.dispatcher.adopt(step.now(), job.spec, index, adopted.agent);
+    m_parts.dispatcher.adopt(step.now(), job.spec, index, adopted.agent, job.deadline);
     const auto *worker = m_parts.workers.find(adopted.agent);
     if (worker != nullptr) {
         task.account.upstream = worker->heartbeat.upstream;
--- a/core/tests/dispatch_ejection_test.cpp
+++ b/core/tests/dispatch_ejection_test.cpp
@@ -37,7 +37,7 @@
     void run(std::size_t job, std::size_t onWorker, PlacementEnd::Kind kind)
     {
         const TaskIndex task(m_next++);
-        dispatcher.adopt(now, m_jobs[job], task, worker(onWorker).agent);
+        dispatcher.adopt(now, m_jobs[job], task, worker(onWorker).agent, now + deadline);
         end({m_jobs[job]->key, task}, kind);
     }
 
--- a/core/tests/dispatch_refusal_test.cpp
+++ b/core/tests/dispatch_refusal_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <memory>
 #include <set>
 
 namespace Sycamoremoor
@@ -59,6 +60,20 @@
 
 INSTANTIATE_TEST_SUITE_P(Workers, DispatchRefusalTest, testing::ValuesIn(RefusalCases), [](const auto &row) { return row.param.name; });
 
+TEST(DispatchRefusal, SendsAnAdoptedTaskElsewhere)
+{
+    DispatchFixture fixture;
+    fixture.addWorkers(2);
+    const auto job = std::make_shared<const JobSpec>(fixture.makeJob(1, Usual));
+    const auto refuser = fixture.worker(0).agent;
+    fixture.dispatcher.adopt(fixture.now, job, TaskIndex(0), refuser, fixture.now + fixture.deadline);
+    EXPECT_TRUE(fixture.end({job->key, TaskIndex(0)}, PlacementEnd::Kind::Refused));
+    fixture.now += BackOff;
+    const auto placements = fixture.dispatcher.place(fixture.now, 1);
+    ASSERT_EQ(placements.size(), 1U);
+    EXPECT_NE(placements.front().agent, refuser);
+}
+
 TEST(DispatchRefusal, EndsWithTheLifeOfTheWorker)
 {
     DispatchFixture fixture;
