Fix: [net] One silent call no longer closes the connections that work

Cause: after any call without an answer the client dropped every idle connection to that endpoint. Now it does so only if no other connection brought an answer since the silent call began. HttpReuseTest plays both cases; the second failed before.

--- a/net/include/sycamoremoor/net/http_client.h
+++ b/net/include/sycamoremoor/net/http_client.h
@@ -43,13 +43,20 @@
 private:
     using Connections = std::vector<std::unique_ptr<ClientConnection>>;
 
+    /** What is known of one endpoint. */
+    struct Peer {
+        Connections connections;
+        MonotonicTime answeredAt{}; ///< the last answer on any connection
+    };
+
     void finished(ClientConnection *connection, bool reusable);
-    void discardIdle(const Endpoint &endpoint);
+    template<typename Keep>
+    void discardUnless(Connections &connections, Keep keep);
     void sweep();
     ClientConnection *connectionFor(const ClientCall &call);
 
     EventLoop &m_loop;
-    std::map<Endpoint, Connections> m_connections;
+    std::map<Endpoint, Peer> m_peers;
     Connections m_discarded;
     Timer m_freeDiscarded;
     Timer m_sweep;
--- a/net/src/client_connection.cpp
+++ b/net/src/client_connection.cpp
@@ -130,6 +130,11 @@
     return m_idleSince;
 }
 
+MonotonicTime ClientConnection::startedAt() const
+{
+    return m_startedAt;
+}
+
 void ClientConnection::bytesMoved(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *self)
 {
     auto *connection = static_cast<ClientConnection *>(self);
--- a/net/src/client_connection.h
+++ b/net/src/client_connection.h
@@ -33,6 +33,9 @@
     [[nodiscard]] const Endpoint &endpoint() const;
     [[nodiscard]] MonotonicTime idleSince() const;
 
+    /** Returns when the last call began. */
+    [[nodiscard]] MonotonicTime startedAt() const;
+
     /** Returns the number of the call under way, zero if none. */
     [[nodiscard]] CallNumber number() const;
 
--- a/net/src/http_client.cpp
+++ b/net/src/http_client.cpp
@@ -7,6 +7,7 @@
 #include <sycamoremoor/net/event_loop.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Sycamoremoor
@@ -39,32 +40,31 @@
 
 void HttpClient::cancel(const Endpoint &endpoint, CallNumber call)
 {
-    const auto found = m_connections.find(endpoint);
-    if (found == m_connections.end()) {
+    const auto found = m_peers.find(endpoint);
+    if (found == m_peers.end()) {
         return;
     }
-    auto &connections = found->second;
+    auto &connections = found->second.connections;
     const auto position = std::ranges::find(connections, call, [](const auto &connection) { return connection->number(); });
     if (position != connections.end()) {
         (*position)->abandon();
-        m_discarded.push_back(std::move(*position));
-        connections.erase(position);
-        m_freeDiscarded.start(Duration::zero());
+        const auto *abandoned = position->get();
+        discardUnless(connections, [abandoned](const ClientConnection &connection) { return &connection != abandoned; });
     }
 }
 
 std::size_t HttpClient::connections() const
 {
     std::size_t count = 0;
-    for (const auto &[endpoint, connections] : m_connections) {
-        count += connections.size();
+    for (const auto &[endpoint, peer] : m_peers) {
+        count += peer.connections.size();
     }
     return count;
 }
 
 ClientConnection *HttpClient::connectionFor(const ClientCall &call)
 {
-    auto &connections = m_connections[call.endpoint];
+    auto &connections = m_peers[call.endpoint].connections;
     if (!call.newConnection) {
         // The one used last: the others stay idle and are closed.
         const auto isIdle = [](const auto &connection) {
@@ -81,35 +81,36 @@
     return connections.back().get();
 }
 
-void HttpClient::finished(ClientConnection *connection, bool reusable)
+void HttpClient::finished(ClientConnection *ended, bool reusable)
 {
-    if (!reusable) {
-        // What broke one connection may have broken the others unnoticed.
-        discardIdle(connection->endpoint());
+    auto &peer = m_peers.at(ended->endpoint());
+    if (reusable) {
+        peer.answeredAt = monotonicNow();
+        return;
     }
+    // What broke one connection may have broken the others unnoticed, unless one of them brought an answer meanwhile.
+    const bool othersWork = peer.answeredAt > ended->startedAt();
+    discardUnless(peer.connections, [ended, othersWork](const ClientConnection &connection) {
+        return &connection != ended && (othersWork || !connection.isIdle());
+    });
 }
 
-void HttpClient::discardIdle(const Endpoint &endpoint)
+template<typename Keep>
+void HttpClient::discardUnless(Connections &connections, Keep keep)
 {
-    const auto found = m_connections.find(endpoint);
-    if (found == m_connections.end()) {
-        return;
-    }
-    auto &connections = found->second;
-    const auto firstIdle
-        = std::stable_partition(connections.begin(), connections.end(), [](const auto &connection) { return !connection->isIdle(); });
-    std::move(firstIdle, connections.end(), std::back_inserter(m_discarded));
-    connections.erase(firstIdle, connections.end());
+    const auto first = std::stable_partition(connections.begin(), connections.end(), [&keep](const auto &item) { return keep(*item); });
+    std::move(first, connections.end(), std::back_inserter(m_discarded));
+    connections.erase(first, connections.end());
     m_freeDiscarded.start(Duration::zero());
 }
 
 void HttpClient::sweep()
 {
     const auto oldest = monotonicNow() - IdleLimit;
-    for (auto position = m_connections.begin(); position != m_connections.end();) {
-        auto &connections = position->second;
+    for (auto position = m_peers.begin(); position != m_peers.end();) {
+        auto &connections = position->second.connections;
         std::erase_if(connections, [oldest](const auto &connection) { return connection->isIdle() && connection->idleSince() < oldest; });
-        position = connections.empty() ? m_connections.erase(position) : std::next(position);
+        position = connections.empty() ? m_peers.erase(position) : std::next(position);
     }
     m_sweep.start(SweepInterval);
 }
