--- a/core/src/dispatch/retry_controller.h
+++ b/core/src/dispatch/retry_controller.h
@@ -5,8 +5,6 @@
 
 #include <sycamoremoor/core/config_type.h>
 
-#include <optional>
-
 namespace Sycamoremoor
 {
 
@@ -20,11 +18,11 @@
     /** Counts a start; starts earn the budget. */
     void countStart();
 
-    /**
-     * Spends the budget on one retry.
-     * @return how long the task should wait, or nothing if the budget is spent
-     */
-    std::optional<Duration> retry(JobEntry &entry, TaskIndex task);
+    /** Spends the budget on one retry. @return false if the budget is spent: the retry has to wait until more is earned */
+    bool spend();
+
+    /** Returns how long a task waits before its next try. */
+    Duration backOff(JobEntry &entry, TaskIndex task);
 
 private:
     double m_perStart = 0;
--- a/core/src/dispatch_retry_controller.cpp
+++ b/core/src/dispatch_retry_controller.cpp
@@ -33,12 +33,17 @@
     m_budget = std::min(LargestBudget, m_budget + m_perStart);
 }
 
-std::optional<Duration> RetryController::retry(JobEntry &entry, TaskIndex task)
+bool RetryController::spend()
 {
     if (m_budget < 1) {
-        return std::nullopt;
+        return false;
     }
     m_budget -= 1;
+    return true;
+}
+
+Duration RetryController::backOff(JobEntry &entry, TaskIndex task)
+{
     const auto tries = entry.retries[task]++;
     const auto delay = FirstDelay * (std::int64_t{1} << std::min(tries, MostDoublings));
     // Jitter comes from the task's own id, since no random bits are given at the end of a task.
--- a/core/src/dispatch_state.cpp
+++ b/core/src/dispatch_state.cpp
@@ -15,6 +15,9 @@
 /** A job's turn comes before its deadline by so many times the time that it needs on all slots, and its longest task. */
 constexpr double UrgencyFactor = 2;
 
+/** A retry that found the budget spent asks again after this: some starts of a busy worker, which earn the budget. */
+constexpr Duration BudgetCheckInterval = std::chrono::milliseconds(100);
+
 /** Tells whether @p left is placed after @p right: shorter ones later, equal ones by index. */
 bool goesLater(const WaitingTask &left, const WaitingTask &right)
 {
@@ -117,14 +120,14 @@
 
 bool Dispatcher::Private::delay(MonotonicTime now, JobEntry &entry, TaskIndex task)
 {
-    const auto wait = retries.retry(entry, task);
-    if (!wait || now + *wait >= entry.deadline) {
+    const auto due = now + retries.backOff(entry, task);
+    if (due >= entry.deadline) {
         return false;
     }
     const auto &spec = entry.job->tasks[task.value()];
     const WaitingTask waiting{task, estimator.expected(entry.job->service, spec.kind, spec.declaredRunTime)};
-    entry.delayed.push_back({now + *wait, waiting});
-    delayed.emplace(now + *wait, TaskId{entry.job->key, task});
+    entry.delayed.push_back({due, waiting});
+    delayed.emplace(due, TaskId{entry.job->key, task});
     countWaiting(entry, waiting, 1);
     refresh(entry);
     return true;
@@ -137,6 +140,11 @@
         delayed.erase(delayed.begin());
         auto &entry = jobs.at(id.submission);
         const auto found = std::ranges::find(entry.delayed, id.index, [](const DelayedTask &task) { return task.task.index; });
+        if (!retries.spend()) {
+            found->due = now + BudgetCheckInterval;
+            delayed.emplace(found->due, id);
+            continue;
+        }
         countWaiting(entry, found->task, -1);
         entry.delayed.erase(found);
         addWaiting(entry, id.index);
