Fix: [core] A list overtaken by an end stops no run and does not close the guard; Add: [net] Logs as fields on standard output

A guard keeps two renewals waiting; an end answers both, and the answer made first may be read last. The run it still names was taken for a stranger: a stop was sent, and until the next list the guard refused all work. Runs that the upstream itself listed as ended are now remembered for a second. GuardMachineTest.AListOvertakenByAnEndStopsNothing failed before.

Log lines carry the ids, inputs and outcome of a decision as fields, one line for each job's end and each task placed again, on standard output; a reader that is too slow loses lines instead of holding the process up (PatientSinkTest).

--- a/core/include/sycamoremoor/core/scheduler_output_type.h
+++ b/core/include/sycamoremoor/core/scheduler_output_type.h
@@ -4,6 +4,7 @@
 #include <sycamoremoor/core/entry_output_type.h>
 #include <sycamoremoor/core/scheduler_input_type.h>
 
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -30,6 +31,9 @@
     End,
 };
 
+/** Returns the name of @p result in lower case. */
+std::string_view workResultName(WorkResult result);
+
 /** The answer to a submission; ends the exchange. */
 struct AnswerWork {
     ConnectionId connection;
--- a/core/include/sycamoremoor/core/step_type.h
+++ b/core/include/sycamoremoor/core/step_type.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Sycamoremoor
 {
@@ -27,11 +28,18 @@
     End,
 };
 
+/** What a log line says in a form that can be searched for. */
+struct LogField {
+    std::string_view name; ///< a literal
+    std::string value;
+};
+
 /** A short sentence for the log. */
 struct LogLine {
     Severity severity = Severity::Info;
     std::string_view part; ///< fixed prefix of the part that speaks, a literal
     std::string text;
+    std::vector<LogField> fields{}; ///< ids, inputs and outcome of a decision
 };
 
 /** Wake the machine with Tick at this time; replaces the time set before. */
--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "../machine_step.h"
+#include "recent_runs.h"
 #include "run_book.h"
 
 #include <sycamoremoor/core/guard_machine.h>
@@ -38,6 +39,9 @@
     [[nodiscard]] RoomReport room() const;
 
 private:
+    /** Beyond the time in which an answer to a renewal may arrive: a late one is given up after its wait and some. */
+    static constexpr Duration ListRetention = std::chrono::seconds(1);
+
     /** What is known of the upstream. */
     struct Upstream {
         UpstreamAnnounced announced;
@@ -51,6 +55,7 @@
         bool settled = false;                     ///< nothing of an earlier life of this guard runs there
         std::uint32_t silences = 0;               ///< renewals in a row without an answer
         std::map<RunId, MonotonicTime> strangers; ///< runs of an earlier life of this guard, and when their stop is due again
+        RecentRuns over{ListRetention};           ///< runs that it listed as ended
     };
 
     void beginLife(GuardStep &step, const UpstreamAnnounced &announced);
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -194,7 +194,9 @@
     case StartAnswer::TooLate:
     case StartAnswer::Unhealthy:
     case StartAnswer::Invalid:
-        step.log(Severity::Warning, "The upstream refused run " + workTaskIdToString(input.run.task) + " although there was room for it.");
+        step.log(Severity::Warning,
+                 "The upstream refused a run although there was room for it.",
+                 {{"task", workTaskIdToString(input.run.task)}});
         report(step, input.run, RunOutcome::NotStarted, ErrorKind::NoCapacity);
         return;
     default:
@@ -262,6 +264,7 @@
             continue;
         }
         upstream.acknowledged = number;
+        upstream.over.add(step.now(), run);
         upstream.listening.clear(); // an end answers every renewal that waits: those that are still to come may be lost
         if (const auto *record = m_book.find(run); record != nullptr) {
             report(step, run, outcome, outcome == RunOutcome::Stopped ? record->stopReason : ErrorKind::None);
@@ -291,13 +294,13 @@
     auto &upstream = *m_upstream;
     std::map<RunId, MonotonicTime> strangers;
     for (const auto &run : listed.running) {
-        if (m_book.find(run) != nullptr) {
-            continue;
+        if (m_book.find(run) != nullptr || upstream.over.contains(run)) {
+            continue; // ours, or named by a list that was overtaken by one with its end
         }
         const auto known = upstream.strangers.find(run);
         auto due = known == upstream.strangers.end() ? step.now() : known->second;
         if (due <= step.now()) {
-            step.log(Severity::Info, "Run " + workTaskIdToString(run.task) + " of an earlier life of this guard is stopped.");
+            step.log(Severity::Info, "A run of an earlier life of this guard is stopped.", {{"task", workTaskIdToString(run.task)}});
             sendStop(step, run);
             due = step.now() + StopRepeat;
         }
@@ -435,7 +438,9 @@
             continue;
         }
         if (record.stage == RunStage::Running) {
-            step.log(Severity::Warning, "Run " + workTaskIdToString(run.task) + " is over its limit and is stopped.");
+            step.log(Severity::Warning,
+                     "A run is over its limit and is stopped.",
+                     {{"task", workTaskIdToString(run.task)}, {"limit_s", std::to_string(toSeconds(record.runLimit))}});
             record.stopReason = ErrorKind::RunLimitReached;
         }
         stop(step, run, record);
--- a/core/src/machine_step.h
+++ b/core/src/machine_step.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace Sycamoremoor
 {
@@ -29,9 +30,9 @@
         outputs.emplace_back(std::move(output));
     }
 
-    void log(Severity severity, std::string text)
+    void log(Severity severity, std::string text, std::vector<LogField> fields = {})
     {
-        emit(LogLine{severity, part, std::move(text)});
+        emit(LogLine{severity, part, std::move(text), std::move(fields)});
     }
 };
 
--- a/core/src/scheduler/scheduled_job.h
+++ b/core/src/scheduler/scheduled_job.h
@@ -49,6 +49,7 @@
     std::vector<std::uint32_t> openTasks;                               ///< not done, by step
     std::size_t waiting = 0;                                            ///< tasks in stage Waiting
     bool begun = false;                                                 ///< a task was sent
+    MonotonicTime begunAt;                                              ///< when the first was
     std::set<BatchNumber> batches;                                      ///< open
     std::map<std::uint32_t, std::map<AgentName, std::uint32_t>> placed; ///< tasks sent, by step and worker
 };
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -28,9 +28,14 @@
     return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
 }
 
-std::string milliseconds(Duration duration)
+std::string inMilliseconds(Duration duration)
 {
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()) + " ms";
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+std::string nameOf(const ScheduledJob &job, const ScheduledTask &task)
+{
+    return workTaskIdToString({job.work->id, task.step, task.index});
 }
 
 } // namespace
@@ -165,11 +170,16 @@
 {
     step.emit(Count{CounterMetric::JobsRefused, 1});
     step.log(Severity::Info,
-             "Job " + job.work->id.value() + " of queue " + job.queue.name.value() + " is refused after "
-                 + milliseconds(step.now() - job.arrivedAt) + ": " + std::string(errorRow(error).code) + ", expected wait "
-                 + milliseconds(retryAfter) + ", slack " + milliseconds(job.latestStart - job.arrivedAt) + ", "
-                 + std::to_string(m_order.jobs().size()) + " jobs wait, workers offer "
-                 + std::to_string(m_workers.cores(job.queue.service).value()) + " thousandths of a core.");
+             "A job is refused.",
+             {{"job", job.work->id.value()},
+              {"queue", job.queue.name.value()},
+              {"outcome", std::string(errorRow(error).code)},
+              {"config", std::to_string(m_queues->version.value())},
+              {"held_ms", inMilliseconds(step.now() - job.arrivedAt)},
+              {"slack_ms", inMilliseconds(job.latestStart - job.arrivedAt)},
+              {"expected_wait_ms", inMilliseconds(retryAfter)},
+              {"jobs_waiting", std::to_string(m_order.jobs().size())},
+              {"worker_millicores", std::to_string(m_workers.cores(job.queue.service).value())}});
     for (const auto connection : job.connections) {
         step.emit(AnswerWork{connection, WorkResult::Refused, error, std::max(LeastRetryAfter, retryAfter)});
     }
@@ -187,7 +197,9 @@
     if (!job.connections.empty()) {
         return;
     }
-    step.log(Severity::Debug, "The caller of job " + job.work->id.value() + " is gone; what runs of it is stopped.");
+    step.log(Severity::Info,
+             "The caller of a job is gone; what runs of it is stopped.",
+             {{"job", job.work->id.value()}, {"held_ms", inMilliseconds(step.now() - job.arrivedAt)}});
     cancelBatches(step, job);
     erase(job);
 }
@@ -225,10 +237,21 @@
     const auto took = step.now() - job.arrivedAt;
     step.emit(Observation{HistogramMetric::JobSeconds, toSeconds(took)});
     step.emit(Count{result == WorkResult::Complete ? CounterMetric::JobsComplete : CounterMetric::JobsFailed, 1});
-    const bool onTime = result == WorkResult::Complete && took <= job.objective;
-    step.log(onTime ? Severity::Debug : Severity::Info,
-             "Job " + job.work->id.value() + " of queue " + job.queue.name.value() + " ended after " + milliseconds(took) + ", objective "
-                 + milliseconds(job.objective) + ": " + std::string(errorRow(error).code) + ".");
+    std::uint32_t runs = 0;
+    for (const auto &task : job.tasks) {
+        runs += task.runs;
+    }
+    step.log(Severity::Info,
+             took <= job.objective ? "A job ended in time." : "A job ended late.",
+             {{"job", job.work->id.value()},
+              {"queue", job.queue.name.value()},
+              {"outcome", std::string(workResultName(result))},
+              {"error", std::string(errorRow(error).code)},
+              {"took_ms", inMilliseconds(took)},
+              {"objective_ms", inMilliseconds(job.objective)},
+              {"began_after_ms", job.begun ? inMilliseconds(job.begunAt - job.arrivedAt) : ""},
+              {"tasks", std::to_string(job.tasks.size())},
+              {"runs", std::to_string(runs)}});
     for (const auto connection : job.connections) {
         step.emit(AnswerWork{connection, result, error, LeastRetryAfter});
     }
@@ -281,7 +304,7 @@
 
 void SchedulerMachine::Private::take(SchedulerStep &step, const WorkerSilent &input)
 {
-    step.log(Severity::Warning, "Nothing is heard of worker " + input.agent.value() + "; it gets no new work.");
+    step.log(Severity::Warning, "Nothing is heard of a worker; it gets no new work.", {{"worker", input.agent.value()}});
     m_workers.silence(input.agent);
 }
 
@@ -323,27 +346,32 @@
         }
         break;
     }
-    case RunOutcome::Failed:
-        if (++task.failures >= job.queue.maxAttempts) {
-            step.log(Severity::Info,
-                     "Task " + workTaskIdToString({job.work->id, task.step, task.index}) + " failed for the last time, on worker "
-                         + batch.agent.value() + ".");
-            runFailed(step, job, task, batch.agent);
+    case RunOutcome::Failed: {
+        const bool isLast = ++task.failures >= job.queue.maxAttempts;
+        step.log(Severity::Info,
+                 isLast ? "A task failed for the last time." : "A task failed; it is placed again.",
+                 {{"task", nameOf(job, task)},
+                  {"worker", batch.agent.value()},
+                  {"failures", std::to_string(task.failures)},
+                  {"most_failures", std::to_string(job.queue.maxAttempts)}});
+        runFailed(step, job, task, batch.agent);
+        if (isLast) {
             answer(step, job, WorkResult::Failed, ErrorKind::TaskFailed);
             return;
         }
-        step.log(Severity::Info,
-                 "Task " + workTaskIdToString({job.work->id, task.step, task.index}) + " failed on worker " + batch.agent.value() + ", run "
-                     + std::to_string(task.failures) + " of " + std::to_string(job.queue.maxAttempts) + "; it is placed again.");
-        runFailed(step, job, task, batch.agent);
         taskWaits(job, task);
         break;
+    }
     case RunOutcome::Stopped:
     case RunOutcome::Lapsed:
         step.log(Severity::Info,
-                 "Task " + workTaskIdToString({job.work->id, task.step, task.index}) + " on worker " + batch.agent.value() + " ended as "
-                     + std::string(runOutcomeName(report.outcome)) + " (" + std::string(errorRow(report.why).code) + ") after "
-                     + milliseconds(report.runTime) + ", expected " + milliseconds(job.expected[task.step]) + "; it is placed again.");
+                 "A run was cut short; its task is placed again.",
+                 {{"task", nameOf(job, task)},
+                  {"worker", batch.agent.value()},
+                  {"outcome", std::string(runOutcomeName(report.outcome))},
+                  {"error", std::string(errorRow(report.why).code)},
+                  {"ran_ms", inMilliseconds(report.runTime)},
+                  {"expected_ms", inMilliseconds(job.expected[task.step])}});
         if (report.why == ErrorKind::UpstreamLost) {
             task.avoided.push_back(batch.agent); // the answer to an order was lost, which says nothing of the worker
         } else {
@@ -352,9 +380,9 @@
         taskWaits(job, task);
         break;
     default:
-        step.log(Severity::Debug,
-                 "Task " + workTaskIdToString({job.work->id, task.step, task.index}) + " was not started by worker " + batch.agent.value()
-                     + ": " + std::string(errorRow(report.why).code) + ".");
+        step.log(Severity::Info,
+                 "A worker did not start a task; it is placed again.",
+                 {{"task", nameOf(job, task)}, {"worker", batch.agent.value()}, {"error", std::string(errorRow(report.why).code)}});
         if (report.why != ErrorKind::DeadlineUnreachable) {
             task.avoided.push_back(batch.agent);
         }
@@ -369,7 +397,7 @@
     task.avoided.push_back(agent);
     if (m_workers.failed(step.now(), agent, job.number.value())) {
         step.emit(Count{CounterMetric::WorkersEjected, 1});
-        step.log(Severity::Warning, "Worker " + agent.value() + " is set aside: tasks of several jobs failed on it in a row.");
+        step.log(Severity::Warning, "A worker is set aside: tasks of several jobs failed on it in a row.", {{"worker", agent.value()}});
     }
 }
 
@@ -386,8 +414,8 @@
     m_workers.notArrived(batch.agent, input.batch);
     const bool arrived = input.delivery != Delivery::NotSent;
     step.log(Severity::Warning,
-             "The exchange with worker " + batch.agent.value() + " about job " + job.work->id.value()
-                 + (arrived ? " broke; its tasks rest until they are surely over." : " was never opened."));
+             arrived ? "The exchange about a batch broke; its tasks rest until they are surely over." : "A batch could not be sent.",
+             {{"job", job.work->id.value()}, {"worker", batch.agent.value()}, {"tasks", std::to_string(batch.tasks.size())}});
     for (std::size_t order = 0; order < batch.tasks.size(); ++order) {
         if (batch.reported[order]) {
             continue;
@@ -574,7 +602,9 @@
         order.runLimit = scaled(job.expected[task.step], RunLimitFactor) + RunLimitSlack;
         output.batch.orders.push_back(std::move(order));
     }
-    job.begun = true;
+    if (!std::exchange(job.begun, true)) {
+        job.begunAt = step.now();
+    }
     job.batches.insert(batch.number);
     m_batches[batch.number] = {job.number, agent, batch.tasks, std::vector<bool>(batch.tasks.size(), false)};
     step.emit(Count{CounterMetric::TasksSent, batch.tasks.size()});
--- a/core/src/work_func.cpp
+++ b/core/src/work_func.cpp
@@ -1,4 +1,5 @@
-// Names of run outcomes and tasks.
+// Names of tasks and of the ends of runs and jobs.
+#include <sycamoremoor/core/scheduler_output_type.h>
 #include <sycamoremoor/core/work_type.h>
 
 #include <algorithm>
@@ -13,6 +14,8 @@
 constexpr std::array<std::string_view, static_cast<std::size_t>(RunOutcome::End)> OutcomeNames{
     "done", "failed", "stopped", "lapsed", "not_started"};
 
+constexpr std::array<std::string_view, static_cast<std::size_t>(WorkResult::End)> ResultNames{"complete", "failed", "refused", "lost"};
+
 } // namespace
 
 std::string_view runOutcomeName(RunOutcome outcome)
@@ -25,6 +28,11 @@
     return static_cast<RunOutcome>(std::ranges::find(OutcomeNames, name) - OutcomeNames.begin());
 }
 
+std::string_view workResultName(WorkResult result)
+{
+    return ResultNames.at(static_cast<std::size_t>(result));
+}
+
 std::string workTaskIdToString(const WorkTaskId &task)
 {
     return task.work.value() + "/" + std::to_string(task.step) + "/" + std::to_string(task.index);
--- a/core/tests/guard_machine_test.cpp
+++ b/core/tests/guard_machine_test.cpp
@@ -186,4 +186,17 @@
     EXPECT_TRUE(driver.all<ReportRun>().empty()) << "nobody waits for it";
 }
 
+TEST(GuardMachineTest, AListOvertakenByAnEndStopsNothing)
+{
+    GuardDriver guard;
+    guard.order(1, 0, 1'000);
+    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+    guard.list({}, {{1, GuardDriver::run(0), RunOutcome::Done}});
+    ASSERT_EQ(guard.all<ReportRun>().size(), 1U);
+    guard.list({GuardDriver::run(0)}, {}); // made before the end, on the other connection
+    EXPECT_TRUE(guard.all<StopRun>().empty());
+    guard.order(2, 1, 1'000);
+    EXPECT_EQ(guard.all<StartRun>().size(), 1U) << "the guard must not stop taking work";
+}
+
 } // namespace Sycamoremoor
--- a/net/include/sycamoremoor/net/log_func.h
+++ b/net/include/sycamoremoor/net/log_func.h
@@ -17,7 +17,7 @@
     End,
 };
 
-/** Sets up the log of this process, on standard error. */
+/** Sets up the log of this process, on standard output. A reader that is too slow loses lines; nobody waits for it. */
 void startLog(Severity level, LogFormat format);
 
 /** Writes one line. */
--- a/net/src/log_func.cpp
+++ b/net/src/log_func.cpp
@@ -2,22 +2,22 @@
 #include <sycamoremoor/net/log_func.h>
 
 #include "line_budget.h"
+#include "patient_sink.h"
 
 #include <sycamoremoor/net/clock_func.h>
 
 #include <boost/log/core.hpp>
-#include <boost/log/expressions.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
 #include <nlohmann/json.hpp>
 
+#include <unistd.h>
+
 #include <array>
 #include <atomic>
 #include <ctime>
-#include <iostream>
 #include <mutex>
 
 namespace Sycamoremoor
@@ -59,9 +59,16 @@
     const auto severity = SeverityNames.at(static_cast<std::size_t>(line.severity));
     const auto time = timestamp(wallNow());
     if (currentFormat == LogFormat::Text) {
-        return time + " " + std::string(severity) + " " + std::string(line.part) + ": " + line.text;
+        auto text = time + " " + std::string(severity) + " " + std::string(line.part) + ": " + line.text;
+        for (const auto &[name, value] : line.fields) {
+            text.append(" ").append(name).append("=").append(value);
+        }
+        return text;
+    }
+    nlohmann::ordered_json json{{"time", time}, {"level", severity}, {"part", line.part}, {"text", line.text}};
+    for (const auto &[name, value] : line.fields) {
+        json[std::string(name)] = value;
     }
-    const nlohmann::ordered_json json{{"time", time}, {"level", severity}, {"part", line.part}, {"text", line.text}};
     return json.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
@@ -80,14 +87,11 @@
 
 void startLog(Severity level, LogFormat format)
 {
-    using Backend = logging::sinks::text_ostream_backend;
     currentLevel = level;
     currentFormat = format;
-    auto backend = boost::make_shared<Backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream * /*stream*/) {}));
-    backend->auto_flush(true);
     logging::core::get()->remove_all_sinks();
-    logging::core::get()->add_sink(boost::make_shared<logging::sinks::synchronous_sink<Backend>>(backend));
+    logging::core::get()->add_sink(
+        boost::make_shared<logging::sinks::synchronous_sink<PatientSink>>(boost::make_shared<PatientSink>(STDOUT_FILENO)));
 }
 
 namespace
