Change: [core] A job that can be of no use any more is answered at once, and wide jobs hold up nobody

Now a job is answered the moment one of its tasks cannot end in time, as lost, or as refused with a Retry-After if nothing of it can have run. SchedulerReturnTest has the cases; the too-late ones fail before.

--- a/core/src/scheduler/scheduled_job.h
+++ b/core/src/scheduler/scheduled_job.h
@@ -31,6 +31,8 @@
     ScheduledStage stage = ScheduledStage::Blocked;
     std::uint32_t runs = 0;         ///< starts that were sent
     std::uint32_t failures = 0;     ///< runs that ended as failed
+    bool mayHaveRun = false;        ///< a run was told as begun, or what became of it is not known
+    MonotonicTime readyAt;          ///< of a task that waits or rests: when it may be sent
     std::vector<AgentName> avoided; ///< workers that refused it or on which it failed
 };
 
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -104,7 +104,7 @@
     m_byWork[job.work->id] = job.number;
     m_checks.emplace(job.latestStart, job.number);
     auto &kept = m_jobs.emplace(job.number, std::move(job)).first->second;
-    unblockSteps(kept);
+    unblockSteps(step, kept);
     queue(kept);
 }
 
@@ -258,7 +258,7 @@
     erase(job);
 }
 
-void SchedulerMachine::Private::unblockSteps(ScheduledJob &job)
+void SchedulerMachine::Private::unblockSteps(SchedulerStep &step, ScheduledJob &job)
 {
     const auto &steps = job.work->steps;
     const auto isOpen = [&](std::uint32_t index) {
@@ -266,14 +266,15 @@
     };
     for (auto &task : job.tasks) {
         if (task.stage == ScheduledStage::Blocked && isOpen(task.step)) {
-            taskWaits(job, task);
+            taskWaits(step, job, task);
         }
     }
 }
 
-void SchedulerMachine::Private::taskWaits(ScheduledJob &job, ScheduledTask &task)
+void SchedulerMachine::Private::taskWaits(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task)
 {
     task.stage = ScheduledStage::Waiting;
+    task.readyAt = step.now();
     ++job.waiting;
 }
 
@@ -331,6 +332,7 @@
 {
     auto &task = job.tasks[index];
     --job.placed[task.step][batch.agent];
+    task.mayHaveRun = task.mayHaveRun || report.outcome != RunOutcome::NotStarted;
     switch (report.outcome) {
     case RunOutcome::Done: {
         const auto declared = job.work->steps[task.step].declaredRunTime;
@@ -338,7 +340,7 @@
         m_runTimes.learn(job.queue.service, TaskKind(job.queue.name.value()), declared, report.runTime);
         task.stage = ScheduledStage::Done;
         if (--job.openTasks[task.step] == 0) {
-            unblockSteps(job);
+            unblockSteps(step, job);
         }
         if (std::ranges::all_of(job.openTasks, [](std::uint32_t open) { return open == 0; })) {
             answer(step, job, WorkResult::Complete, ErrorKind::None);
@@ -359,7 +361,7 @@
             answer(step, job, WorkResult::Failed, ErrorKind::TaskFailed);
             return;
         }
-        taskWaits(job, task);
+        taskWaits(step, job, task);
         break;
     }
     case RunOutcome::Stopped:
@@ -377,7 +379,7 @@
         } else {
             runFailed(step, job, task, batch.agent);
         }
-        taskWaits(job, task);
+        taskWaits(step, job, task);
         break;
     default:
         step.log(Severity::Info,
@@ -386,10 +388,10 @@
         if (report.why != ErrorKind::DeadlineUnreachable) {
             task.avoided.push_back(batch.agent);
         }
-        taskWaits(job, task);
+        taskWaits(step, job, task);
         break;
     }
-    queue(job);
+    goOn(step, job);
 }
 
 void SchedulerMachine::Private::runFailed(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const AgentName &agent)
@@ -425,18 +427,20 @@
         --job.placed[task.step][batch.agent];
         task.avoided.push_back(batch.agent);
         if (arrived) {
+            task.mayHaveRun = true;
             rest(step, job, batch.tasks[order], BrokenRest);
         } else {
-            taskWaits(job, task);
+            taskWaits(step, job, task);
         }
     }
-    queue(job);
+    goOn(step, job);
 }
 
 void SchedulerMachine::Private::rest(SchedulerStep &step, ScheduledJob &job, std::size_t index, Duration rest)
 {
     auto &task = job.tasks[index];
     task.stage = ScheduledStage::Resting;
+    task.readyAt = step.now() + rest;
     m_rests.emplace(step.now() + rest, std::pair(job.number, index));
 }
 
@@ -446,7 +450,7 @@
         const auto [number, index] = m_rests.begin()->second;
         m_rests.erase(m_rests.begin());
         auto &job = m_jobs.at(number);
-        taskWaits(job, job.tasks[index]);
+        taskWaits(step, job, job.tasks[index]);
         queue(job);
     }
 }
@@ -483,14 +487,51 @@
             const auto wait = m_order.expectedWait(step.now(), JobOrder::keyOf(job));
             refuse(step, job, ErrorKind::QueueFull, wait);
             erase(job);
-        } else if (step.now() >= job.giveUpAt) {
-            answer(step, job, WorkResult::Lost, ErrorKind::DeadlineUnreachable);
+        } else if (const auto useless = uselessAt(job); useless <= step.now()) {
+            giveUp(step, job);
         } else {
-            m_checks.emplace(job.giveUpAt, number);
+            m_checks.emplace(useless, number);
         }
     }
 }
 
+MonotonicTime SchedulerMachine::Private::uselessAt(const ScheduledJob &job)
+{
+    auto useless = job.giveUpAt;
+    for (const auto &task : job.tasks) {
+        const bool isHeld = task.stage == ScheduledStage::Waiting || task.stage == ScheduledStage::Resting;
+        if (!isHeld) {
+            continue;
+        }
+        const auto latestStart = job.giveUpAt - job.expected[task.step];
+        useless = std::min(useless, task.readyAt > latestStart ? MonotonicTime::min() : latestStart);
+    }
+    return useless;
+}
+
+void SchedulerMachine::Private::goOn(SchedulerStep &step, ScheduledJob &job)
+{
+    const auto useless = uselessAt(job);
+    if (useless <= step.now()) {
+        giveUp(step, job);
+        return;
+    }
+    m_checks.emplace(useless, job.number);
+    queue(job);
+}
+
+void SchedulerMachine::Private::giveUp(SchedulerStep &step, ScheduledJob &job)
+{
+    const bool mayHaveRun = !job.batches.empty() || std::ranges::any_of(job.tasks, &ScheduledTask::mayHaveRun);
+    if (mayHaveRun) {
+        answer(step, job, WorkResult::Lost, ErrorKind::DeadlineUnreachable);
+        return;
+    }
+    const auto wait = m_order.expectedWait(step.now(), JobOrder::keyOf(job));
+    refuse(step, job, ErrorKind::QueueFull, wait);
+    erase(job);
+}
+
 void SchedulerMachine::Private::place(SchedulerStep &step)
 {
     std::vector<JobNumber> numbers;
@@ -500,10 +541,9 @@
         }
         numbers.push_back(key.job);
     }
+    // A wide job that finds no room does not hold up the smaller ones behind it: room for it seldom comes by waiting.
     for (const auto &number : numbers) {
-        if (!placeJob(step, m_jobs.at(number))) {
-            return;
-        }
+        placeJob(step, m_jobs.at(number));
     }
 }
 
@@ -522,7 +562,7 @@
     return need;
 }
 
-bool SchedulerMachine::Private::placeJob(SchedulerStep &step, ScheduledJob &job)
+void SchedulerMachine::Private::placeJob(SchedulerStep &step, ScheduledJob &job)
 {
     std::vector<PlacedTask> placed;
     for (std::size_t index = 0; index < job.tasks.size(); ++index) {
@@ -537,7 +577,7 @@
             m_workers.notArrived(agent, batch);
             m_workers.returned(agent, 1);
         }
-        return false;
+        return;
     }
     std::map<AgentName, PlacedBatch> batches;
     for (const auto &[task, agent, batch] : placed) {
@@ -549,7 +589,6 @@
         send(step, job, agent, batch);
     }
     queue(job);
-    return whole;
 }
 
 bool SchedulerMachine::Private::mayBeginInPart(const ScheduledJob &job) const
--- /dev/null
+++ b/core/tests/scheduler_machine_test.cpp
@@ -0,0 +1,135 @@
+// Single decisions of a scheduler: when a job that has begun is of no use any more, and what its caller is told.
+#include <sycamoremoor/core/scheduler_machine.h>
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace Sycamoremoor
+{
+
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr auto RunTime = milliseconds(200);
+constexpr auto Allowance = milliseconds(60); ///< the objective is 1.6 times 200 ms and 60 ms: 380 ms, the job useless after 1,140 ms
+
+/** Drives one scheduler with one worker that takes all work. */
+class SchedulerDriver
+{
+public:
+    SchedulerDriver()
+        : m_machine(SchedulerSettings{EntryName("S"), ZoneName("z")})
+    {
+        auto queues = std::make_shared<QueueSet>();
+        queues->version = Revision(1);
+        feed(QueuesRead{queues});
+        tellRoom(AgentName("A"));
+    }
+
+    void feed(SchedulerInput input)
+    {
+        m_outputs.clear();
+        m_machine.step({m_now, WallTime{}, 7}, std::move(input), m_outputs);
+    }
+
+    void tellRoom(const AgentName &agent)
+    {
+        RoomReport room;
+        room.incarnation = Incarnation(1);
+        room.accepting = true;
+        room.service = ServiceName("service");
+        room.capacity = room.free = {MilliCores(32'000), Megabytes(1'000), Accelerators(0)};
+        feed(RoomReported{agent, ZoneName("z"), room});
+    }
+
+    /** Submits a job of one task. @return the batch that was sent */
+    BatchNumber submit()
+    {
+        auto work = std::make_shared<WorkSpec>();
+        work->id = WorkId("job");
+        work->steps.push_back({.count = 1, .size = {MilliCores(1'000), Megabytes(1), Accelerators(0)}, .declaredRunTime = RunTime});
+        QueueRecord queue;
+        queue.name = QueueName("queue");
+        queue.service = ServiceName("service");
+        queue.priority = 1;
+        queue.maxAttempts = 3;
+        queue.stretch = 1.6;
+        queue.latencyAllowance = Allowance;
+        feed(WorkSubmitted{ConnectionId(1), queue, work, Duration::zero()});
+        return last<SendBatch>()->batch.batch;
+    }
+
+    void pass(Duration time)
+    {
+        m_now += time;
+    }
+
+    template<typename Output>
+    [[nodiscard]] std::optional<Output> last() const
+    {
+        std::optional<Output> found;
+        for (const auto &output : m_outputs) {
+            if (const auto *match = std::get_if<Output>(&output)) {
+                found = *match;
+            }
+        }
+        return found;
+    }
+
+private:
+    MonotonicTime m_now{std::chrono::hours(1)};
+    SchedulerMachine m_machine;
+    SchedulerOutputs m_outputs;
+};
+
+/** What comes back of the only run, how late, and what the caller is told at once. */
+struct ReturnCase {
+    const char *name;
+    Duration after;
+    bool breaks; ///< the exchange broke; otherwise the run is reported
+    RunOutcome outcome;
+    std::optional<WorkResult> answer; ///< nothing: the task is placed again
+};
+
+constexpr std::array ReturnCases{
+    ReturnCase{"NotStartedSoon", milliseconds(100), false, RunOutcome::NotStarted, std::nullopt},
+    ReturnCase{"NotStartedTooLate", milliseconds(1000), false, RunOutcome::NotStarted, WorkResult::Refused},
+    ReturnCase{"StoppedSoon", milliseconds(100), false, RunOutcome::Stopped, std::nullopt},
+    ReturnCase{"StoppedTooLate", milliseconds(1000), false, RunOutcome::Stopped, WorkResult::Lost},
+    ReturnCase{"BrokenAndRestingTooLong", milliseconds(100), true, RunOutcome::End, WorkResult::Lost},
+};
+
+} // namespace
+
+class SchedulerReturnTest : public testing::TestWithParam<ReturnCase>
+{
+};
+
+TEST_P(SchedulerReturnTest, AnswersAtOnceWhenTheJobIsOfNoUse)
+{
+    SchedulerDriver scheduler;
+    const auto batch = scheduler.submit();
+    scheduler.tellRoom(AgentName("B"));
+    scheduler.pass(GetParam().after);
+    if (GetParam().breaks) {
+        scheduler.feed(BatchBroken{batch, Delivery::Unknown});
+    } else {
+        RunReport report;
+        report.outcome = GetParam().outcome;
+        report.why = GetParam().outcome == RunOutcome::NotStarted ? ErrorKind::DeadlineUnreachable : ErrorKind::RunLimitReached;
+        scheduler.feed(RunReported{batch, report});
+    }
+    const auto answer = scheduler.last<AnswerWork>();
+    EXPECT_EQ(answer ? std::optional(answer->result) : std::nullopt, GetParam().answer);
+    EXPECT_EQ(scheduler.last<SendBatch>().has_value(), !GetParam().answer.has_value());
+}
+
+INSTANTIATE_TEST_SUITE_P(Runs, SchedulerReturnTest, testing::ValuesIn(ReturnCases), [](const auto &row) { return row.param.name; });
+
+} // namespace Sycamoremoor
