Change: [core] A silent upstream's runs are known to be over a second sooner; new work only where it can be on time

A guard went on renewing the leases of an upstream that did not answer and waited for another 1.1 s after the last, so jobs stood for 2.5 s and longer; now it stops renewing once it doubts the upstream and waits for 2% of the lease and the bound of a stop. The new case of GuardMachineTest bounds it. A job that has not begun is not given to a worker on which it would end late by what is known of its slowness.

--- a/core/include/sycamoremoor/core/guard_machine.h
+++ b/core/include/sycamoremoor/core/guard_machine.h
@@ -37,8 +37,8 @@
     /** Takes one input and appends what is to be done about it. */
     void step(const StepContext &context, GuardInput input, GuardOutputs &outputs);
 
-    /** Returns what is told to schedulers that come anew. */
-    [[nodiscard]] RoomReport room() const;
+    /** Tells whether work is welcome. */
+    [[nodiscard]] bool isAccepting() const;
 
 private:
     class Private;
--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -36,7 +36,7 @@
     /** Does what has become due or possible, tells changes of room, and sets the timer. */
     void settle(GuardStep &step);
 
-    [[nodiscard]] RoomReport room() const;
+    [[nodiscard]] bool isAccepting() const;
 
 private:
     /** Beyond the time in which an answer to a renewal may arrive: a late one is given up after its wait and some. */
@@ -76,9 +76,9 @@
     void takeEnds(GuardStep &step, const UpstreamListed &listed);
     void takeMissing(GuardStep &step, const UpstreamListed &listed);
     void takeStrangers(GuardStep &step, const UpstreamListed &listed);
+    [[nodiscard]] RoomReport room() const;
     void tellRoom(GuardStep &step);
     void setTimer(GuardStep &step);
-    [[nodiscard]] bool isAccepting() const;
     [[nodiscard]] TaskSize freeRoom() const;
     [[nodiscard]] UpstreamTime leaseEnd(MonotonicTime now) const;
 
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -12,10 +12,11 @@
 namespace
 {
 
-constexpr Duration StopRetry = std::chrono::milliseconds(30);            ///< after a stop that failed, as at once when the upstream is gone
-constexpr Duration StopRepeat = std::chrono::milliseconds(150);          ///< three times the upstream's bound for a stop
-constexpr Duration RenewalPause = std::chrono::milliseconds(50);         ///< after a renewal without an answer
-constexpr Duration UpstreamLeaseBound = std::chrono::milliseconds(1100); ///< a lease of one second on a clock that is 2% slow, and a stop
+constexpr Duration StopRetry = std::chrono::milliseconds(30);    ///< after a stop that failed, as at once when the upstream is gone
+constexpr Duration StopRepeat = std::chrono::milliseconds(150);  ///< three times the upstream's bound for a stop
+constexpr Duration RenewalPause = std::chrono::milliseconds(50); ///< after a renewal without an answer
+constexpr Duration LapseBound
+    = std::chrono::milliseconds(150);        ///< 2% of the silence before a lease ends, and the upstream's bound for a stop
 constexpr std::uint32_t SilencesToDoubt = 3; ///< one answer in twenty is lost on a bad day; three in a row are rare
 constexpr FencingToken TokenLeap{60'000};    ///< in milliseconds: beyond any step of the clock that the first token came from
 constexpr std::size_t BackfillLimit = 32;    ///< waiting runs that are tried for room in one step
@@ -43,9 +44,9 @@
     d->settle(step);
 }
 
-RoomReport GuardMachine::room() const
+bool GuardMachine::isAccepting() const
 {
-    return d->room();
+    return d->isAccepting();
 }
 
 GuardMachine::Private::Private(const GuardSettings &settings)
@@ -369,7 +370,7 @@
 void GuardMachine::Private::settle(GuardStep &step)
 {
     if (m_upstream) {
-        const bool silentTooLong = m_upstream->silences >= SilencesToDoubt && step.now() >= m_upstream->leaseUntil + UpstreamLeaseBound;
+        const bool silentTooLong = m_upstream->silences >= SilencesToDoubt && step.now() >= m_upstream->leaseUntil + LapseBound;
         if (silentTooLong && !m_book.runs().empty()) {
             step.log(Severity::Warning, "The leases at the silent upstream are over; its runs are lost.");
             loseAll(step);
@@ -478,7 +479,8 @@
     renewal.life = upstream.announced.life;
     renewal.token = m_token;
     renewal.acknowledged = upstream.acknowledged;
-    if (!m_book.runs().empty()) {
+    // A silent upstream's leases are left to end, so that its runs are soon known to be over.
+    if (!m_book.runs().empty() && upstream.silences < SilencesToDoubt) {
         upstream.leaseUntil = step.now() + m_settings.leaseTerm;
         renewal.leaseUntil = leaseEnd(step.now());
     }
@@ -521,9 +523,9 @@
 
 void GuardMachine::Private::tellRoom(GuardStep &step)
 {
-    if (auto now = room(); now != m_told) {
-        m_told = now;
-        step.emit(RoomChanged{std::move(now)});
+    if (auto current = room(); current != m_told) {
+        m_told = current;
+        step.emit(RoomChanged{std::move(current)});
     }
 }
 
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -557,8 +557,10 @@
     need.label = part.requiredLabel;
     need.rack = part.dataRack;
     need.mostPerWorker = part.mostPerWorker;
+    // New work goes where it can be on time: on a slower worker it would end late, if at all, while refused it can come back.
     const auto expected = std::max(toSeconds(job.expected[task.step]), LeastExpectedSeconds);
-    need.slowestAllowed = std::max(1.0, toSeconds(job.giveUpAt - step.now()) / expected);
+    const auto left = toSeconds((job.begun ? job.giveUpAt : job.arrivedAt + job.objective) - step.now());
+    need.slowestAllowed = std::max(1.0, left / expected);
     return need;
 }
 
--- a/core/tests/guard_machine_test.cpp
+++ b/core/tests/guard_machine_test.cpp
@@ -55,6 +55,12 @@
         feed(listed);
     }
 
+    /** The upstream does not answer the renewal that was sent last. */
+    void stayMute()
+    {
+        feed(UpstreamSilent{m_renewal});
+    }
+
     void pass(Duration time)
     {
         m_now += time;
@@ -199,4 +205,31 @@
     EXPECT_EQ(guard.all<StartRun>().size(), 1U) << "the guard must not stop taking work";
 }
 
+TEST(GuardMachineTest, RunsOfASilentUpstreamAreGivenUpWhenItsLeasesAreOver)
+{
+    GuardDriver guard;
+    guard.order(1, 0, 1'000);
+    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+    constexpr auto LeaseTerm = milliseconds(900);
+    constexpr auto Step = milliseconds(50);
+    Duration silent{};
+    std::vector<RunReport> reports;
+    while (reports.empty() && silent < std::chrono::seconds(5)) {
+        guard.pass(Step);
+        silent += Step;
+        guard.stayMute();
+        for (const auto &report : guard.all<ReportRun>()) {
+            reports.push_back(report.report);
+        }
+        guard.feed(Tick{});
+        for (const auto &report : guard.all<ReportRun>()) {
+            reports.push_back(report.report);
+        }
+    }
+    ASSERT_EQ(reports.size(), 1U);
+    EXPECT_EQ(reports.front().outcome, RunOutcome::Lapsed);
+    EXPECT_GE(silent, LeaseTerm) << "they may still run";
+    EXPECT_LE(silent, LeaseTerm + milliseconds(500)) << "their jobs wait for it";
+}
+
 } // namespace Sycamoremoor
--- a/core/tests/pool_world.cpp
+++ b/core/tests/pool_world.cpp
@@ -41,6 +41,7 @@
     std::uint64_t life = 0;
     bool up = false;
     std::unique_ptr<GuardMachine> machine;
+    RoomReport room; ///< as last told
     std::uint64_t timer = 0;
     std::map<std::uint32_t, BatchNumber> seen; ///< highest batch by scheduler
     std::map<RunId, TaskSize> sizes;           ///< of every run that was ordered
@@ -148,6 +149,7 @@
     settings.incarnation = Incarnation(node.life * m_settings.workers + index + 1);
     settings.firstToken = FencingToken(static_cast<std::int64_t>(node.life * TokenStep));
     node.machine = std::make_unique<GuardMachine>(settings);
+    node.room = {};
     node.seen.clear();
     node.listening.clear();
     feedGuard(index, Tick{});
@@ -381,7 +383,8 @@
         });
     } else if (const auto *end = std::get_if<EndBatch>(&output)) {
         m_exchanges.erase(end->connection.value());
-    } else if (std::holds_alternative<RoomChanged>(output)) {
+    } else if (const auto *changed = std::get_if<RoomChanged>(&output)) {
+        node.room = changed->room;
         for (std::uint32_t scheduler = 0; scheduler < m_schedulers.size(); ++scheduler) {
             tellRoom(worker, scheduler);
         }
@@ -401,7 +404,7 @@
     if (!guard.up || scheduler >= m_schedulers.size()) {
         return;
     }
-    auto room = guard.machine->room();
+    auto room = guard.room;
     if (const auto seen = guard.seen.find(scheduler); seen != guard.seen.end()) {
         room.seen = seen->second;
     }
--- a/daemon/src/guard_task.cpp
+++ b/daemon/src/guard_task.cpp
@@ -36,7 +36,7 @@
     , m_driver(
           loop, GuardMachine(settings.machine), m_metrics, [this] { return m_randomBits(); }, *this)
 {
-    addProcessPages(m_router, m_metrics, [this] { return m_driver.machine().room().accepting; });
+    addProcessPages(m_router, m_metrics, [this] { return m_driver.machine().isAccepting(); });
     const auto feed = sigc::mem_fun(m_driver, &Driver::feed);
     m_guardServer.signalInput().connect(feed);
     m_runnerDoor.signalInput().connect(feed);
