Change: [core] A start whose answer was lost runs on

Load: runners that obey and whose answers get lost (answer_lost). A guard stopped every start without an answer and had the task begun anew.

--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -74,6 +74,8 @@
     RenewalNumber sendRenewal(GuardStep &step, Duration wait);
     void renewalEnded(RenewalNumber number);
     void takeEnds(GuardStep &step, const UpstreamListed &listed);
+    void confirmStart(GuardStep &step, GuardedRun &record);
+    void takeStarted(GuardStep &step, const UpstreamListed &listed);
     void takeMissing(GuardStep &step, const UpstreamListed &listed);
     void takeStrangers(GuardStep &step, const UpstreamListed &listed);
     [[nodiscard]] RoomReport room() const;
--- a/core/src/guard/run_book.h
+++ b/core/src/guard/run_book.h
@@ -46,6 +46,7 @@
     MonotonicTime startedAt;                     ///< when the start was confirmed
     bool started = false;                        ///< the start was confirmed
     ErrorKind stopReason = ErrorKind::None;      ///< why it is stopped, if nobody asked for that
+    std::optional<RenewalNumber> doubtedAfter;   ///< renewal last sent when its start went without an answer
     std::optional<MonotonicTime> stopDue;        ///< when the stop is sent, or sent again
     MonotonicTime stopSentAt;                    ///< last
     std::optional<RenewalNumber> confirmedAfter; ///< renewal last sent when the upstream confirmed its start or its stop
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -14,6 +14,7 @@
 
 constexpr Duration StopRetry = std::chrono::milliseconds(30);    ///< after a stop that failed, as at once when the upstream is gone
 constexpr Duration StopRepeat = std::chrono::milliseconds(150);  ///< three times the upstream's bound for a stop
+constexpr Duration LookLimit = std::chrono::milliseconds(60);    ///< a look is answered at once or after its second try
 constexpr Duration RenewalPause = std::chrono::milliseconds(50); ///< after a renewal without an answer
 constexpr Duration LapseBound
     = std::chrono::milliseconds(150);        ///< 2% of the silence before a lease ends, and the upstream's bound for a stop
@@ -170,18 +171,16 @@
     }
     switch (input.answer) {
     case StartAnswer::Started:
-        record->started = true;
-        record->startedAt = step.now();
-        record->confirmedAfter = RenewalNumber(m_lastRenewal);
-        if (record->stage == RunStage::Starting) {
-            record->stage = RunStage::Running;
-            record->stopDue = step.now() + record->runLimit;
-        }
+        confirmStart(step, *record);
         return;
     case StartAnswer::NoAnswer:
-        // It may begin at any time. A stop that is confirmed keeps it from that for good.
-        record->stopReason = ErrorKind::UpstreamLost;
-        stop(step, input.run, *record);
+        if (record->stage == RunStage::Starting) {
+            // It may run, with only its answer lost: a list tells. If it does not, it may still begin at any time.
+            record->doubtedAfter = RenewalNumber(m_lastRenewal);
+            record->stopReason = ErrorKind::UpstreamLost;
+            record->stopDue = step.now() + LookLimit;
+            m_upstream->lookWanted = true;
+        }
         return;
     case StartAnswer::Fenced:
         m_token += TokenLeap;
@@ -206,6 +205,19 @@
     }
 }
 
+void GuardMachine::Private::confirmStart(GuardStep &step, GuardedRun &record)
+{
+    record.started = true;
+    record.startedAt = step.now();
+    record.confirmedAfter = RenewalNumber(m_lastRenewal);
+    if (record.stage == RunStage::Starting) {
+        record.stage = RunStage::Running;
+        record.doubtedAfter.reset();
+        record.stopReason = ErrorKind::None;
+        record.stopDue = step.now() + record.runLimit;
+    }
+}
+
 void GuardMachine::Private::stop(GuardStep &step, const RunId &run, GuardedRun &record)
 {
     record.stage = RunStage::Stopping;
@@ -253,6 +265,7 @@
     upstream.heardAt = step.now();
     upstream.clockLead = millisecondsOf(input.clock) - step.now().time_since_epoch();
     takeEnds(step, input);
+    takeStarted(step, input);
     takeMissing(step, input);
     takeStrangers(step, input);
 }
@@ -273,6 +286,20 @@
     }
 }
 
+void GuardMachine::Private::takeStarted(GuardStep &step, const UpstreamListed &listed)
+{
+    for (const auto &run : listed.running) {
+        if (auto *record = m_book.find(run); record != nullptr && record->stage == RunStage::Starting) {
+            confirmStart(step, *record);
+        }
+    }
+    for (auto &[run, record] : m_book.runs()) {
+        if (record.stage == RunStage::Starting && record.doubtedAfter && *record.doubtedAfter < listed.renewal) {
+            stop(step, run, record); // once confirmed, it keeps the run from starting for good
+        }
+    }
+}
+
 void GuardMachine::Private::takeMissing(GuardStep &step, const UpstreamListed &listed)
 {
     const std::set<RunId> running(listed.running.begin(), listed.running.end());
--- a/core/tests/guard_machine_test.cpp
+++ b/core/tests/guard_machine_test.cpp
@@ -125,6 +125,7 @@
     GuardDriver driver;
     driver.order(1, 0, 1'000);
     driver.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::NoAnswer});
+    driver.list({}, {});
     auto stops = driver.all<StopRun>().size();
     for (int millisecond = 0; millisecond < 300; ++millisecond) {
         driver.pass(milliseconds(1));
@@ -142,6 +143,7 @@
     ASSERT_EQ(driver.all<StartRun>().size(), 1U);
     driver.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::NoAnswer});
     driver.list({}, {});
+    ASSERT_EQ(driver.all<StopRun>().size(), 1U);
     EXPECT_TRUE(driver.all<ReportRun>().empty()) << "the order may still be carried out";
     driver.order(2, 1, RunnerCores);
     EXPECT_TRUE(driver.all<StartRun>().empty());
@@ -232,4 +234,29 @@
     EXPECT_LE(silent, LeaseTerm + milliseconds(500)) << "their jobs wait for it";
 }
 
+TEST(GuardMachineTest, AStartWhoseAnswerWasLostRunsOn)
+{
+    GuardDriver guard;
+    guard.order(1, 0, 1'000);
+    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::NoAnswer});
+    EXPECT_TRUE(guard.all<StopRun>().empty());
+    ASSERT_EQ(guard.all<RenewLease>().size(), 1U) << "a look at the upstream";
+    guard.list({GuardDriver::run(0)}, {});
+    EXPECT_TRUE(guard.all<StopRun>().empty());
+    guard.pass(milliseconds(100));
+    guard.list({}, {{1, GuardDriver::run(0), RunOutcome::Done}});
+    ASSERT_EQ(guard.all<ReportRun>().size(), 1U);
+    EXPECT_EQ(guard.all<ReportRun>().front().report.outcome, RunOutcome::Done);
+}
+
+TEST(GuardMachineTest, AStartWithoutAnswerIsStoppedWhenNoListTellsOfIt)
+{
+    GuardDriver guard;
+    guard.order(1, 0, 1'000);
+    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::NoAnswer});
+    guard.pass(milliseconds(70));
+    guard.stayMute();
+    EXPECT_EQ(guard.all<StopRun>().size(), 1U);
+}
+
 } // namespace Sycamoremoor
--- a/core/tests/pool_load_test.cpp
+++ b/core/tests/pool_load_test.cpp
@@ -46,7 +46,8 @@
     double burst;                                     ///< times the usual load, for four seconds
     std::uint32_t slow;                               ///< workers that take five times as long during the burst
     std::uint32_t failing;                            ///< workers that fail everything during the burst
-    double lostOrders;                                ///< share of orders to runners whose answer is lost
+    double lostOrders;                                ///< share of orders to runners that are lost, or carried out late
+    double lostAnswers;                               ///< share of orders to runners that are carried out without an answer
     std::array<double, LoadKinds.size()> leastOnTime; ///< by kind, over the whole day
 };
 
@@ -68,12 +69,13 @@
 }
 
 constexpr std::array HeavyDays{
-    HeavyDay{"Usual", 13, 1, 0, 0, 0, {0.95, 0.95, 0.95}},
-    HeavyDay{"Burst", 11, 1.3, 0, 0, 0, {0.7, 0.7, 0.7}},
-    HeavyDay{"BurstOfTwice", 13, 1.8, 0, 0, 0, {0.6, 0.6, 0.6}},
-    HeavyDay{"Slow", 13, 1, 2, 0, 0, {0.8, 0.8, 0.8}},
-    HeavyDay{"Failing", 13, 1, 0, 2, 0, {0.8, 0.8, 0.8}},
-    HeavyDay{"LostOrders", 13, 1, 0, 0, 0.05, {0.8, 0.8, 0.8}},
+    HeavyDay{"Usual", 13, 1, 0, 0, 0, 0, {0.95, 0.95, 0.95}},
+    HeavyDay{"Burst", 11, 1.3, 0, 0, 0, 0, {0.7, 0.7, 0.7}},
+    HeavyDay{"BurstOfTwice", 13, 1.8, 0, 0, 0, 0, {0.6, 0.6, 0.6}},
+    HeavyDay{"Slow", 13, 1, 2, 0, 0, 0, {0.8, 0.8, 0.8}},
+    HeavyDay{"Failing", 13, 1, 0, 2, 0, 0, {0.8, 0.8, 0.8}},
+    HeavyDay{"LostOrders", 13, 1, 0, 0, 0.05, 0, {0.8, 0.8, 0.8}},
+    HeavyDay{"LostAnswers", 13, 1, 0, 0, 0, 0.2, {0.9, 0.9, 0.9}},
 };
 
 /** Adds up what became of jobs on several days. */
@@ -96,6 +98,7 @@
     settings.schedulers = 4;
     settings.workers = day.workers;
     settings.lostOrders = day.lostOrders;
+    settings.lostAnswers = day.lostAnswers;
     std::mt19937_64 runTimes(seed);
     PoolWorld *running = nullptr;
     settings.shapeRun = [&](const RunnerStart &start, RunnerRun &run) {
--- a/core/tests/pool_world.cpp
+++ b/core/tests/pool_world.cpp
@@ -264,7 +264,7 @@
     }
 }
 
-void PoolWorld::giveOrder(std::uint32_t worker, const std::function<void(bool answered)> &carryOut)
+void PoolWorld::giveOrder(std::uint32_t worker, const std::function<void(OrderStep)> &carryOut)
 {
     const auto life = m_guards[worker]->life;
     const auto born = m_guards[worker]->runner.bornMs();
@@ -277,24 +277,26 @@
             const auto late = std::uniform_int_distribution<std::int64_t>(0, LatestOrder.count())(m_random);
             at(m_now - m_start + Duration(late), [this, worker, born, carryOut] {
                 if (m_guards[worker]->runnerUp && m_guards[worker]->runner.bornMs() == born) {
-                    carryOut(false);
+                    carryOut(OrderStep::CarryOut);
                 }
             });
         }
         at(m_now - m_start + OrderLimit, [this, worker, life, carryOut] {
             if (m_guards[worker]->life == life) {
-                carryOut(true); // the time limit passes without an answer
+                carryOut(OrderStep::GiveUp);
             }
         });
         return;
     }
-    at(m_now - m_start + Duration(200), [carryOut, sameLives, this, worker, life] {
+    // The draw is made only where answers get lost, so that other worlds stay as they are.
+    const bool answerLost = m_settings.lostAnswers > 0 && chance(m_settings.lostAnswers);
+    at(m_now - m_start + Duration(200), [carryOut, sameLives, this, worker, life, answerLost] {
         if (sameLives()) {
-            carryOut(false);
+            carryOut(OrderStep::CarryOut);
         }
-        at(m_now - m_start + Duration(200), [carryOut, this, worker, life] {
+        at(m_now - m_start + (answerLost ? OrderLimit : Duration(200)), [carryOut, this, worker, life, answerLost] {
             if (m_guards[worker]->life == life) {
-                carryOut(true);
+                carryOut(answerLost ? OrderStep::GiveUp : OrderStep::Answer);
             }
         });
     });
@@ -306,10 +308,11 @@
     if (const auto *start = std::get_if<StartRun>(&output)) {
         // The order's effect and its answer are two moments; an answer exists only if the effect came before it.
         auto answer = std::make_shared<std::optional<StartAnswer>>();
-        giveOrder(worker, [this, worker, order = *start, answer](bool answering) {
-            if (answering) {
-                feedGuard(worker, RunStartAnswered{order.run, answer->value_or(StartAnswer::NoAnswer)});
+        giveOrder(worker, [this, worker, order = *start, answer](OrderStep orderStep) {
+            if (orderStep != OrderStep::CarryOut) {
+                const auto told = orderStep == OrderStep::Answer ? answer->value_or(StartAnswer::NoAnswer) : StartAnswer::NoAnswer;
                 *answer = StartAnswer::NoAnswer;
+                feedGuard(worker, RunStartAnswered{order.run, told});
                 return;
             }
             auto &guard = *m_guards[worker];
@@ -332,9 +335,9 @@
         });
     } else if (const auto *stop = std::get_if<StopRun>(&output)) {
         auto done = std::make_shared<bool>(false);
-        giveOrder(worker, [this, worker, order = *stop, done](bool answering) {
-            if (answering) {
-                feedGuard(worker, RunStopAnswered{order.run, *done});
+        giveOrder(worker, [this, worker, order = *stop, done](OrderStep orderStep) {
+            if (orderStep != OrderStep::CarryOut) {
+                feedGuard(worker, RunStopAnswered{order.run, *done && orderStep == OrderStep::Answer});
                 return;
             }
             auto &guard = *m_guards[worker];
--- a/core/tests/pool_world.h
+++ b/core/tests/pool_world.h
@@ -26,7 +26,8 @@
     std::uint32_t schedulers = 3;
     std::uint32_t workers = 8;
     TaskSize capacity{MilliCores(32'000), Megabytes(131'072), Accelerators(0)};
-    double lostOrders = 0; ///< share of orders whose answer is lost; half of them are carried out up to 4 s later
+    double lostOrders = 0;  ///< share of orders whose answer is lost; half of them are carried out up to 4 s later
+    double lostAnswers = 0; ///< share of orders to runners that are carried out without an answer
     std::function<void(const RunnerStart &, RunnerRun &)> shapeRun; ///< may change how a run ends and how long it takes
 };
 
@@ -108,7 +109,13 @@
     void carryOut(std::uint32_t scheduler, const SchedulerOutput &output);
     void carryOutGuard(std::uint32_t worker, const GuardOutput &output);
     void deliverBatch(std::uint32_t scheduler, const SendBatch &output);
-    void giveOrder(std::uint32_t worker, const std::function<void(bool answered)> &carryOut);
+    /** What befalls an order to a runner. */
+    enum class OrderStep {
+        CarryOut, ///< the runner obeys it
+        Answer,   ///< its answer arrives
+        GiveUp,   ///< the time limit passes without one
+    };
+    void giveOrder(std::uint32_t worker, const std::function<void(OrderStep)> &carryOut);
     void breakExchange(std::uint64_t number, bool tellScheduler, bool tellGuard);
     void tellRoom(std::uint32_t worker, std::uint32_t scheduler);
     void answer(const AnswerWork &answer);
