Fix: [core] The first job without room ends the placing again

Supposed cause: each step tried up to 24 waiting jobs with all of their tasks on all 68 workers, on fronts of 0.12 of a core that were near their limit before.

pool_load_test passes (28 tests of pool, guard and scheduler).

--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -81,8 +81,8 @@
     void endRests(SchedulerStep &step);
     void giveUpLate(SchedulerStep &step);
     void place(SchedulerStep &step);
-    void placeJob(SchedulerStep &step, ScheduledJob &job);
-    void placeTask(SchedulerStep &step, ScheduledJob &job, std::size_t index, std::vector<PlacedTask> &placed);
+    bool placeJob(SchedulerStep &step, ScheduledJob &job);
+    bool placeTask(SchedulerStep &step, ScheduledJob &job, std::size_t index, std::vector<PlacedTask> &placed);
     [[nodiscard]] bool mayBeginInPart(const ScheduledJob &job) const;
     [[nodiscard]] TaskNeed needOf(SchedulerStep &step, const ScheduledJob &job, const ScheduledTask &task) const;
     void send(SchedulerStep &step, ScheduledJob &job, const AgentName &agent, const PlacedBatch &batch);
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -541,9 +541,11 @@
         }
         numbers.push_back(key.job);
     }
-    // A wide job that finds no room does not hold up the smaller ones behind it: room for it seldom comes by waiting.
+    // The first job without room ends it: in a burst each step would else try them all on every worker.
     for (const auto &number : numbers) {
-        placeJob(step, m_jobs.at(number));
+        if (!placeJob(step, m_jobs.at(number))) {
+            return;
+        }
     }
 }
 
@@ -564,22 +566,23 @@
     return need;
 }
 
-void SchedulerMachine::Private::placeJob(SchedulerStep &step, ScheduledJob &job)
+bool SchedulerMachine::Private::placeJob(SchedulerStep &step, ScheduledJob &job)
 {
+    const bool mayBeginInParts = mayBeginInPart(job);
     std::vector<PlacedTask> placed;
-    for (std::size_t index = 0; index < job.tasks.size(); ++index) {
-        if (job.tasks[index].stage == ScheduledStage::Waiting) {
-            placeTask(step, job, index, placed);
+    bool whole = true;
+    for (std::size_t index = 0; index < job.tasks.size() && (whole || mayBeginInParts); ++index) {
+        if (job.tasks[index].stage == ScheduledStage::Waiting && !placeTask(step, job, index, placed)) {
+            whole = false;
         }
     }
-    const bool whole = placed.size() == job.waiting;
-    if (!whole && !mayBeginInPart(job)) {
+    if (!whole && !mayBeginInParts) {
         for (const auto &[task, agent, batch] : placed) {
             --job.placed[job.tasks[task].step][agent];
             m_workers.notArrived(agent, batch);
             m_workers.returned(agent, 1);
         }
-        return;
+        return false;
     }
     std::map<AgentName, PlacedBatch> batches;
     for (const auto &[task, agent, batch] : placed) {
@@ -591,6 +594,7 @@
         send(step, job, agent, batch);
     }
     queue(job);
+    return whole;
 }
 
 bool SchedulerMachine::Private::mayBeginInPart(const ScheduledJob &job) const
@@ -603,7 +607,7 @@
     return job.begun || static_cast<double>(need.value()) > all * WideShare;
 }
 
-void SchedulerMachine::Private::placeTask(SchedulerStep &step, ScheduledJob &job, std::size_t index, std::vector<PlacedTask> &placed)
+bool SchedulerMachine::Private::placeTask(SchedulerStep &step, ScheduledJob &job, std::size_t index, std::vector<PlacedTask> &placed)
 {
     const auto &task = job.tasks[index];
     auto &ofStep = job.placed[task.step];
@@ -613,13 +617,14 @@
         agent = m_workers.choose(step.now(), need, {}, ofStep, step.context.entropy + index);
     }
     if (agent == nullptr) {
-        return;
+        return false;
     }
     const auto same = std::ranges::find(placed, *agent, &PlacedTask::agent);
     const auto batch = same == placed.end() ? BatchNumber(++m_lastBatch) : same->batch;
     ++ofStep[*agent];
     m_workers.sent(*agent, batch, need.size, 1);
     placed.push_back({index, *agent, batch});
+    return true;
 }
 
 void SchedulerMachine::Private::send(SchedulerStep &step, ScheduledJob &job, const AgentName &agent, const PlacedBatch &batch)
