Codechange: [core] A scheduler keeps one check a job, and does less for each report

goOn added a check for each run that ended, and the end of a job searched all checks for its own. A job now knows when its check is due, so there is one of each and it is found by its key. A report copied its whole batch; a step copied up to 24 keys before it knew whether the first job has room; and the sum over all workers that tells whether a job may begin in parts was taken for jobs that found room at once.

pool_load_test prints the same with all of this but the checks. With them it differs by what fewer wake-ups draw from the world's random numbers: the timer no longer fires for checks that were overtaken. All 12 tests pass.

--- a/core/src/scheduler/scheduled_job.h
+++ b/core/src/scheduler/scheduled_job.h
@@ -46,6 +46,7 @@
     Duration objective{};           ///< from arrival, to be on time
     MonotonicTime latestStart;      ///< begun later it cannot be on time
     MonotonicTime giveUpAt;         ///< worth nothing any more
+    MonotonicTime checkAt;          ///< when it is looked at again, if nothing happens before
     std::vector<Duration> expected; ///< run time of a task, by step
     std::vector<ScheduledTask> tasks;
     std::vector<std::uint32_t> openTasks;                               ///< not done, by step
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -73,10 +73,11 @@
     void queue(ScheduledJob &job);
     void taskWaits(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task);
     void goOn(SchedulerStep &step, ScheduledJob &job);
+    void checkAt(ScheduledJob &job, MonotonicTime at);
     [[nodiscard]] static MonotonicTime uselessAt(const ScheduledJob &job);
     void giveUp(SchedulerStep &step, ScheduledJob &job);
     void rest(SchedulerStep &step, ScheduledJob &job, std::size_t task, Duration rest);
-    void runEnded(SchedulerStep &step, ScheduledJob &job, std::size_t task, const OpenBatch &batch, const RunReport &report);
+    void runEnded(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const AgentName &agent, const RunReport &report);
     void runFailed(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const AgentName &agent);
     void endRests(SchedulerStep &step);
     void giveUpLate(SchedulerStep &step);
@@ -98,7 +99,7 @@
     std::map<WorkId, JobNumber> m_byWork;
     std::map<BatchNumber, OpenBatch> m_batches;
     JobOrder m_order;
-    std::set<std::pair<MonotonicTime, JobNumber>> m_checks;                  ///< when jobs may have to be given up
+    std::set<std::pair<MonotonicTime, JobNumber>> m_checks;                  ///< when jobs may have to be given up, one of each
     std::multimap<MonotonicTime, std::pair<JobNumber, std::size_t>> m_rests; ///< tasks that rest, by their end
     std::uint64_t m_lastJob = 0;
     std::uint64_t m_lastBatch = 0;
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -102,8 +102,8 @@
     step.emit(Count{CounterMetric::JobsAccepted, 1});
     m_callers[input.connection] = job.number;
     m_byWork[job.work->id] = job.number;
-    m_checks.emplace(job.latestStart, job.number);
     auto &kept = m_jobs.emplace(job.number, std::move(job)).first->second;
+    checkAt(kept, kept.latestStart);
     unblockSteps(step, kept);
     queue(kept);
 }
@@ -226,7 +226,7 @@
     }
     m_order.remove(job.number);
     std::erase_if(m_rests, [&](const auto &item) { return item.second.first == job.number; });
-    std::erase_if(m_checks, [&](const auto &item) { return item.second == job.number; });
+    m_checks.erase({job.checkAt, job.number});
     const auto number = job.number;
     m_jobs.erase(number);
 }
@@ -317,26 +317,26 @@
         return; // cancelled, or reported before
     }
     found->second.reported[order] = true;
-    const auto batch = found->second;
-    auto &job = m_jobs.at(batch.job);
-    if (std::ranges::find(batch.reported, false) == batch.reported.end()) {
+    auto &job = m_jobs.at(found->second.job);
+    const auto agent = found->second.agent;
+    const auto task = found->second.tasks[order];
+    if (std::ranges::find(found->second.reported, false) == found->second.reported.end()) {
         job.batches.erase(input.batch);
         m_batches.erase(found);
     }
-    m_workers.returned(batch.agent, 1);
-    runEnded(step, job, batch.tasks[order], batch, input.report);
+    m_workers.returned(agent, 1);
+    runEnded(step, job, job.tasks[task], agent, input.report);
 }
 
 void SchedulerMachine::Private::runEnded(
-    SchedulerStep &step, ScheduledJob &job, std::size_t index, const OpenBatch &batch, const RunReport &report)
+    SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const AgentName &agent, const RunReport &report)
 {
-    auto &task = job.tasks[index];
-    --job.placed[task.step][batch.agent];
+    --job.placed[task.step][agent];
     task.mayHaveRun = task.mayHaveRun || report.outcome != RunOutcome::NotStarted;
     switch (report.outcome) {
     case RunOutcome::Done: {
         const auto declared = job.work->steps[task.step].declaredRunTime;
-        m_workers.succeeded(step.now(), batch.agent, job.expected[task.step], report.runTime);
+        m_workers.succeeded(step.now(), agent, job.expected[task.step], report.runTime);
         m_runTimes.learn(job.queue.service, TaskKind(job.queue.name.value()), declared, report.runTime);
         task.stage = ScheduledStage::Done;
         if (--job.openTasks[task.step] == 0) {
@@ -353,10 +353,10 @@
         step.log(Severity::Info,
                  isLast ? "A task failed for the last time." : "A task failed; it is placed again.",
                  {{"task", nameOf(job, task)},
-                  {"worker", batch.agent.value()},
+                  {"worker", agent.value()},
                   {"failures", std::to_string(task.failures)},
                   {"most_failures", std::to_string(job.queue.maxAttempts)}});
-        runFailed(step, job, task, batch.agent);
+        runFailed(step, job, task, agent);
         if (isLast) {
             answer(step, job, WorkResult::Failed, ErrorKind::TaskFailed);
             return;
@@ -369,24 +369,24 @@
         step.log(Severity::Info,
                  "A run was cut short; its task is placed again.",
                  {{"task", nameOf(job, task)},
-                  {"worker", batch.agent.value()},
+                  {"worker", agent.value()},
                   {"outcome", std::string(runOutcomeName(report.outcome))},
                   {"error", std::string(errorRow(report.why).code)},
                   {"ran_ms", inMilliseconds(report.runTime)},
                   {"expected_ms", inMilliseconds(job.expected[task.step])}});
         if (report.why == ErrorKind::UpstreamLost) {
-            task.avoided.push_back(batch.agent); // the answer to an order was lost, which says nothing of the worker
+            task.avoided.push_back(agent); // the answer to an order was lost, which says nothing of the worker
         } else {
-            runFailed(step, job, task, batch.agent);
+            runFailed(step, job, task, agent);
         }
         taskWaits(step, job, task);
         break;
     default:
         step.log(Severity::Info,
                  "A worker did not start a task; it is placed again.",
-                 {{"task", nameOf(job, task)}, {"worker", batch.agent.value()}, {"error", std::string(errorRow(report.why).code)}});
+                 {{"task", nameOf(job, task)}, {"worker", agent.value()}, {"error", std::string(errorRow(report.why).code)}});
         if (report.why != ErrorKind::DeadlineUnreachable) {
-            task.avoided.push_back(batch.agent);
+            task.avoided.push_back(agent);
         }
         taskWaits(step, job, task);
         break;
@@ -480,9 +480,7 @@
 void SchedulerMachine::Private::giveUpLate(SchedulerStep &step)
 {
     while (!m_checks.empty() && m_checks.begin()->first <= step.now()) {
-        const auto number = m_checks.begin()->second;
-        m_checks.erase(m_checks.begin());
-        auto &job = m_jobs.at(number);
+        auto &job = m_jobs.at(m_checks.begin()->second);
         if (!job.begun) {
             const auto wait = m_order.expectedWait(step.now(), JobOrder::keyOf(job));
             refuse(step, job, ErrorKind::QueueFull, wait);
@@ -490,11 +488,18 @@
         } else if (const auto useless = uselessAt(job); useless <= step.now()) {
             giveUp(step, job);
         } else {
-            m_checks.emplace(useless, number);
+            checkAt(job, useless);
         }
     }
 }
 
+void SchedulerMachine::Private::checkAt(ScheduledJob &job, MonotonicTime at)
+{
+    m_checks.erase({job.checkAt, job.number});
+    job.checkAt = at;
+    m_checks.emplace(at, job.number);
+}
+
 MonotonicTime SchedulerMachine::Private::uselessAt(const ScheduledJob &job)
 {
     auto useless = job.giveUpAt;
@@ -516,7 +521,7 @@
         giveUp(step, job);
         return;
     }
-    m_checks.emplace(useless, job.number);
+    checkAt(job, useless);
     queue(job);
 }
 
@@ -534,18 +539,10 @@
 
 void SchedulerMachine::Private::place(SchedulerStep &step)
 {
-    std::vector<JobNumber> numbers;
-    for (const auto &[key, work] : m_order.jobs()) {
-        if (numbers.size() >= JobsTried) {
-            break;
-        }
-        numbers.push_back(key.job);
-    }
     // The first job without room ends it: in a burst each step would else try them all on every worker.
-    for (const auto &number : numbers) {
-        if (!placeJob(step, m_jobs.at(number))) {
-            return;
-        }
+    bool hasRoom = true;
+    for (std::size_t tried = 0; hasRoom && tried < JobsTried && !m_order.jobs().empty(); ++tried) {
+        hasRoom = placeJob(step, m_jobs.at(m_order.jobs().begin()->first.job));
     }
 }
 
@@ -568,15 +565,16 @@
 
 bool SchedulerMachine::Private::placeJob(SchedulerStep &step, ScheduledJob &job)
 {
-    const bool mayBeginInParts = mayBeginInPart(job);
     std::vector<PlacedTask> placed;
     bool whole = true;
-    for (std::size_t index = 0; index < job.tasks.size() && (whole || mayBeginInParts); ++index) {
+    bool begins = true;
+    for (std::size_t index = 0; index < job.tasks.size() && begins; ++index) {
         if (job.tasks[index].stage == ScheduledStage::Waiting && !placeTask(step, job, index, placed)) {
             whole = false;
+            begins = mayBeginInPart(job);
         }
     }
-    if (!whole && !mayBeginInParts) {
+    if (!begins) {
         for (const auto &[task, agent, batch] : placed) {
             --job.placed[job.tasks[task].step][agent];
             m_workers.notArrived(agent, batch);
