Codechange: [core] One sum and comparison of sizes serves the dispatcher and the guards

WorkerRoom repeated the resources of TaskSize with their operators, as room_func.h has them since the guards came.

--- a/core/src/dispatch_room_tree.cpp
+++ b/core/src/dispatch_room_tree.cpp
@@ -8,7 +8,7 @@
 {
 
 /** Room of a leaf that is not in use; nothing fits. */
-constexpr WorkerRoom NoRoom{-1, -1, -1, -1};
+constexpr WorkerRoom Unused{-1, {MilliCores(-1), Megabytes(-1), Accelerators(-1)}};
 
 constexpr std::size_t FirstLeaves = 16;
 
@@ -41,7 +41,7 @@
 
 void RoomTree::remove(std::size_t position)
 {
-    update(position, NoRoom);
+    update(position, Unused);
     m_unused.push_back(position);
 }
 
@@ -57,7 +57,7 @@
 
 const WorkerRoom &RoomTree::largest() const
 {
-    return m_leaves == 0 ? NoRoom : m_nodes[1];
+    return m_leaves == 0 ? Unused : m_nodes[1];
 }
 
 void RoomTree::grow()
@@ -65,7 +65,7 @@
     const auto before = m_leaves;
     const std::vector<WorkerRoom> leaves(m_nodes.begin() + static_cast<std::ptrdiff_t>(before), m_nodes.end());
     m_leaves = before == 0 ? FirstLeaves : 2 * before;
-    m_nodes.assign(2 * m_leaves, NoRoom);
+    m_nodes.assign(2 * m_leaves, Unused);
     for (auto position = m_leaves; position > before; --position) {
         m_unused.push_back(position - 1);
     }
--- a/core/src/dispatch_service_queue.cpp
+++ b/core/src/dispatch_service_queue.cpp
@@ -27,7 +27,7 @@
 
 ServiceQueue::SizeKey ServiceQueue::sizeKey(const WorkerRoom &need)
 {
-    return {need.accelerators, need.memory, need.cores};
+    return {need.size.accelerators.value(), need.size.memory.value(), need.size.cores.value()};
 }
 
 ServiceQueue::TeamRank ServiceQueue::teamRank(const TeamQueue &team)
--- a/core/src/dispatch_worker_pool.cpp
+++ b/core/src/dispatch_worker_pool.cpp
@@ -39,8 +39,8 @@
     auto free = roomOf(worker.state.capacity);
     free.slots = worker.known && worker.state.accepting ? std::min(free.slots, worker.slotLimit) : 0;
     if (worker.used.slots > 0) {
-        free.cores = static_cast<std::int64_t>(static_cast<double>(free.cores) / worker.coresRatio);
-        free.memory = static_cast<std::int64_t>(static_cast<double>(free.memory) / worker.memoryRatio);
+        free.size.cores = MilliCores(static_cast<std::int64_t>(static_cast<double>(free.size.cores.value()) / worker.coresRatio));
+        free.size.memory = Megabytes(static_cast<std::int64_t>(static_cast<double>(free.size.memory.value()) / worker.memoryRatio));
     }
     free -= worker.used;
     free.slots -= worker.state.foreign;
@@ -55,8 +55,8 @@
             ratio = std::clamp(ratio + UsageWeight * (now - ratio), 1.0, LargestUsageRatio);
         }
     };
-    learn(worker.coresRatio, worker.state.usage.cores.value(), worker.used.cores);
-    learn(worker.memoryRatio, worker.state.usage.memory.value(), worker.used.memory);
+    learn(worker.coresRatio, worker.state.usage.cores.value(), worker.used.size.cores.value());
+    learn(worker.memoryRatio, worker.state.usage.memory.value(), worker.used.size.memory.value());
 }
 
 const WorkerPool::Side &WorkerPool::side(bool ownZone) const
