--- a/ctl/src/account_cmd.cpp
+++ b/ctl/src/account_cmd.cpp
@@ -6,6 +6,7 @@
 #include "options.h"
 #include "text_table.h"
 
+#include <sycamoremoor/wire/http_status.h>
 #include <sycamoremoor/wire/message_codec.h>
 #include <sycamoremoor/wire/text_codec.h>
 
@@ -20,8 +21,6 @@
 namespace
 {
 
-constexpr int HttpOk = 200;
-
 /** Accounts of all entries. */
 struct Accounts {
     std::vector<AccountReply> answered;
@@ -48,7 +47,7 @@
     Accounts accounts;
     for (const auto &[entry, reply] : askEntries(options, queryPath(options))) {
         AccountReply account;
-        if (reply.status == HttpOk && !decode(reply.body, account)) {
+        if (reply.status == HttpStatus::Ok && !decode(reply.body, account)) {
             accounts.answered.push_back(std::move(account));
         } else {
             accounts.silent.push_back(entry.name);
--- a/ctl/src/entry_directory.cpp
+++ b/ctl/src/entry_directory.cpp
@@ -6,6 +6,7 @@
 #include "options.h"
 
 #include <sycamoremoor/gateway/key_value_client.h>
+#include <sycamoremoor/wire/http_status.h>
 #include <sycamoremoor/wire/message_codec.h>
 #include <sycamoremoor/wire/text_codec.h>
 
@@ -17,7 +18,6 @@
 namespace
 {
 
-constexpr int HttpOk = 200;
 constexpr const char *RosterKey = "sycamoremoor/v1/head/roster";
 
 std::vector<EntryAddress> addressesOf(const RosterRecord &roster)
@@ -53,7 +53,7 @@
     for (const auto &reply :
          callAll(options.endpoints("entries"), {.method = HttpMethod::Get, .path = "/v1/status"}, options.milliseconds("timeout-ms"))) {
         ProcessStatus status;
-        if (reply.status != HttpOk || decode(reply.body, status) || !status.roster) {
+        if (reply.status != HttpStatus::Ok || decode(reply.body, status) || !status.roster) {
             continue;
         }
         if (!newest || newest->epoch < status.roster->epoch) {
--- a/ctl/src/process_status_func.cpp
+++ b/ctl/src/process_status_func.cpp
@@ -3,6 +3,7 @@
 
 #include "entry_directory.h"
 
+#include <sycamoremoor/wire/http_status.h>
 #include <sycamoremoor/wire/message_codec.h>
 
 #include <iostream>
@@ -12,11 +13,10 @@
 
 EntryStatuses askStatuses(const Options &options)
 {
-    constexpr int HttpOk = 200;
     EntryStatuses statuses;
     for (const auto &[entry, reply] : askEntries(options, "/v1/status")) {
         ProcessStatus status;
-        if (reply.status == HttpOk && !decode(reply.body, status)) {
+        if (reply.status == HttpStatus::Ok && !decode(reply.body, status)) {
             statuses.answered.push_back(std::move(status));
         } else {
             statuses.silent.push_back(entry.name);
--- a/daemon/src/scheduler_task.cpp
+++ b/daemon/src/scheduler_task.cpp
@@ -6,6 +6,7 @@
 #include <sycamoremoor/net/process_pages_func.h>
 #include <sycamoremoor/platform/queue_codec.h>
 #include <sycamoremoor/platform/store_client.h>
+#include <sycamoremoor/wire/http_status.h>
 
 #include <sigc++/functors/mem_fun.h>
 
@@ -21,9 +22,6 @@
 /** A change of configuration is in force within two seconds, even if the watch has gone deaf. */
 constexpr PrefixWatchTimes ConfigTimes{std::chrono::milliseconds(900), std::chrono::seconds(10)};
 
-constexpr int HttpOk = 200;
-constexpr int HttpUnavailable = 503;
-
 } // namespace
 
 SchedulerTask::SchedulerTask(EventLoop &loop, const SchedulerTaskSettings &settings)
@@ -109,7 +107,7 @@
 void SchedulerTask::answerReadiness(const HttpExchangePointer &exchange)
 {
     const bool ready = m_driver.machine().isReady();
-    exchange->reply({ready ? HttpOk : HttpUnavailable, "{}", "application/json", {}});
+    exchange->reply({ready ? HttpStatus::Ok : HttpStatus::ServiceUnavailable, "{}", "application/json", {}});
 }
 
 } // namespace Sycamoremoor
--- a/gateway/src/key_value_client.cpp
+++ b/gateway/src/key_value_client.cpp
@@ -4,6 +4,7 @@
 #include "gateway_codec.h"
 #include "watch_stream.h"
 #include <sycamoremoor/gateway/http_connection.h>
+#include <sycamoremoor/wire/http_status.h>
 
 #include <event2/event.h>
 
@@ -19,9 +20,6 @@
 namespace
 {
 
-constexpr int HttpOk = 200;
-constexpr int HttpServerError = 500;
-
 /** One call until it ends. */
 struct Call {
     std::string path;
@@ -39,7 +37,7 @@
     if (!changesState || !reply.mayHaveLeft) {
         return CallOutcome::NoEffect;
     }
-    const auto refused = reply.status > HttpOk && reply.status < HttpServerError;
+    const auto refused = reply.status > HttpStatus::Ok && reply.status < HttpStatus::InternalServerError;
     return refused ? CallOutcome::NoEffect : CallOutcome::Unknown;
 }
 
@@ -78,7 +76,7 @@
     {
         auto ended = [changesState, decode, done = std::move(done)](const HttpReply &reply) {
             Result result;
-            if (reply.status != HttpOk) {
+            if (reply.status != HttpStatus::Ok) {
                 result.outcome = failureOutcome(reply, changesState);
                 result.error = failureText(reply);
             } else if (result.outcome = CallOutcome::Done; !decode(reply.body, result)) {
@@ -161,7 +159,7 @@
     {
         release(connection, reply.status != 0);
         wake();
-        const auto failed = reply.status == 0 || reply.status >= HttpServerError;
+        const auto failed = reply.status == 0 || reply.status >= HttpStatus::InternalServerError;
         if (failed && m_settings.endpoints.at(m_endpoint) == connection->endpoint()) {
             m_endpoint = (m_endpoint + 1) % m_settings.endpoints.size();
         }
--- a/net/src/entry_sender.cpp
+++ b/net/src/entry_sender.cpp
@@ -4,6 +4,7 @@
 #include <sycamoremoor/net/http_client.h>
 #include <sycamoremoor/net/metric_registry.h>
 #include <sycamoremoor/net/path_type.h>
+#include <sycamoremoor/wire/http_status.h>
 #include <sycamoremoor/wire/message_codec.h>
 
 #include <utility>
@@ -15,7 +16,6 @@
 {
 
 constexpr Duration TimeLimit = std::chrono::seconds(2);
-constexpr int HttpOk = 200;
 
 } // namespace
 
@@ -34,7 +34,7 @@
 {
     send(output.entry, Path::AgentHeartbeat, encode(output.heartbeat), [this, entry = output.entry](const ClientResult &result) {
         AgentHeartbeatReply reply;
-        if (result.status == HttpOk && !decode(result.body, reply)) {
+        if (result.status == HttpStatus::Ok && !decode(result.body, reply)) {
             m_input.emit(HeartbeatReplyReceived{std::move(reply)});
         } else {
             m_input.emit(HeartbeatFailed{entry});
@@ -46,7 +46,7 @@
 {
     send(output.entry, Path::LedgerReport, encode(output.report), [this](const ClientResult &result) {
         LedgerReportReply reply;
-        if (result.status == HttpOk && !decode(result.body, reply)) {
+        if (result.status == HttpStatus::Ok && !decode(result.body, reply)) {
             m_input.emit(LedgerReplyReceived{reply});
         }
     });
@@ -55,7 +55,7 @@
 void EntrySender::sendReports(const EntryName &owner, const Endpoint &entry, const TaskReports &reports)
 {
     send(entry, Path::TaskReports, encode(reports), [this, owner](const ClientResult &result) {
-        if (result.status != HttpOk) {
+        if (result.status != HttpStatus::Ok) {
             m_input.emit(ReportsFailed{owner});
         }
     });
--- a/net/src/peer_sender.cpp
+++ b/net/src/peer_sender.cpp
@@ -4,6 +4,7 @@
 #include <sycamoremoor/net/http_client.h>
 #include <sycamoremoor/net/metric_registry.h>
 #include <sycamoremoor/net/path_type.h>
+#include <sycamoremoor/wire/http_status.h>
 #include <sycamoremoor/wire/message_codec.h>
 
 #include <memory>
@@ -19,8 +20,6 @@
 constexpr Duration QueryLimit = std::chrono::seconds(5);
 constexpr Duration ForwardSlack = std::chrono::seconds(30);   ///< beyond the deadline, for the truth about stopped tasks
 constexpr Duration UnknownDeadline = std::chrono::minutes(5); ///< the service's default is the owner's to know
-constexpr int HttpOk = 200;
-constexpr int HttpConflict = 409; ///< the receiver is not the entry that was meant, and took nothing
 
 /** Path, limit and answer of each kind of message. */
 template<typename Message>
@@ -141,8 +140,9 @@
     m_metrics.addMessage(MessageDirection::Out, Call::Path, call.body.size());
     Origin origin{output.peer, output.connection};
     m_client.send(std::move(call), [this, origin = std::move(origin)](const ClientResult &result) {
-        if (!result.answered || result.status != HttpOk) {
-            fail(origin, result.status == HttpConflict ? Delivery::NotSent : result.delivery);
+        if (!result.answered || result.status != HttpStatus::Ok) {
+            // A conflict: the receiver is not the entry that was meant, and took nothing.
+            fail(origin, result.status == HttpStatus::Conflict ? Delivery::NotSent : result.delivery);
             return;
         }
         if (typename Call::Reply reply; !decode(result.body, reply)) {
--- a/net/src/upstream_client.cpp
+++ b/net/src/upstream_client.cpp
@@ -3,6 +3,7 @@
 
 #include <sycamoremoor/net/http_client.h>
 #include <sycamoremoor/net/path_type.h>
+#include <sycamoremoor/wire/http_status.h>
 #include <sycamoremoor/wire/text_codec.h>
 #include <sycamoremoor/wire/upstream_codec.h>
 
@@ -17,7 +18,6 @@
 
 constexpr Duration StartLimit = std::chrono::hours(2); ///< the machine stops tasks long before
 constexpr Duration ControlLimit = std::chrono::seconds(2);
-constexpr int HttpOk = 200;
 
 std::string taskPath(const TaskId &task)
 {
@@ -45,7 +45,7 @@
     call.body = encodeUpstreamStart(output.task, output.spec);
     call.timeLimit = StartLimit;
     m_client.send(std::move(call), [this, task = output.task](const ClientResult &result) {
-        const auto end = result.status == HttpOk ? decodeUpstreamEnd(task, result.body) : std::nullopt;
+        const auto end = result.status == HttpStatus::Ok ? decodeUpstreamEnd(task, result.body) : std::nullopt;
         if (end) {
             m_input.emit(*end);
         } else {
@@ -75,7 +75,7 @@
     call.timeLimit = ControlLimit;
     call.newConnection = true;
     m_client.send(std::move(call), [this, task = output.task](const ClientResult &result) {
-        const auto state = result.status == HttpOk ? decodeUpstreamState(task, result.body, m_life) : std::nullopt;
+        const auto state = result.status == HttpStatus::Ok ? decodeUpstreamState(task, result.body, m_life) : std::nullopt;
         if (state) {
             m_input.emit(*state);
         } else {
@@ -92,7 +92,7 @@
     call.path = Path::UpstreamHealth;
     call.timeLimit = ControlLimit;
     m_client.send(std::move(call), [this](const ClientResult &result) {
-        const auto health = result.status == HttpOk ? decodeUpstreamHealth(result.body) : std::nullopt;
+        const auto health = result.status == HttpStatus::Ok ? decodeUpstreamHealth(result.body) : std::nullopt;
         if (health) {
             m_life = health->upstream;
             m_input.emit(*health);
--- a/wire/src/caller_encode.cpp
+++ b/wire/src/caller_encode.cpp
@@ -3,15 +3,14 @@
 
 #include "json_writer.h"
 
+#include <sycamoremoor/wire/http_status.h>
+
 namespace Sycamoremoor
 {
 
 namespace
 {
 
-constexpr int HttpOk = 200;
-constexpr int HttpAccepted = 202;
-
 /** What a caller is told of a failure. */
 struct ErrorBody {
     ErrorKind kind = ErrorKind::None;
@@ -126,7 +125,7 @@
         return encodeError(error, "", requestId);
     }
     const bool ended = status.state == JobState::Complete || status.state == JobState::Failed;
-    return {ended ? HttpOk : HttpAccepted, encodeBody(requestId, StatusBody{status}), 0};
+    return {ended ? HttpStatus::Ok : HttpStatus::Accepted, encodeBody(requestId, StatusBody{status}), 0};
 }
 
 CallerAnswer encodeError(ErrorKind error, std::string_view detail, std::string_view requestId)
