Codechange: [net] The log's last resort speaks in the log's own format

PatientSink wrote its line about lines that nobody read as JSON by hand, whatever the format. The log now gives it the line, made as all others are. The number of a client's call is zero while none is under way; number() need not ask twice.

--- a/net/src/client_connection.cpp
+++ b/net/src/client_connection.cpp
@@ -122,7 +122,7 @@
 
 CallNumber ClientConnection::number() const
 {
-    return m_idle ? 0 : m_number;
+    return m_number;
 }
 
 MonotonicTime ClientConnection::idleSince() const
--- a/net/src/log_func.cpp
+++ b/net/src/log_func.cpp
@@ -72,6 +72,11 @@
     return json.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
+LogLine leftOutLine(std::uint64_t lines, const std::string &reason)
+{
+    return {Severity::Warning, "log", std::to_string(lines) + " lines were left out" + reason + "."};
+}
+
 template<typename Enum, std::size_t Size>
 std::optional<Enum> fromName(const std::array<std::string_view, Size> &names, std::string_view name)
 {
@@ -90,8 +95,9 @@
     currentLevel = level;
     currentFormat = format;
     logging::core::get()->remove_all_sinks();
-    logging::core::get()->add_sink(
-        boost::make_shared<logging::sinks::synchronous_sink<PatientSink>>(boost::make_shared<PatientSink>(STDOUT_FILENO)));
+    const auto sink = boost::make_shared<PatientSink>(
+        STDOUT_FILENO, [](std::uint64_t lines) { return formatLine(leftOutLine(lines, ", since nobody read them")); });
+    logging::core::get()->add_sink(boost::make_shared<logging::sinks::synchronous_sink<PatientSink>>(sink));
 }
 
 namespace
@@ -124,7 +130,7 @@
         leftOut = budget.takeLeftOut();
     }
     if (leftOut > 0) {
-        putLine({Severity::Warning, "log", std::to_string(leftOut) + " lines were left out to bound the volume."});
+        putLine(leftOutLine(leftOut, " to bound the volume"));
     }
     putLine(line);
 }
--- a/net/src/patient_sink.cpp
+++ b/net/src/patient_sink.cpp
@@ -5,12 +5,14 @@
 #include <unistd.h>
 
 #include <climits>
+#include <utility>
 
 namespace Sycamoremoor
 {
 
-PatientSink::PatientSink(int descriptor)
+PatientSink::PatientSink(int descriptor, TellLeftOut tellLeftOut)
     : m_descriptor(descriptor)
+    , m_tellLeftOut(std::move(tellLeftOut))
 {
 }
 
@@ -22,8 +24,7 @@
     }
     put(line);
     if (m_told < m_leftOut && isWritable()) {
-        put("{\"level\":\"warning\",\"part\":\"log\",\"text\":\"" + std::to_string(m_leftOut - m_told)
-            + " lines were left out, since nobody read them.\"}");
+        put(m_tellLeftOut(m_leftOut - m_told));
         m_told = m_leftOut;
     }
 }
--- a/net/src/patient_sink.h
+++ b/net/src/patient_sink.h
@@ -4,6 +4,7 @@
 #include <boost/log/sinks/basic_sink_backend.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace Sycamoremoor
@@ -13,7 +14,10 @@
 class PatientSink : public boost::log::sinks::basic_formatted_sink_backend<char>
 {
 public:
-    explicit PatientSink(int descriptor);
+    /** Returns the line that tells of a number of lines that were left out. */
+    using TellLeftOut = std::function<std::string(std::uint64_t lines)>;
+
+    PatientSink(int descriptor, TellLeftOut tellLeftOut);
 
     /** Called by the library with each line, one at a time. */
     void consume(const boost::log::record_view &record, const std::string &line);
@@ -26,6 +30,7 @@
     void put(std::string line) const;
 
     int m_descriptor;
+    TellLeftOut m_tellLeftOut;
     std::uint64_t m_leftOut = 0;
     std::uint64_t m_told = 0; ///< of those left out, how many the log tells of
 };
--- a/net/tests/patient_sink_test.cpp
+++ b/net/tests/patient_sink_test.cpp
@@ -21,7 +21,7 @@
     ASSERT_EQ(pipe(ends.data()), 0);
     constexpr int PipeBytes = 8'192;
     fcntl(ends[1], F_SETPIPE_SZ, PipeBytes);
-    PatientSink sink(ends[1]);
+    PatientSink sink(ends[1], [](std::uint64_t lines) { return std::to_string(lines) + " lines were left out"; });
     const std::string line(1'000, 'x');
     constexpr int Lines = 100;
     for (int number = 0; number < Lines; ++number) {
