Add: [core] Guards log the end of batches, unanswered starts and confirmed stops; schedulers log every repeated run

Cause: the logs of the incident could not tell apart a connection whose end only one end sees, an order that arrives late and a stop that arrives late. Change: a guard writes a line when the batch of a run is abandoned, when a start has no answer, when a run is stopped for that, when a stop is confirmed, and when a run is reported as cut short or not started, with task, run, connection and stage. A scheduler writes run and batch of each task that it sends again.

--- a/core/src/guard/run_table.cpp
+++ b/core/src/guard/run_table.cpp
@@ -1,6 +1,8 @@
 // Runs that a guard has accepted, and the capacity that they occupy.
 #include "run_table.h"
 
+#include <array>
+
 namespace Sycamoremoor
 {
 
@@ -12,8 +14,15 @@
     return {record.isOrdinary, record.latestStart, run};
 }
 
+constexpr std::array<std::string_view, static_cast<std::size_t>(RunStage::End)> StageNames{"waiting", "starting", "running", "stopping"};
+
 } // namespace
 
+std::string_view runStageName(RunStage stage)
+{
+    return StageNames.at(static_cast<std::size_t>(stage));
+}
+
 GuardedRun &RunTable::add(const RunId &run, const GuardedRun &record)
 {
     m_waiting.emplace(rankOf(run, record), record.size);
--- a/core/src/guard/run_table.h
+++ b/core/src/guard/run_table.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace Sycamoremoor
@@ -24,6 +25,9 @@
     End,
 };
 
+/** Returns the name of a stage for logs. */
+[[nodiscard]] std::string_view runStageName(RunStage stage);
+
 /** Position of a waiting run: the lesser one starts first. */
 struct WaitRank {
     bool isOrdinary = true;    ///< false for runs of a queue of priority 0, which are started before all others
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -27,6 +27,14 @@
     return std::chrono::milliseconds(time.value());
 }
 
+std::vector<LogField> fieldsOf(const RunId &run, const GuardedRun &record)
+{
+    return {{"task", queueTaskIdToString(run.task)},
+            {"run", std::to_string(run.number)},
+            {"connection", std::to_string(record.connection.value())},
+            {"stage", std::string(runStageName(record.stage))}};
+}
+
 } // namespace
 
 GuardMachine::GuardMachine(const GuardSettings &settings)
@@ -156,6 +164,7 @@
         if (record.stage == RunStage::Waiting) {
             waiting.push_back(run);
         } else if (record.stage != RunStage::Stopping) {
+            step.log(Severity::Info, "The batch of a run was abandoned; the run is stopped.", fieldsOf(run, record));
             stop(step, run, record);
         }
     }
@@ -176,6 +185,7 @@
         return;
     case StartAnswer::NoAnswer:
         if (record->stage == RunStage::Starting) {
+            step.log(Severity::Info, "The order to start a run was not answered.", fieldsOf(input.run, *record));
             // If only the answer was lost, the run is in the next list. If the order was lost or is delayed, the run may still start.
             record->unansweredAfter = RenewalNumber(m_lastRenewal);
             record->stopReason = ErrorKind::UpstreamLost;
@@ -197,9 +207,7 @@
     case StartAnswer::TooLate:
     case StartAnswer::Unhealthy:
     case StartAnswer::Invalid:
-        step.log(Severity::Warning,
-                 "The upstream refused a run although enough capacity was free.",
-                 {{"task", queueTaskIdToString(input.run.task)}});
+        step.log(Severity::Warning, "The upstream refused a run although enough capacity was free.", fieldsOf(input.run, *record));
         report(step, input.run, RunOutcome::NotStarted, ErrorKind::NoCapacity);
         return;
     default:
@@ -244,6 +252,7 @@
     if (!input.confirmed) {
         record->stopDue = std::max(step.now(), record->stopSentAt + StopRetry);
     } else {
+        step.log(Severity::Info, "The stop of a run was confirmed.", fieldsOf(input.run, *record));
         record->confirmedAfter = RenewalNumber(m_lastRenewal);
         record->stopDue.reset();
         m_upstream->immediateRenewalWanted = true; // its answer shows whether the run ever started
@@ -300,6 +309,7 @@
     }
     for (auto &[run, record] : m_runTable.runs()) {
         if (record.stage == RunStage::Starting && record.unansweredAfter && *record.unansweredAfter < listed.renewal) {
+            step.log(Severity::Info, "A run without an answer to its start is not listed; it is stopped.", fieldsOf(run, record));
             stop(step, run, record); // a confirmed stop also prevents a later start
         }
     }
@@ -333,8 +343,9 @@
         const auto known = upstream.unknownRuns.find(run);
         auto due = known == upstream.unknownRuns.end() ? step.now() : known->second;
         if (due <= step.now()) {
-            step.log(
-                Severity::Info, "A run of an earlier incarnation of this guard is stopped.", {{"task", queueTaskIdToString(run.task)}});
+            step.log(Severity::Info,
+                     "A run of an earlier incarnation of this guard is stopped.",
+                     {{"task", queueTaskIdToString(run.task)}, {"run", std::to_string(run.number)}});
             sendStop(step, run);
             due = step.now() + StopRepeat;
         }
@@ -366,6 +377,12 @@
 {
     const auto record = *m_runTable.find(run);
     m_runTable.remove(run);
+    if (record.stage != RunStage::Waiting && outcome != RunOutcome::Done && outcome != RunOutcome::Failed) {
+        auto fields = fieldsOf(run, record);
+        fields.push_back({"outcome", std::string(runOutcomeName(outcome))});
+        fields.push_back({"error", std::string(errorRow(error).code)});
+        step.log(Severity::Info, "A run is reported as cut short or not started.", std::move(fields));
+    }
     RunReport report;
     report.order = record.order;
     report.outcome = outcome;
@@ -475,7 +492,9 @@
         if (record.stage == RunStage::Running) {
             step.log(Severity::Warning,
                      "A run exceeded its run time limit and is stopped.",
-                     {{"task", queueTaskIdToString(run.task)}, {"limit_s", std::to_string(toSeconds(record.runLimit))}});
+                     {{"task", queueTaskIdToString(run.task)},
+                      {"run", std::to_string(run.number)},
+                      {"limit_s", std::to_string(toSeconds(record.runLimit))}});
             record.stopReason = ErrorKind::RunLimitReached;
         }
         stop(step, run, record);
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -370,6 +370,7 @@
         step.log(Severity::Info,
                  "A run was cut short; its task is placed again.",
                  {{"task", nameOf(job, task)},
+                  {"run", std::to_string(task.runs)},
                   {"worker", agent.value()},
                   {"outcome", std::string(runOutcomeName(report.outcome))},
                   {"error", std::string(errorRow(report.error).code)},
@@ -385,7 +386,10 @@
     default:
         step.log(Severity::Info,
                  "A worker did not start a task; the task is placed again.",
-                 {{"task", nameOf(job, task)}, {"worker", agent.value()}, {"error", std::string(errorRow(report.error).code)}});
+                 {{"task", nameOf(job, task)},
+                  {"run", std::to_string(task.runs)},
+                  {"worker", agent.value()},
+                  {"error", std::string(errorRow(report.error).code)}});
         if (report.error != ErrorKind::DeadlineUnreachable) {
             task.avoided.push_back(agent);
         }
@@ -420,7 +424,10 @@
              arrived
                  ? "The connection of a batch was lost; its tasks are placed again after a backoff, when their runs have certainly ended."
                  : "A batch could not be sent.",
-             {{"job", job.spec->id.value()}, {"worker", batch.agent.value()}, {"tasks", std::to_string(batch.tasks.size())}});
+             {{"job", job.spec->id.value()},
+              {"worker", batch.agent.value()},
+              {"batch", std::to_string(input.batch.value())},
+              {"tasks", std::to_string(batch.tasks.size())}});
     for (std::size_t order = 0; order < batch.tasks.size(); ++order) {
         if (batch.reported[order]) {
             continue;
@@ -640,7 +647,14 @@
         auto &task = job.tasks[index];
         task.stage = ScheduledStage::Sent;
         --job.waiting;
-        ++task.runs;
+        if (++task.runs > 1) {
+            step.log(Severity::Info,
+                     "A task is sent again.",
+                     {{"task", nameOf(job, task)},
+                      {"run", std::to_string(task.runs)},
+                      {"worker", agent.value()},
+                      {"batch", std::to_string(batch.number.value())}});
+        }
         m_order.recordSent(step.now(), CoreTime(job.spec->steps[task.step].size.cores.value() * job.expected[task.step].count()));
         RunOrder order;
         order.run = {{job.spec->id, task.step, task.index}, task.runs};
