Fix: [core] A start that was on its way to a silent upstream is fenced before its task is placed again

Cause: when an upstream is silent until all its leases have ended, its guard reports the runs as lapsed and forgets them, also those whose start has no answer. Such a start may still be on its way. When the upstream answers again, the next renewal gives it a lease, and the late start is executed under it, beside the run that replaced it. Evidence: GuardMachineTest.OrdersOfLapsedRunsAreFencedWhenTheUpstreamAnswersAgain failed before (the renewal and the next start had the token of the lapsed orders). Change: the guard raises its fencing token when it reports runs as lapsed. The upstream gets no lease before it has seen the new token, and refuses every older order from then on.

--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -20,6 +20,7 @@
     = std::chrono::milliseconds(150);               ///< after a lease: 2% of it for the upstream's clock, and its limit for a stop
 constexpr std::uint32_t UnansweredRenewalLimit = 3; ///< bad networks lose one answer in twenty; three lost in a row are rare
 constexpr FencingToken TokenIncrement{60'000};      ///< in milliseconds: exceeds any step of the clock from which the first token was taken
+constexpr FencingToken LapseIncrement{1};           ///< in milliseconds: below the first token of the next incarnation of the guard
 constexpr std::size_t BackfillLimit = 32;           ///< limit on the waiting runs that are tried for capacity per input
 
 Duration millisecondsOf(UpstreamTime time)
@@ -425,6 +426,7 @@
         if (leasesEnded && !m_runTable.runs().empty()) {
             step.log(Severity::Warning, "The leases at the unresponsive upstream have ended; its runs are lost.");
             reportAllLost(step);
+            m_token += LapseIncrement; // an order that is still on its way would be executed under the next lease
         }
         dropExpired(step);
         startWaiting(step);
--- a/core/tests/guard_machine_test.cpp
+++ b/core/tests/guard_machine_test.cpp
@@ -234,6 +234,32 @@
     EXPECT_LE(elapsed, LeaseTerm + milliseconds(500)) << "their jobs wait for the report";
 }
 
+TEST(GuardMachineTest, OrdersOfLapsedRunsAreFencedWhenTheUpstreamAnswersAgain)
+{
+    GuardDriver guard;
+    guard.order(1, 0, 1'000);
+    ASSERT_EQ(guard.all<StartRun>().size(), 1U);
+    const auto token = guard.all<StartRun>().front().token;
+    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::NoAnswer});
+    std::vector<RunReport> reports;
+    for (int step = 0; step < 100 && reports.empty(); ++step) {
+        guard.advance(milliseconds(50));
+        guard.leaveRenewalUnanswered();
+        for (const auto &report : guard.all<ReportRun>()) {
+            reports.push_back(report.report);
+        }
+    }
+    ASSERT_EQ(reports.size(), 1U);
+    guard.advance(std::chrono::seconds(10));
+    guard.feed(RenewalUnanswered{RenewalNumber(1)});
+    ASSERT_FALSE(guard.all<RenewLease>().empty());
+    EXPECT_GT(guard.all<RenewLease>().front().token, token) << "the unanswered start may still be executed";
+    guard.answerRenewal({}, {});
+    guard.order(2, 1, 1'000);
+    ASSERT_EQ(guard.all<StartRun>().size(), 1U);
+    EXPECT_GT(guard.all<StartRun>().front().token, token);
+}
+
 TEST(GuardMachineTest, AStartWhoseAnswerWasLostKeepsRunning)
 {
     GuardDriver guard;
