Fix: [core] A task of a lost connection is placed again when its guard reports the end of its run, not after a fixed time

What callers saw: a task ran twice at the same time, run 2 1.54 s after run 1. Cause: when the connection of a batch was lost, its scheduler placed the tasks again after 1.5 s by its own clock. Nothing made the guard stop the runs by then: it may learn of the loss later or never, it may be frozen, or the batch may still be on its way. The class of fault: one end's timer decides for both ends. Evidence: in a trial on a scratch copy the scheduler wrote the loss at 5.56 s and sent the task again at 7.06 s; the guard of run 1 wrote nothing. Change: the scheduler recalls the batch, on new connections until every run of it was reported. The guard stops the runs, repeats reports that were sent on the lost connection, and refuses the batch if it arrives later. A later incarnation of the guard answers once no run of an earlier one is left. Batches and recalls name the incarnation of their scheduler. A run that has succeeded is no longer repeated.

--- a/core/include/sycamoremoor/core/guard_input_type.h
+++ b/core/include/sycamoremoor/core/guard_input_type.h
@@ -45,11 +45,17 @@
     StartBatch batch;
 };
 
-/** The scheduler closed or lost the connection of a batch before its end; its runs are to be stopped. */
+/** The scheduler closed or lost the connection of a batch or of a recall before its end; the runs of the batch are to be stopped. */
 struct BatchAbandoned {
     ConnectionId connection;
 };
 
+/** A scheduler recalls a batch. All of its runs are answered by ReportRun, then the recall by EndBatch. */
+struct RecallReceived {
+    ConnectionId connection;
+    BatchRecall recall;
+};
+
 /** The upstream's answer to a StartRun. */
 enum class StartAnswer {
     Started,              ///< the run is running, or has already run
@@ -105,6 +111,7 @@
                                 UpstreamLeft,
                                 BatchReceived,
                                 BatchAbandoned,
+                                RecallReceived,
                                 RunStartAnswered,
                                 RunStopAnswered,
                                 UpstreamListed,
--- a/core/include/sycamoremoor/core/guard_message_type.h
+++ b/core/include/sycamoremoor/core/guard_message_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <sycamoremoor/core/queue_job_type.h>
+#include <sycamoremoor/core/time_type.h>
 
 #include <compare>
 #include <cstdint>
@@ -32,9 +33,12 @@
     friend bool operator==(const RunOrder &, const RunOrder &) = default;
 };
 
-/** Scheduler to guard: start runs of one job. The guard stops the runs when the connection of the batch ends. */
+/**
+ * Scheduler to guard: start runs of one job. The guard stops the runs when the connection of the batch ends.
+ */
 struct StartBatch {
     EntryName scheduler;
+    Incarnation schedulerIncarnation;
     BatchNumber batch;
     std::string payload; ///< payload of the job
     std::vector<RunOrder> orders;
@@ -42,6 +46,20 @@
     friend bool operator==(const StartBatch &, const StartBatch &) = default;
 };
 
+/**
+ * Scheduler to guard: end a batch whose connection was lost, and report all of its runs on the connection of this message.
+ * A batch that has not been received yet is refused when it is.
+ */
+struct BatchRecall {
+    EntryName scheduler;
+    Incarnation schedulerIncarnation;
+    BatchNumber batch;
+    Incarnation guard;        ///< the incarnation that the batch was sent to
+    std::uint32_t orders = 0; ///< number of orders of the batch
+
+    friend bool operator==(const BatchRecall &, const BatchRecall &) = default;
+};
+
 /** Guard to scheduler: a run of the batch ended, or will never start. */
 struct RunReport {
     std::uint32_t order = 0; ///< index in StartBatch::orders
--- a/core/include/sycamoremoor/core/guard_output_type.h
+++ b/core/include/sycamoremoor/core/guard_output_type.h
@@ -52,7 +52,7 @@
     RunReport report;
 };
 
-/** Every run of the batch was reported; close its connection. */
+/** Every run of the batch or of the recalled batch was reported; close the connection. */
 struct EndBatch {
     ConnectionId connection;
 };
--- a/core/include/sycamoremoor/core/scheduler_input_type.h
+++ b/core/include/sycamoremoor/core/scheduler_input_type.h
@@ -44,7 +44,7 @@
     RunReport report;
 };
 
-/** The connection of a batch ended before the guard had reported all of its runs. */
+/** The connection of a batch ended before the guard had reported all of its runs. Answered by RecallBatch if the batch may have arrived. */
 struct BatchInterrupted {
     BatchNumber batch;
     Delivery delivery = Delivery::Unknown;
--- a/core/include/sycamoremoor/core/scheduler_machine.h
+++ b/core/include/sycamoremoor/core/scheduler_machine.h
@@ -11,6 +11,7 @@
 /** Settings of a scheduler, fixed for its lifetime. */
 struct SchedulerSettings {
     EntryName name;
+    Incarnation incarnation;
     ZoneName zone;
     Duration drainTimeout = std::chrono::milliseconds(5000); ///< longest duration of a planned stop
     /** How long a stopping scheduler accepts jobs: the load balancer still sends connections for two of its checks. */
--- a/core/include/sycamoremoor/core/scheduler_output_type.h
+++ b/core/include/sycamoremoor/core/scheduler_output_type.h
@@ -17,7 +17,13 @@
     StartBatch batch;
 };
 
-/** Close the connection of a batch: its guard stops the remaining runs. No further input concerns the batch. */
+/** Recall a batch until its guard has reported all of its runs. Answered by RunReported for each run. */
+struct RecallBatch {
+    AgentName agent;
+    BatchRecall recall;
+};
+
+/** Close the connection of a batch, or end its recall: its guard stops the remaining runs. No further input concerns the batch. */
 struct CancelBatch {
     BatchNumber batch;
 };
@@ -42,7 +48,7 @@
     Duration retryAfter{};             ///< when to submit again, for Refused and Lost
 };
 
-using SchedulerOutput = std::variant<SendBatch, CancelBatch, AnswerQueueJob, SetTimer, LogLine, Observation, Count, Stopped>;
+using SchedulerOutput = std::variant<SendBatch, RecallBatch, CancelBatch, AnswerQueueJob, SetTimer, LogLine, Observation, Count, Stopped>;
 
 using SchedulerOutputs = std::vector<SchedulerOutput>;
 
--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "../machine_step.h"
+#include "batch_table.h"
 #include "recent_runs.h"
 #include "run_table.h"
 
@@ -27,6 +28,7 @@
     void handle(GuardStep &step, const UpstreamLeft &input);
     void handle(GuardStep &step, const BatchReceived &input);
     void handle(GuardStep &step, const BatchAbandoned &input);
+    void handle(GuardStep &step, const RecallReceived &input);
     void handle(GuardStep &step, const RunStartAnswered &input);
     void handle(GuardStep &step, const RunStopAnswered &input);
     void handle(GuardStep &step, const UpstreamListed &input);
@@ -64,6 +66,12 @@
     void report(GuardStep &step, const RunId &run, RunOutcome outcome, ErrorKind error);
     void refuse(GuardStep &step, ConnectionId connection, std::uint32_t order, ErrorKind error);
     void sendReport(GuardStep &step, ConnectionId connection, const RunReport &report);
+    /** Ends the runs of a batch. */
+    void abandon(GuardStep &step, ConnectionId batch);
+    /** Reports that each of the runs of a recalled batch has ended or will never start. */
+    void answerRecall(GuardStep &step, ConnectionId connection, const BatchRecall &recall, RunOutcome outcome, ErrorKind error);
+    void answerEarlierRecalls(GuardStep &step);
+    [[nodiscard]] ErrorKind refusalOf(const StartBatch &batch) const;
     [[nodiscard]] ErrorKind refusalOf(const RunOrder &order) const;
     void startWaiting(GuardStep &step);
     void dropExpired(GuardStep &step);
@@ -90,9 +98,9 @@
     std::optional<Upstream> m_upstream;
     std::uint64_t m_lastRenewal = 0;
     RunTable m_runTable;
-    std::map<ConnectionId, std::string> m_payloads;     ///< payloads of open batches
-    std::map<ConnectionId, std::uint32_t> m_unreported; ///< number of runs not reported yet, by open batch
-    CapacityReport m_lastReported;                      ///< capacity as last reported
+    BatchTable m_batches;
+    std::map<ConnectionId, BatchRecall> m_earlierRecalls; ///< recalls of batches of earlier incarnations of this guard
+    CapacityReport m_lastReported;                        ///< capacity as last reported
     std::optional<MonotonicTime> m_drainUntil;
     bool m_stopped = false;
 };
--- a/core/src/guard/run_table.h
+++ b/core/src/guard/run_table.h
@@ -49,7 +49,7 @@
     Duration runLimit{};                          ///< the run is stopped when it has run this long
     MonotonicTime startedAt;                      ///< when the start was confirmed
     bool started = false;                         ///< the start was confirmed
-    ErrorKind stopReason = ErrorKind::None;       ///< why it is stopped, if not because its batch was abandoned
+    ErrorKind stopReason = ErrorKind::None;       ///< why it is stopped
     std::optional<RenewalNumber> unansweredAfter; ///< last renewal sent before its start was found to have no answer
     std::optional<MonotonicTime> stopDue;         ///< when the stop is to be sent, or sent again
     MonotonicTime stopSentAt;                     ///< when the last stop was sent
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -118,11 +118,18 @@
 void GuardMachine::Private::handle(GuardStep &step, const BatchReceived &input)
 {
     const auto &batch = input.batch;
-    m_unreported[input.connection] = static_cast<std::uint32_t>(batch.orders.size());
-    m_payloads[input.connection] = batch.payload;
+    m_batches.add(input.connection, batch);
+    const auto batchError = refusalOf(batch);
+    if (batchError != ErrorKind::None) {
+        step.log(Severity::Info,
+                 "A batch is refused.",
+                 {{"scheduler", batch.scheduler.value()},
+                  {"batch", std::to_string(batch.batch.value())},
+                  {"error", std::string(errorRow(batchError).code)}});
+    }
     for (std::uint32_t index = 0; index < batch.orders.size(); ++index) {
         const auto &order = batch.orders[index];
-        if (const auto error = refusalOf(order); error != ErrorKind::None) {
+        if (const auto error = batchError != ErrorKind::None ? batchError : refusalOf(order); error != ErrorKind::None) {
             refuse(step, input.connection, index, error);
             continue;
         }
@@ -138,6 +145,14 @@
     }
 }
 
+ErrorKind GuardMachine::Private::refusalOf(const StartBatch &batch) const
+{
+    if (m_batches.isRefused({batch.scheduler, batch.schedulerIncarnation, batch.batch})) {
+        return ErrorKind::Tombstoned;
+    }
+    return ErrorKind::None;
+}
+
 ErrorKind GuardMachine::Private::refusalOf(const RunOrder &order) const
 {
     if (m_drainUntil || (m_upstream && m_upstream->announced.leaving)) {
@@ -155,22 +170,89 @@
 
 void GuardMachine::Private::handle(GuardStep &step, const BatchAbandoned &input)
 {
-    m_unreported.erase(input.connection);
-    m_payloads.erase(input.connection);
+    m_earlierRecalls.erase(input.connection);
+    if (const auto batch = m_batches.batchOf(input.connection)) {
+        m_batches.setReceiver(*m_batches.find(*batch), *batch, std::nullopt);
+        abandon(step, *batch);
+    }
+}
+
+void GuardMachine::Private::abandon(GuardStep &step, ConnectionId batch)
+{
     std::vector<RunId> waiting;
     for (auto &[run, record] : m_runTable.runs()) {
-        if (record.connection != input.connection) {
+        if (record.connection != batch) {
             continue;
         }
         if (record.stage == RunStage::Waiting) {
             waiting.push_back(run);
         } else if (record.stage != RunStage::Stopping) {
             step.log(Severity::Info, "The batch of a run was abandoned; the run is stopped.", fieldsOf(run, record));
+            record.stopReason = ErrorKind::Cancelled;
             stop(step, run, record);
         }
     }
     for (const auto &run : waiting) {
-        m_runTable.remove(run);
+        report(step, run, RunOutcome::NotStarted, ErrorKind::Cancelled);
+    }
+}
+
+void GuardMachine::Private::handle(GuardStep &step, const RecallReceived &input)
+{
+    const auto &recall = input.recall;
+    const BatchKey key{recall.scheduler, recall.schedulerIncarnation, recall.batch};
+    const auto batch = m_batches.find(key);
+    step.log(Severity::Info,
+             "A batch is recalled.",
+             {{"scheduler", recall.scheduler.value()},
+              {"batch", std::to_string(recall.batch.value())},
+              {"known", batch ? "yes" : "no"},
+              {"for_this_incarnation", recall.guard == m_settings.incarnation ? "yes" : "no"}});
+    if (recall.guard != m_settings.incarnation) {
+        m_earlierRecalls[input.connection] = recall;
+        return;
+    }
+    if (!batch) {
+        m_batches.refuse(step.now(), key);
+        answerRecall(step, input.connection, recall, RunOutcome::NotStarted, ErrorKind::Tombstoned);
+        return;
+    }
+    auto &recalled = *m_batches.find(*batch);
+    if (recalled.receiver) {
+        step.emit(EndBatch{*recalled.receiver});
+    }
+    m_batches.setReceiver(recalled, *batch, input.connection);
+    for (const auto &report : recalled.reports) {
+        step.emit(ReportRun{input.connection, report});
+    }
+    if (recalled.unreported == 0) {
+        m_batches.setReceiver(recalled, *batch, std::nullopt);
+        step.emit(EndBatch{input.connection});
+    } else {
+        abandon(step, *batch);
+    }
+}
+
+void GuardMachine::Private::answerRecall(
+    GuardStep &step, ConnectionId connection, const BatchRecall &recall, RunOutcome outcome, ErrorKind error)
+{
+    for (std::uint32_t order = 0; order < recall.orders; ++order) {
+        RunReport report;
+        report.order = order;
+        report.outcome = outcome;
+        report.error = error;
+        step.emit(ReportRun{connection, report});
+    }
+    step.emit(EndBatch{connection});
+}
+
+void GuardMachine::Private::answerEarlierRecalls(GuardStep &step)
+{
+    if (!m_upstream || !m_upstream->reconciled) {
+        return; // runs of an earlier incarnation may still be running
+    }
+    for (const auto &[connection, recall] : std::exchange(m_earlierRecalls, {})) {
+        answerRecall(step, connection, recall, RunOutcome::Lapsed, ErrorKind::UpstreamLost);
     }
 }
 
@@ -406,15 +488,18 @@
 
 void GuardMachine::Private::sendReport(GuardStep &step, ConnectionId connection, const RunReport &report)
 {
-    const auto open = m_unreported.find(connection);
-    if (open == m_unreported.end()) {
-        return; // the batch was abandoned
+    auto &batch = *m_batches.find(connection);
+    batch.reports.push_back(report);
+    const auto receiver = batch.receiver;
+    if (receiver) {
+        step.emit(ReportRun{*receiver, report});
+    }
+    if (--batch.unreported > 0) {
+        return;
     }
-    step.emit(ReportRun{connection, report});
-    if (--open->second == 0) {
-        m_unreported.erase(open);
-        m_payloads.erase(connection);
-        step.emit(EndBatch{connection});
+    m_batches.end(step.now(), connection);
+    if (receiver) {
+        step.emit(EndBatch{*receiver});
     }
 }
 
@@ -433,6 +518,7 @@
         stopDueRuns(step);
         renew(step);
     }
+    answerEarlierRecalls(step);
     reportCapacity(step);
     const bool drained = m_drainUntil && (m_runTable.runs().empty() || step.now() >= *m_drainUntil);
     if (drained && !std::exchange(m_stopped, true)) {
@@ -481,8 +567,12 @@
     const auto &record = *m_runTable.find(run);
     auto &upstream = *m_upstream;
     upstream.leaseUntil = step.now() + m_settings.leaseTerm;
-    step.emit(StartRun{
-        upstream.announced.endpoint, upstream.announced.incarnation, run, m_payloads[record.connection], leaseEnd(step.now()), m_token});
+    step.emit(StartRun{upstream.announced.endpoint,
+                       upstream.announced.incarnation,
+                       run,
+                       m_batches.find(record.connection)->payload,
+                       leaseEnd(step.now()),
+                       m_token});
 }
 
 void GuardMachine::Private::stopDueRuns(GuardStep &step)
--- a/core/src/scheduler/scheduled_job.h
+++ b/core/src/scheduler/scheduled_job.h
@@ -16,10 +16,10 @@
 
 /** State of a task of a job. */
 enum class ScheduledStage {
-    Blocked, ///< waits for the end of an earlier step
-    Waiting, ///< waits for a worker
-    Sent,    ///< sent to a guard
-    Backoff, ///< the connection of its batch was lost; waits until its run has certainly ended
+    Blocked,  ///< waits for the end of an earlier step
+    Waiting,  ///< waits for a worker
+    Sent,     ///< sent to a guard
+    Recalled, ///< the connection of its batch was lost; waits until the guard reports the end of its run
     Done,
     End,
 };
@@ -32,7 +32,7 @@
     std::uint32_t runs = 0;         ///< number of runs that were sent
     std::uint32_t failures = 0;     ///< number of runs that failed
     bool mayHaveRun = false;        ///< a run was reported as started, or its state is unknown
-    MonotonicTime readyAt;          ///< earliest time to send it; for the stages Waiting and Backoff
+    MonotonicTime readyAt;          ///< earliest time to send it; for the stages Waiting and Recalled
     std::vector<AgentName> avoided; ///< workers that refused the task, lost a run of it, or on which it failed
 };
 
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -34,17 +34,18 @@
     void handle(SchedulerStep &step, const BatchInterrupted &input);
     void handle(SchedulerStep &step, const DrainRequested &input);
 
-    /** Does what is due: ends backoffs, places tasks, abandons expired jobs, ends a drain. Sets the timer. */
+    /** Does what is due: places tasks, abandons expired jobs, ends a drain. Sets the timer. */
     void processDue(SchedulerStep &step);
 
     [[nodiscard]] const QueueSetPointer &queues() const;
     [[nodiscard]] bool isReady() const;
 
 private:
-    /** A batch whose connection is open. */
+    /** A batch of which not all runs were reported. */
     struct OpenBatch {
         JobNumber job;
         AgentName agent;
+        Incarnation guard;
         std::vector<std::size_t> tasks; ///< indices in ScheduledJob::tasks, by index of the order
         std::vector<bool> reported;     ///< whether the end was reported, by index of the order
     };
@@ -77,10 +78,9 @@
     /** Returns the time from which the job can no longer end before it expires. */
     [[nodiscard]] static MonotonicTime deadlineUnreachableAt(const ScheduledJob &job);
     void abandon(SchedulerStep &step, ScheduledJob &job);
-    void backOff(SchedulerStep &step, ScheduledJob &job, std::size_t task, Duration backoff);
+    void recall(SchedulerStep &step, ScheduledJob &job, BatchNumber number, const OpenBatch &batch);
     void runEnded(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const AgentName &agent, const RunReport &report);
     void runFailed(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const AgentName &agent);
-    void endBackoffs(SchedulerStep &step);
     void handleDueChecks(SchedulerStep &step);
     void place(SchedulerStep &step);
     bool placeJob(SchedulerStep &step, ScheduledJob &job);
@@ -100,8 +100,7 @@
     std::map<QueueJobId, JobNumber> m_byId;
     std::map<BatchNumber, OpenBatch> m_batches;
     JobOrder m_order;
-    std::set<std::pair<MonotonicTime, JobNumber>> m_checks;                     ///< next check of each job whether it has to be abandoned
-    std::multimap<MonotonicTime, std::pair<JobNumber, std::size_t>> m_backoffs; ///< tasks in backoff, by the end of their backoff
+    std::set<std::pair<MonotonicTime, JobNumber>> m_checks; ///< next check of each job whether it has to be abandoned
     std::uint64_t m_lastJob = 0;
     std::uint64_t m_lastBatch = 0;
     std::optional<MonotonicTime> m_drainSince;
--- a/core/src/scheduler/worker_table.cpp
+++ b/core/src/scheduler/worker_table.cpp
@@ -89,6 +89,11 @@
     }
 }
 
+Incarnation WorkerTable::guardIncarnation(const AgentName &agent) const
+{
+    return m_workers.at(agent).report.incarnation;
+}
+
 void WorkerTable::markUnreachable(const AgentName &agent)
 {
     if (const auto found = m_workers.find(agent); found != m_workers.end()) {
--- a/core/src/scheduler/worker_table.h
+++ b/core/src/scheduler/worker_table.h
@@ -53,6 +53,9 @@
     /** Stores the report of a guard. */
     void handleReport(const CapacityReported &input);
 
+    /** Returns the incarnation of a worker's guard that reported last. */
+    [[nodiscard]] Incarnation guardIncarnation(const AgentName &agent) const;
+
     /** Excludes a worker from placement until its guard reports again. */
     void markUnreachable(const AgentName &agent);
 
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -16,8 +16,6 @@
 constexpr double ExpiryFactor = 3;                                   ///< a job expires at this multiple of its objective
 constexpr double RunLimitFactor = 4; ///< run limit per expected run time; declared and estimated times are off by less
 constexpr Duration RunLimitSlack = std::chrono::milliseconds(200); ///< added to the scaled run limit
-constexpr Duration BrokenBatchBackoff
-    = std::chrono::milliseconds(1500);                             ///< by then the guard has noticed the loss, or the leases have ended
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(500); ///< a job submitted again earlier would arrive within the same burst
 constexpr Duration MaxGuardWait = std::chrono::milliseconds(80);   ///< a run that waits longer at its guard would start sooner elsewhere
 constexpr double PartialStartShare = 0.25;  ///< of all cores: a job that needs more may start in parts, as so much is never free at once
@@ -226,7 +224,6 @@
         m_byId.erase(named);
     }
     m_order.remove(job.number);
-    std::erase_if(m_backoffs, [&](const auto &item) { return item.second.first == job.number; });
     m_checks.erase({job.checkAt, job.number});
     const auto number = job.number;
     m_jobs.erase(number);
@@ -376,8 +373,8 @@
                   {"error", std::string(errorRow(report.error).code)},
                   {"ran_ms", inMilliseconds(report.runTime)},
                   {"expected_ms", inMilliseconds(job.expected[task.step])}});
-        if (report.error == ErrorKind::UpstreamLost) {
-            task.avoided.push_back(agent); // a lost answer to an order says nothing about the worker's health
+        if (report.error == ErrorKind::UpstreamLost || report.error == ErrorKind::Cancelled) {
+            task.avoided.push_back(agent); // a lost connection or answer to an order says nothing about the worker's health
         } else {
             runFailed(step, job, task, agent);
         }
@@ -415,54 +412,42 @@
         return;
     }
     const auto batch = found->second;
-    m_batches.erase(found);
     auto &job = m_jobs.at(batch.job);
-    job.batches.erase(input.batch);
     m_workers.forgetBatch(batch.agent, input.batch);
-    const bool arrived = input.delivery != Delivery::NotSent;
+    const bool mayHaveArrived = input.delivery != Delivery::NotSent;
     step.log(Severity::Warning,
-             arrived
-                 ? "The connection of a batch was lost; its tasks are placed again after a backoff, when their runs have certainly ended."
-                 : "A batch could not be sent.",
+             mayHaveArrived ? "The connection of a batch was lost; the batch is recalled." : "A batch could not be sent.",
              {{"job", job.spec->id.value()},
               {"worker", batch.agent.value()},
               {"batch", std::to_string(input.batch.value())},
               {"tasks", std::to_string(batch.tasks.size())}});
-    for (std::size_t order = 0; order < batch.tasks.size(); ++order) {
-        if (batch.reported[order]) {
-            continue;
-        }
-        auto &task = job.tasks[batch.tasks[order]];
-        m_workers.removeTasks(batch.agent, 1);
-        --job.placed[task.step][batch.agent];
-        task.avoided.push_back(batch.agent);
-        if (arrived) {
-            task.mayHaveRun = true;
-            backOff(step, job, batch.tasks[order], BrokenBatchBackoff);
-        } else {
+    if (mayHaveArrived) {
+        recall(step, job, input.batch, batch);
+    } else {
+        m_batches.erase(found);
+        job.batches.erase(input.batch);
+        for (const auto index : batch.tasks) {
+            auto &task = job.tasks[index];
+            m_workers.removeTasks(batch.agent, 1);
+            --job.placed[task.step][batch.agent];
+            task.avoided.push_back(batch.agent);
             setWaiting(step, job, task);
         }
     }
     continueJob(step, job);
 }
 
-void SchedulerMachine::Private::backOff(SchedulerStep &step, ScheduledJob &job, std::size_t index, Duration backoff)
+void SchedulerMachine::Private::recall(SchedulerStep &step, ScheduledJob &job, BatchNumber number, const OpenBatch &batch)
 {
-    auto &task = job.tasks[index];
-    task.stage = ScheduledStage::Backoff;
-    task.readyAt = step.now() + backoff;
-    m_backoffs.emplace(step.now() + backoff, std::pair(job.number, index));
-}
-
-void SchedulerMachine::Private::endBackoffs(SchedulerStep &step)
-{
-    while (!m_backoffs.empty() && m_backoffs.begin()->first <= step.now()) {
-        const auto [number, index] = m_backoffs.begin()->second;
-        m_backoffs.erase(m_backoffs.begin());
-        auto &job = m_jobs.at(number);
-        setWaiting(step, job, job.tasks[index]);
-        enqueue(job);
+    for (std::size_t order = 0; order < batch.tasks.size(); ++order) {
+        if (!batch.reported[order]) {
+            auto &task = job.tasks[batch.tasks[order]];
+            task.stage = ScheduledStage::Recalled;
+            task.readyAt = step.now();
+        }
     }
+    const auto orders = static_cast<std::uint32_t>(batch.tasks.size());
+    step.emit(RecallBatch{batch.agent, {m_settings.name, m_settings.incarnation, number, batch.guard, orders}});
 }
 
 void SchedulerMachine::Private::handle(SchedulerStep &step, const DrainRequested & /*input*/)
@@ -474,7 +459,6 @@
 
 void SchedulerMachine::Private::processDue(SchedulerStep &step)
 {
-    endBackoffs(step);
     place(step);
     handleDueChecks(step);
     if (m_drainSince && !m_stopped) {
@@ -514,7 +498,7 @@
 {
     auto unreachableAt = job.expiresAt;
     for (const auto &task : job.tasks) {
-        const bool isPending = task.stage == ScheduledStage::Waiting || task.stage == ScheduledStage::Backoff;
+        const bool isPending = task.stage == ScheduledStage::Waiting || task.stage == ScheduledStage::Recalled;
         if (!isPending) {
             continue;
         }
@@ -641,6 +625,7 @@
     SendBatch output;
     output.agent = agent;
     output.batch.scheduler = m_settings.name;
+    output.batch.schedulerIncarnation = m_settings.incarnation;
     output.batch.batch = batch.number;
     output.batch.payload = job.spec->payload;
     for (const auto index : batch.tasks) {
@@ -668,7 +653,8 @@
         job.startedAt = step.now();
     }
     job.batches.insert(batch.number);
-    m_batches[batch.number] = {job.number, agent, batch.tasks, std::vector<bool>(batch.tasks.size(), false)};
+    m_batches[batch.number]
+        = {job.number, agent, m_workers.guardIncarnation(agent), batch.tasks, std::vector<bool>(batch.tasks.size(), false)};
     step.emit(Count{CounterMetric::TasksSent, batch.tasks.size()});
     step.emit(std::move(output));
 }
@@ -679,9 +665,6 @@
     if (!m_checks.empty()) {
         wake = std::min(wake, m_checks.begin()->first);
     }
-    if (!m_backoffs.empty()) {
-        wake = std::min(wake, m_backoffs.begin()->first);
-    }
     if (const auto next = m_workers.nextReadmission(step.now()); next && !m_order.jobs().empty()) {
         wake = std::min(wake, *next);
     }
--- a/core/tests/pool_simulation.cpp
+++ b/core/tests/pool_simulation.cpp
@@ -18,6 +18,7 @@
 constexpr Duration OrderTimeout = milliseconds(30);
 constexpr Duration MaxOrderDelay = milliseconds(4'000);
 constexpr Duration AnnounceInterval = milliseconds(300);
+constexpr Duration RecallInterval = milliseconds(100);
 constexpr Duration RestartDelay = milliseconds(400);
 constexpr Duration ResubmitDelay = milliseconds(1'300);
 constexpr Duration SilenceLimit = milliseconds(1'000); ///< a scheduler gives a worker no new tasks after this time without reports
@@ -39,6 +40,7 @@
     std::uint64_t timer = 0;
     bool frozen = false;
     std::vector<std::function<void()>> inputs; ///< that arrived while it was frozen
+    std::set<BatchNumber> recalls;             ///< batches whose recall is repeated if its exchange is interrupted
 };
 
 /** A guard process and the runner beside it. The incarnation is that of the guard. */
@@ -67,9 +69,10 @@
     std::uint32_t worker = 0;
     std::uint64_t guardIncarnation = 0;
     BatchNumber batch;
-    MonotonicTime lastReport;   ///< arrival time of the last report; later reports arrive no earlier, so they stay in order
-    MonotonicTime arrivesAt;    ///< arrival time of the batch; its end arrives no earlier
-    bool schedulerGone = false; ///< it has ended for the scheduler, but not for the guard
+    MonotonicTime lastReport;          ///< arrival time of the last report; later reports arrive no earlier, so they stay in order
+    MonotonicTime arrivesAt;           ///< arrival time of the batch; its end arrives no earlier
+    bool schedulerGone = false;        ///< it has ended for the scheduler, but not for the guard
+    std::optional<RecallBatch> recall; ///< what the scheduler repeats if the exchange is interrupted
 };
 
 /** A caller that waits for the answer to its job. */
@@ -176,6 +179,8 @@
     node.up = true;
     SchedulerSettings settings;
     settings.name = EntryName("S" + std::to_string(index));
+    settings.incarnation = Incarnation(node.incarnation);
+    node.recalls.clear();
     node.machine = std::make_unique<SchedulerMachine>(settings);
     auto queues = std::make_shared<QueueSet>();
     queues->version = Revision(1);
@@ -256,7 +261,11 @@
     auto &node = *m_schedulers[scheduler];
     if (const auto *batch = std::get_if<SendBatch>(&output)) {
         deliverBatch(scheduler, *batch);
+    } else if (const auto *recall = std::get_if<RecallBatch>(&output)) {
+        node.recalls.insert(recall->recall.batch);
+        deliverRecall(scheduler, *recall);
     } else if (const auto *cancel = std::get_if<CancelBatch>(&output)) {
+        node.recalls.erase(cancel->batch);
         const auto found = std::ranges::find_if(m_exchanges, [&](const auto &item) {
             return item.second.scheduler == scheduler && item.second.schedulerIncarnation == node.incarnation
                 && item.second.batch == cancel->batch && !item.second.schedulerGone;
@@ -317,6 +326,38 @@
     });
 }
 
+void PoolSimulation::deliverRecall(std::uint32_t scheduler, const RecallBatch &output)
+{
+    const auto &node = *m_schedulers[scheduler];
+    const auto worker = static_cast<std::uint32_t>(std::stoul(output.agent.value().substr(1)));
+    if (!node.recalls.contains(output.recall.batch)) {
+        return;
+    }
+    const auto number = ++m_lastExchange;
+    auto &exchange = m_exchanges[number];
+    exchange.scheduler = scheduler;
+    exchange.schedulerIncarnation = node.incarnation;
+    exchange.worker = worker;
+    exchange.guardIncarnation = m_guards[worker]->incarnation;
+    exchange.batch = output.recall.batch;
+    exchange.lastReport = m_now;
+    exchange.arrivesAt = m_now + randomDelay();
+    exchange.recall = output;
+    deliver(scheduler, worker, exchange.arrivesAt, [this, number, worker, recall = output.recall](bool /*wasHeldUp*/) {
+        const auto found = m_exchanges.find(number);
+        if (found == m_exchanges.end()) {
+            return;
+        }
+        auto &guard = *m_guards[worker];
+        if (!guard.up) {
+            breakExchange(number, !found->second.schedulerGone, false);
+            return;
+        }
+        found->second.guardIncarnation = guard.incarnation;
+        stepGuard(worker, RecallReceived{ConnectionId(number), recall});
+    });
+}
+
 void PoolSimulation::breakExchange(std::uint64_t number, bool notifyScheduler, bool notifyGuard)
 {
     const auto exchange = m_exchanges.at(number);
@@ -332,9 +373,18 @@
 void PoolSimulation::interruptBatch(const Exchange &exchange)
 {
     at(m_now - m_start + randomDelay(), [this, exchange] {
-        if (m_schedulers[exchange.scheduler]->incarnation == exchange.schedulerIncarnation) {
+        if (m_schedulers[exchange.scheduler]->incarnation != exchange.schedulerIncarnation) {
+            return;
+        }
+        if (!exchange.recall) {
             stepScheduler(exchange.scheduler, BatchInterrupted{exchange.batch, Delivery::Unknown});
+            return;
         }
+        at(m_now - m_start + RecallInterval, [this, exchange] {
+            if (m_schedulers[exchange.scheduler]->incarnation == exchange.schedulerIncarnation) {
+                deliverRecall(exchange.scheduler, *exchange.recall);
+            }
+        });
     });
 }
 
--- a/core/tests/pool_simulation.h
+++ b/core/tests/pool_simulation.h
@@ -177,6 +177,7 @@
     /** Removes a caller whose connection broke, and lets it submit again. */
     void loseCaller(ConnectionId connection);
     ConnectionId submit(std::uint32_t scheduler, Caller caller);
+    void deliverRecall(std::uint32_t scheduler, const RecallBatch &output);
     void reportCapacity(std::uint32_t worker, std::uint32_t scheduler);
     void answer(const AnswerQueueJob &answer);
     void recordRunStart(std::uint32_t worker, const RunnerStart &start);
--- a/daemon/src/daemon.cpp
+++ b/daemon/src/daemon.cpp
@@ -82,6 +82,7 @@
     SchedulerTaskSettings task;
     task.machine = settings.scheduler;
     task.machine.name = EntryName(settings.name);
+    task.machine.incarnation = makeIncarnation();
     task.machine.zone = ZoneName(settings.zone);
     task.listen = settings.listen;
     task.callers = settings.callers;
--- a/daemon/src/scheduler_task.cpp
+++ b/daemon/src/scheduler_task.cpp
@@ -34,7 +34,7 @@
     , m_config(loop, makeStoreHooks(m_client, settings.store), ConfigKey, ConfigTimes)
     , m_directory(loop, makeStoreHooks(m_client, settings.store))
     , m_rooms(loop, m_client, settings.machine.name)
-    , m_batches(m_client, m_metrics, [this](const AgentName &agent) { return m_rooms.endpoint(agent); })
+    , m_batches(loop, m_client, m_metrics, [this](const AgentName &agent) { return m_rooms.endpoint(agent); })
     , m_stopWatcher(loop, m_callers)
     , m_driver(
           loop, SchedulerMachine(settings.machine), m_metrics, [this] { return m_randomBits(); }, *this)
@@ -76,6 +76,11 @@
     m_batches.carryOut(output);
 }
 
+void SchedulerTask::carryOut(const RecallBatch &output)
+{
+    m_batches.carryOut(output);
+}
+
 void SchedulerTask::carryOut(const CancelBatch &output)
 {
     m_batches.carryOut(output);
--- a/net/include/sycamoremoor/net/batch_sender.h
+++ b/net/include/sycamoremoor/net/batch_sender.h
@@ -16,16 +16,20 @@
 namespace Sycamoremoor
 {
 
+class EventLoop;
 class MetricRegistry;
 
-/** One exchange for each batch. It lasts until every run of the batch was reported; closing it stops what is left. */
+/**
+ * One exchange for each batch. It lasts until every run of the batch was reported; closing it stops what is left.
+ * The recall of a batch is repeated until every run was reported.
+ */
 class BatchSender
 {
 public:
     using FindGuard = std::function<std::optional<Endpoint>(const AgentName &)>;
 
     /** @param findGuard tells where the guard of a worker listens */
-    BatchSender(HttpClient &client, MetricRegistry &metrics, FindGuard findGuard);
+    BatchSender(EventLoop &loop, HttpClient &client, MetricRegistry &metrics, FindGuard findGuard);
     ~BatchSender();
 
     BatchSender(const BatchSender &) = delete;
@@ -35,15 +39,19 @@
     sigc::signal<void(SchedulerInput)> &signalInput();
 
     void carryOut(const SendBatch &output);
+    void carryOut(const RecallBatch &output);
     void carryOut(const CancelBatch &output);
 
 private:
     struct Exchange;
 
+    void sendRecall(BatchNumber batch);
+    void recallEnded(BatchNumber batch);
     void received(BatchNumber batch, std::string_view part);
     void takeLine(BatchNumber batch, std::string_view line);
     void ended(BatchNumber batch, const ClientResult &result);
 
+    EventLoop &m_loop;
     HttpClient &m_client;
     MetricRegistry &m_metrics;
     FindGuard m_findGuard;
--- a/net/include/sycamoremoor/net/guard_server.h
+++ b/net/include/sycamoremoor/net/guard_server.h
@@ -35,13 +35,16 @@
     void endWatches();
 
 private:
-    /** An exchange that a scheduler holds open: a batch, or a stream of room. */
+    /** An exchange that a scheduler holds open: a batch, a recall, or a stream of room. */
     struct OpenExchange {
         EntryName scheduler;
         HttpExchangePointer exchange;
     };
 
     void takeBatch(const RoutedRequest &request);
+    void takeRecall(const RoutedRequest &request);
+    /** Keeps an exchange that takes reports. @return the connection that stands for it */
+    ConnectionId openExchange(const EntryName &scheduler, const HttpExchangePointer &exchange);
     void takeWatch(const RoutedRequest &request);
     void watcherGone(std::uint64_t watcher);
     void tellAll();
@@ -55,9 +58,9 @@
     std::uint64_t m_lastConnection = 0;
     std::uint64_t m_lastWatcher = 0;
     CapacityReport m_room;
-    std::map<std::uint64_t, OpenExchange> m_watchers; ///< streams of room
-    std::map<EntryName, BatchNumber> m_seen;          ///< highest batch by scheduler
-    std::map<ConnectionId, OpenExchange> m_batches;
+    std::map<std::uint64_t, OpenExchange> m_watchers;    ///< streams of room
+    std::map<EntryName, BatchNumber> m_seen;             ///< highest batch by scheduler
+    std::map<ConnectionId, OpenExchange> m_batches;      ///< batches and recalls
     std::map<EntryName, MonotonicTime> m_unwatchedSince; ///< schedulers whose stream broke
     Timer m_tellTimer;                                   ///< gathers changes
     Timer m_steadyTimer;                                 ///< tells without a change
--- a/net/src/batch_sender.cpp
+++ b/net/src/batch_sender.cpp
@@ -5,6 +5,7 @@
 #include <sycamoremoor/net/log_func.h>
 #include <sycamoremoor/net/metric_registry.h>
 #include <sycamoremoor/net/path_type.h>
+#include <sycamoremoor/net/timer.h>
 #include <sycamoremoor/wire/message_codec.h>
 
 #include <algorithm>
@@ -18,7 +19,9 @@
 {
 
 constexpr Duration ConnectLimit = std::chrono::milliseconds(300); ///< guards answer within milliseconds, or not at all
-constexpr Duration ExchangeSlack = std::chrono::seconds(2);       ///< beyond the last run's limit, for the guard to report its stop
+constexpr Duration RecallLimit = std::chrono::milliseconds(600);  ///< a guard that answers stops the runs within a tenth of a second
+constexpr Duration RecallInterval = std::chrono::milliseconds(100);
+constexpr Duration ExchangeSlack = std::chrono::seconds(2); ///< beyond the last run's limit, for the guard to report its stop
 
 } // namespace
 
@@ -28,10 +31,13 @@
     CallNumber call = 0;
     std::size_t unreported = 0;
     LineReader lines;
+    std::optional<RecallBatch> recall; ///< what the exchange repeats until every run was reported
+    std::unique_ptr<Timer> repeat;     ///< sends the recall again
 };
 
-BatchSender::BatchSender(HttpClient &client, MetricRegistry &metrics, FindGuard findGuard)
-    : m_client(client)
+BatchSender::BatchSender(EventLoop &loop, HttpClient &client, MetricRegistry &metrics, FindGuard findGuard)
+    : m_loop(loop)
+    , m_client(client)
     , m_metrics(metrics)
     , m_findGuard(std::move(findGuard))
 {
@@ -73,10 +79,60 @@
     m_exchanges[number] = std::move(exchange);
 }
 
+void BatchSender::carryOut(const RecallBatch &output)
+{
+    const auto number = output.recall.batch;
+    auto exchange = std::make_unique<Exchange>();
+    exchange->recall = output;
+    exchange->repeat = std::make_unique<Timer>(m_loop, [this, number] { sendRecall(number); });
+    m_exchanges[number] = std::move(exchange);
+    sendRecall(number);
+}
+
+void BatchSender::sendRecall(BatchNumber batch)
+{
+    auto &exchange = *m_exchanges.at(batch);
+    const auto endpoint = m_findGuard(exchange.recall->agent);
+    if (!endpoint) {
+        exchange.repeat->start(RecallInterval);
+        return;
+    }
+    ClientCall call;
+    call.endpoint = *endpoint;
+    call.path = Path::RecallBatch;
+    call.body = encode(exchange.recall->recall);
+    call.connectLimit = ConnectLimit;
+    call.timeLimit = RecallLimit;
+    call.received = [this, batch](std::string_view part) {
+        received(batch, part);
+    };
+    m_metrics.addMessage(MessageDirection::Out, Path::RecallBatch, call.body.size());
+    exchange.endpoint = *endpoint;
+    exchange.unreported = exchange.recall->recall.orders;
+    exchange.lines = {};
+    exchange.call = m_client.send(std::move(call), [this, batch](const ClientResult & /*result*/) { recallEnded(batch); });
+}
+
+void BatchSender::recallEnded(BatchNumber batch)
+{
+    const auto found = m_exchanges.find(batch);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    if (found->second->unreported == 0) {
+        m_exchanges.erase(found);
+    } else {
+        found->second->call = 0;
+        found->second->repeat->start(RecallInterval);
+    }
+}
+
 void BatchSender::carryOut(const CancelBatch &output)
 {
     if (const auto found = m_exchanges.find(output.batch); found != m_exchanges.end()) {
-        m_client.cancel(found->second->endpoint, found->second->call);
+        if (found->second->call != 0) {
+            m_client.cancel(found->second->endpoint, found->second->call);
+        }
         m_exchanges.erase(found);
     }
 }
--- a/net/src/guard_server.cpp
+++ b/net/src/guard_server.cpp
@@ -34,6 +34,7 @@
     })
 {
     router.add(RequestMethod::Post, Path::StartBatch, [this](const RoutedRequest &request) { takeBatch(request); });
+    router.add(RequestMethod::Post, Path::RecallBatch, [this](const RoutedRequest &request) { takeRecall(request); });
     router.add(RequestMethod::Get, Path::WatchRoom, [this](const RoutedRequest &request) { takeWatch(request); });
     m_steadyTimer.start(SteadyInterval);
 }
@@ -54,15 +55,32 @@
         return;
     }
     m_metrics.addMessage(MessageDirection::In, Path::StartBatch, request.exchange->request().body.size());
-    const ConnectionId connection(++m_lastConnection);
     auto &seen = m_seen[batch.scheduler];
     seen = std::max(seen, batch.batch);
-    m_batches[connection] = {batch.scheduler, request.exchange};
-    request.exchange->onGone([this, connection] {
+    const auto connection = openExchange(batch.scheduler, request.exchange);
+    m_input.emit(BatchReceived{connection, std::move(batch)});
+}
+
+void GuardServer::takeRecall(const RoutedRequest &request)
+{
+    BatchRecall recall;
+    if (!decodeOrRefuse(request, recall)) {
+        return;
+    }
+    m_metrics.addMessage(MessageDirection::In, Path::RecallBatch, request.exchange->request().body.size());
+    const auto connection = openExchange(recall.scheduler, request.exchange);
+    m_input.emit(RecallReceived{connection, std::move(recall)});
+}
+
+ConnectionId GuardServer::openExchange(const EntryName &scheduler, const HttpExchangePointer &exchange)
+{
+    const ConnectionId connection(++m_lastConnection);
+    m_batches[connection] = {scheduler, exchange};
+    exchange->onGone([this, connection] {
         m_batches.erase(connection);
         m_input.emit(BatchAbandoned{connection});
     });
-    m_input.emit(BatchReceived{connection, std::move(batch)});
+    return connection;
 }
 
 void GuardServer::takeWatch(const RoutedRequest &request)
--- a/wire/include/sycamoremoor/wire/message_codec.h
+++ b/wire/include/sycamoremoor/wire/message_codec.h
@@ -42,6 +42,7 @@
                                 ForwardCancel,
                                 ForwardQuery,
                                 StartBatch,
+                                BatchRecall,
                                 RunReport,
                                 CapacityReport,
                                 AgentRecord>;
--- a/wire/src/describe_func.h
+++ b/wire/src/describe_func.h
@@ -502,11 +502,21 @@
 void describe(auto &archive, Described<StartBatch> auto &batch)
 {
     archive("scheduler", batch.scheduler);
+    archive("scheduler_incarnation", batch.schedulerIncarnation);
     archive("batch", batch.batch);
     archive("payload", batch.payload);
     archive("orders", batch.orders);
 }
 
+void describe(auto &archive, Described<BatchRecall> auto &recall)
+{
+    archive("scheduler", recall.scheduler);
+    archive("scheduler_incarnation", recall.schedulerIncarnation);
+    archive("batch", recall.batch);
+    archive("guard", recall.guard);
+    archive("orders", recall.orders);
+}
+
 void describe(auto &archive, Described<RunReport> auto &report)
 {
     archive("order", report.order);
