Fix: [core] A batch says by its guard's clock until when it is valid

What callers saw: the users' record of TWICE shows a run that starts after the run that replaced it. Cause: RunOrder::startWithin counts from receipt. A batch that the network held up, or that a frozen guard found when it went on, was taken for fresh; its runs started after the scheduler had given the job up. Runs had no end but their own limit, up to seconds after their job had expired. Change: guards send their clock with each report of capacity. A scheduler derives the latest time that this clock has certainly reached, and writes into each batch when the guard must have received it and when its job expires. The guard refuses what is received later, and stops runs of expired jobs. A delayed report makes the times earlier, never later. Result: GuardMachineTest.ABatchThatWasOnItsWayForTooLongIsRefused and ARunIsStoppedWhenItsJobExpiresHoweverLateItStarted, SchedulerMachineTest.ADelayedReportOfTheGuardsClockMakesNoOrderValidForLonger.

--- a/core/include/sycamoremoor/core/guard_message_type.h
+++ b/core/include/sycamoremoor/core/guard_message_type.h
@@ -14,6 +14,8 @@
 
 using BatchNumber = StrongType<struct BatchNumberTag, std::uint64_t>; ///< numbers the batches of one scheduler from 1
 
+using GuardTime = StrongAmount<struct GuardTimeTag, std::int64_t>; ///< microseconds by the monotonic clock of one incarnation of a guard
+
 /** Priority of a run. Of the runs that wait for capacity, the one with the lesser value starts first. */
 struct Urgency {
     bool isOrdinary = true; ///< false for runs of a queue of priority 0, which are started before all others
@@ -27,7 +29,7 @@
     RunId run;
     TaskSize size;
     Urgency urgency;        ///< when the batch was sent
-    Duration startWithin{}; ///< from receipt by the guard; the run is not started later
+    Duration startWithin{}; ///< from receipt by the guard; the run is not started later, nor after StartBatch::expiresAt
     Duration runLimit{};    ///< from its start; a run that has not ended by then is considered hung and is stopped
 
     friend bool operator==(const RunOrder &, const RunOrder &) = default;
@@ -35,11 +37,15 @@
 
 /**
  * Scheduler to guard: start runs of one job. The guard stops the runs when the connection of the batch ends.
+ *
+ * Its times are by the guard's clock, so that they hold however long the batch is on its way.
  */
 struct StartBatch {
     EntryName scheduler;
     Incarnation schedulerIncarnation;
     BatchNumber batch;
+    GuardTime receiveBy; ///< the guard refuses the batch if it is received later
+    GuardTime expiresAt; ///< runs that have not ended by then are stopped
     std::string payload; ///< payload of the job
     std::vector<RunOrder> orders;
 
@@ -81,6 +87,7 @@
     std::uint32_t waiting = 0;                                      ///< number of runs that wait for capacity
     std::vector<std::string> labels;                                ///< labels of the upstream's machine, including its rack
     BatchNumber lastCountedBatch;                                   ///< highest batch of the receiving scheduler that @c free accounts for
+    GuardTime clock;                                                ///< when the report was sent
 
     friend bool operator==(const CapacityReport &, const CapacityReport &) = default;
 };
--- a/core/include/sycamoremoor/core/guard_output_type.h
+++ b/core/include/sycamoremoor/core/guard_output_type.h
@@ -57,7 +57,7 @@
     ConnectionId connection;
 };
 
-/** The capacity report changed; send it to all schedulers. The driver sets CapacityReport::lastCountedBatch for each of them. */
+/** The capacity report changed; send it to all schedulers. The driver sets lastCountedBatch and clock for each of them. */
 struct CapacityChanged {
     CapacityReport report;
 };
--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -71,7 +71,7 @@
     /** Reports that each of the runs of a recalled batch has ended or will never start. */
     void answerRecall(GuardStep &step, ConnectionId connection, const BatchRecall &recall, RunOutcome outcome, ErrorKind error);
     void answerEarlierRecalls(GuardStep &step);
-    [[nodiscard]] ErrorKind refusalOf(const StartBatch &batch) const;
+    [[nodiscard]] ErrorKind refusalOf(MonotonicTime now, const StartBatch &batch) const;
     [[nodiscard]] ErrorKind refusalOf(const RunOrder &order) const;
     void startWaiting(GuardStep &step);
     void dropExpired(GuardStep &step);
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -28,6 +28,11 @@
     return std::chrono::milliseconds(time.value());
 }
 
+MonotonicTime toMonotonicTime(GuardTime time)
+{
+    return MonotonicTime(Duration(time.value()));
+}
+
 std::vector<LogField> fieldsOf(const RunId &run, const GuardedRun &record)
 {
     return {{"task", queueTaskIdToString(run.task)},
@@ -119,13 +124,17 @@
 {
     const auto &batch = input.batch;
     m_batches.add(input.connection, batch);
-    const auto batchError = refusalOf(batch);
+    const auto expiresAt = toMonotonicTime(batch.expiresAt);
+    const auto batchError = refusalOf(step.now(), batch);
     if (batchError != ErrorKind::None) {
         step.log(Severity::Info,
                  "A batch is refused.",
                  {{"scheduler", batch.scheduler.value()},
                   {"batch", std::to_string(batch.batch.value())},
-                  {"error", std::string(errorRow(batchError).code)}});
+                  {"error", std::string(errorRow(batchError).code)},
+                  {"late_ms",
+                   std::to_string(
+                       std::chrono::duration_cast<std::chrono::milliseconds>(step.now() - toMonotonicTime(batch.receiveBy)).count())}});
     }
     for (std::uint32_t index = 0; index < batch.orders.size(); ++index) {
         const auto &order = batch.orders[index];
@@ -139,18 +148,19 @@
         record.size = order.size;
         record.isOrdinary = order.urgency.isOrdinary;
         record.latestStart = step.now() + order.urgency.slack;
-        record.startBy = step.now() + order.startWithin;
+        record.startBy = std::min(step.now() + order.startWithin, expiresAt);
         record.runLimit = order.runLimit;
+        record.expiresAt = expiresAt;
         m_runTable.add(order.run, record);
     }
 }
 
-ErrorKind GuardMachine::Private::refusalOf(const StartBatch &batch) const
+ErrorKind GuardMachine::Private::refusalOf(MonotonicTime now, const StartBatch &batch) const
 {
     if (m_batches.isRefused({batch.scheduler, batch.schedulerIncarnation, batch.batch})) {
         return ErrorKind::Tombstoned;
     }
-    return ErrorKind::None;
+    return now > toMonotonicTime(batch.receiveBy) ? ErrorKind::StaleMessage : ErrorKind::None;
 }
 
 ErrorKind GuardMachine::Private::refusalOf(const RunOrder &order) const
@@ -308,7 +318,7 @@
         record.stage = RunStage::Running;
         record.unansweredAfter.reset();
         record.stopReason = ErrorKind::None;
-        record.stopDue = step.now() + record.runLimit;
+        record.stopDue = std::min(step.now() + record.runLimit, record.expiresAt);
     }
 }
 
@@ -583,11 +593,12 @@
         }
         if (record.stage == RunStage::Running) {
             step.log(Severity::Warning,
-                     "A run exceeded its run time limit and is stopped.",
+                     record.expiresAt <= step.now() ? "A run outlived its job and is stopped."
+                                                    : "A run exceeded its run time limit and is stopped.",
                      {{"task", queueTaskIdToString(run.task)},
                       {"run", std::to_string(run.number)},
                       {"limit_s", std::to_string(toSeconds(record.runLimit))}});
-            record.stopReason = ErrorKind::RunLimitReached;
+            record.stopReason = record.expiresAt <= step.now() ? ErrorKind::DeadlineUnreachable : ErrorKind::RunLimitReached;
         }
         stop(step, run, record);
     }
--- a/core/src/scheduler/worker_table.cpp
+++ b/core/src/scheduler/worker_table.cpp
@@ -21,6 +21,8 @@
 constexpr double UrgentReserve = 0.03;    ///< of a worker's cores: free capacity that ordinary tasks do not use
 constexpr double ScoreJitter = 0.2; ///< random part of a score, so that schedulers with the same reports do not all choose the same worker
 
+constexpr std::int64_t ClockDriftDivisor = 50; ///< two clocks drift apart by at most 2%
+
 /** Returns a number from 0 to 1 that depends on @p entropy and @p index. */
 double fractionOf(std::uint64_t entropy, std::uint64_t index)
 {
@@ -60,6 +62,12 @@
     return offered;
 }
 
+/** Returns the least by which the guard's clock is ahead of the scheduler's at @p now. */
+Duration currentClockLead(MonotonicTime now, const ScheduledWorker &worker)
+{
+    return worker.clockLead - (now - worker.clockLeadAt) / ClockDriftDivisor;
+}
+
 /** Returns whether a worker accepts tasks of @p service. */
 bool serves(const ScheduledWorker &worker, const ServiceName &service)
 {
@@ -73,10 +81,15 @@
 
 } // namespace
 
-void WorkerTable::handleReport(const CapacityReported &input)
+void WorkerTable::handleReport(MonotonicTime now, const CapacityReported &input)
 {
     auto &worker = m_workers[input.agent];
-    if (worker.report.incarnation != input.report.incarnation) {
+    const auto clockLead = Duration(input.report.clock.value()) - now.time_since_epoch();
+    const bool isNewIncarnation = worker.report.incarnation != input.report.incarnation;
+    // A report that was on its way for long says less about the clock than an earlier one.
+    worker.clockLead = isNewIncarnation ? clockLead : std::max(clockLead, currentClockLead(now, worker));
+    worker.clockLeadAt = now;
+    if (isNewIncarnation) {
         worker.uncountedBatches.clear();
         worker.uncountedSize = ZeroTaskSize;
         worker.health = {};
@@ -89,6 +102,11 @@
     }
 }
 
+GuardTime WorkerTable::earliestGuardTime(MonotonicTime now, const AgentName &agent) const
+{
+    return GuardTime((now.time_since_epoch() + currentClockLead(now, m_workers.at(agent))).count());
+}
+
 Incarnation WorkerTable::guardIncarnation(const AgentName &agent) const
 {
     return m_workers.at(agent).report.incarnation;
--- a/core/src/scheduler/worker_table.h
+++ b/core/src/scheduler/worker_table.h
@@ -30,6 +30,8 @@
     std::map<BatchNumber, TaskSize> uncountedBatches; ///< batches that its last report does not account for
     TaskSize uncountedSize = ZeroTaskSize;            ///< sum of the sizes in uncountedBatches
     std::uint32_t running = 0;                        ///< number of tasks of this scheduler on the worker
+    Duration clockLead{};                             ///< least by which the guard's clock is ahead of this scheduler's at clockLeadAt
+    MonotonicTime clockLeadAt;
     WorkerHealth health;
 };
 
@@ -51,7 +53,10 @@
     using Counts = std::map<AgentName, std::uint32_t>;
 
     /** Stores the report of a guard. */
-    void handleReport(const CapacityReported &input);
+    void handleReport(MonotonicTime now, const CapacityReported &input);
+
+    /** Returns a time that the clock of a worker's guard has certainly reached. */
+    [[nodiscard]] GuardTime earliestGuardTime(MonotonicTime now, const AgentName &agent) const;
 
     /** Returns the incarnation of a worker's guard that reported last. */
     [[nodiscard]] Incarnation guardIncarnation(const AgentName &agent) const;
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -16,6 +16,7 @@
 constexpr double ExpiryFactor = 3;                                   ///< a job expires at this multiple of its objective
 constexpr double RunLimitFactor = 4; ///< run limit per expected run time; declared and estimated times are off by less
 constexpr Duration RunLimitSlack = std::chrono::milliseconds(200); ///< added to the scaled run limit
+constexpr Duration DeliveryLimit = std::chrono::milliseconds(250); ///< of a batch; a guard that is busier gets no new work
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(500); ///< a job submitted again earlier would arrive within the same burst
 constexpr Duration MaxGuardWait = std::chrono::milliseconds(80);   ///< a run that waits longer at its guard would start sooner elsewhere
 constexpr double PartialStartShare = 0.25;  ///< of all cores: a job that needs more may start in parts, as so much is never free at once
@@ -296,9 +297,9 @@
     return coreTime;
 }
 
-void SchedulerMachine::Private::handle(SchedulerStep & /*step*/, const CapacityReported &input)
+void SchedulerMachine::Private::handle(SchedulerStep &step, const CapacityReported &input)
 {
-    m_workers.handleReport(input);
+    m_workers.handleReport(step.now(), input);
 }
 
 void SchedulerMachine::Private::handle(SchedulerStep &step, const WorkerUnreachable &input)
@@ -627,6 +628,9 @@
     output.batch.scheduler = m_settings.name;
     output.batch.schedulerIncarnation = m_settings.incarnation;
     output.batch.batch = batch.number;
+    const auto guardTime = m_workers.earliestGuardTime(step.now(), agent);
+    output.batch.receiveBy = guardTime + GuardTime(DeliveryLimit.count());
+    output.batch.expiresAt = guardTime + GuardTime((job.expiresAt - step.now()).count());
     output.batch.payload = job.spec->payload;
     for (const auto index : batch.tasks) {
         auto &task = job.tasks[index];
--- a/core/tests/guard_machine_test.cpp
+++ b/core/tests/guard_machine_test.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::int64_t RunnerCores = 10'000;
 constexpr Incarnation GuardIncarnation(7);
+constexpr auto JobTime = milliseconds(2'000); ///< from the time at which a batch is sent
 
 /** Drives one guard whose upstream has announced itself and runs nothing. */
 class GuardDriver
@@ -67,13 +68,16 @@
         m_now += time;
     }
 
-    /** Sends a batch of one run. */
-    void order(std::uint64_t connection, std::uint32_t index, std::int64_t cores)
+    /** Sends a batch of one run. @param delay how long the batch is on its way */
+    void order(std::uint64_t connection, std::uint32_t index, std::int64_t cores, Duration delay = {})
     {
         StartBatch batch;
         batch.scheduler = EntryName("S");
         batch.batch = BatchNumber(connection);
         batch.schedulerIncarnation = Incarnation(4);
+        batch.receiveBy = guardTime(m_now + milliseconds(250));
+        batch.expiresAt = guardTime(m_now + JobTime);
+        m_now += delay;
         RunOrder order;
         order.run = run(index);
         order.size = {MilliCores(cores), Megabytes(1), Accelerators(0)};
@@ -89,6 +93,11 @@
         feed(RecallReceived{ConnectionId(connection), {EntryName("S"), Incarnation(4), BatchNumber(batch), guard, 1}});
     }
 
+    static GuardTime guardTime(MonotonicTime time)
+    {
+        return GuardTime(time.time_since_epoch().count());
+    }
+
     static UpstreamIncarnation incarnation()
     {
         return {"runner", 5};
@@ -337,6 +346,31 @@
     EXPECT_EQ(guard.all<EndBatch>().size(), 1U);
 }
 
+TEST(GuardMachineTest, ABatchThatWasOnItsWayForTooLongIsRefused)
+{
+    GuardDriver guard;
+    guard.order(1, 0, 1'000, milliseconds(251));
+    EXPECT_TRUE(guard.all<StartRun>().empty());
+    ASSERT_EQ(guard.all<ReportRun>().size(), 1U);
+    EXPECT_EQ(guard.all<ReportRun>().front().report.error, ErrorKind::StaleMessage);
+    guard.order(2, 0, 1'000, milliseconds(249));
+    EXPECT_EQ(guard.all<StartRun>().size(), 1U);
+}
+
+TEST(GuardMachineTest, ARunIsStoppedWhenItsJobExpiresHoweverLateItStarted)
+{
+    GuardDriver guard;
+    guard.order(1, 0, 1'000);
+    guard.advance(JobTime - milliseconds(100));
+    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+    guard.advance(milliseconds(99));
+    guard.feed(Tick{});
+    EXPECT_TRUE(guard.all<StopRun>().empty());
+    guard.advance(milliseconds(1));
+    guard.feed(Tick{});
+    EXPECT_EQ(guard.all<StopRun>().size(), 1U);
+}
+
 TEST(GuardMachineTest, AnUnansweredStartIsStoppedWhenNoListConfirmsIt)
 {
     GuardDriver guard;
--- a/core/tests/pool_simulation.cpp
+++ b/core/tests/pool_simulation.cpp
@@ -546,6 +546,7 @@
         return;
     }
     auto report = guard.capacityReport;
+    report.clock = GuardTime(m_now.time_since_epoch().count());
     if (const auto lastCountedBatch = guard.highestBatches.find(scheduler); lastCountedBatch != guard.highestBatches.end()) {
         report.lastCountedBatch = lastCountedBatch->second;
     }
--- a/core/tests/scheduler_machine_test.cpp
+++ b/core/tests/scheduler_machine_test.cpp
@@ -38,21 +38,30 @@
         m_machine.step({m_now, WallTime{}, 7}, std::move(input), m_outputs);
     }
 
-    void reportCapacity(const AgentName &agent)
+    void reportCapacity(const AgentName &agent, GuardTime clock = {})
     {
         CapacityReport report;
         report.incarnation = Incarnation(1);
         report.accepting = true;
+        report.clock = clock;
         report.service = ServiceName("service");
         report.capacity = report.free = {MilliCores(32'000), Megabytes(1'000), Accelerators(0)};
         feed(CapacityReported{agent, ZoneName("z"), report});
     }
 
+    /** The guard of worker A reports its clock. @return the time until which it takes the batch of a job that is submitted then */
+    Duration reportClock(Duration clock)
+    {
+        reportCapacity(AgentName("A"), GuardTime(clock.count()));
+        submit("job-" + std::to_string(m_lastCaller));
+        return Duration(last<SendBatch>()->batch.receiveBy.value());
+    }
+
     /** Submits a job of one task. @return the batch that was sent */
-    BatchNumber submit()
+    BatchNumber submit(const std::string &id = "job")
     {
         auto spec = std::make_shared<QueueJobSpec>();
-        spec->id = QueueJobId("job");
+        spec->id = QueueJobId(id);
         spec->steps.push_back({.count = 1, .size = {MilliCores(1'000), Megabytes(1), Accelerators(0)}, .declaredRunTime = RunTime});
         QueueRecord queue;
         queue.name = QueueName("queue");
@@ -61,7 +70,7 @@
         queue.maxAttempts = 3;
         queue.stretch = 1.6;
         queue.latencyAllowance = Allowance;
-        feed(QueueJobSubmitted{ConnectionId(1), queue, spec, Duration::zero()});
+        feed(QueueJobSubmitted{ConnectionId(++m_lastCaller), queue, spec, Duration::zero()});
         return last<SendBatch>()->batch.batch;
     }
 
@@ -86,6 +95,7 @@
     MonotonicTime m_now{std::chrono::hours(1)};
     SchedulerMachine m_machine;
     SchedulerOutputs m_outputs;
+    std::uint64_t m_lastCaller = 0;
 };
 
 /** How and when the only run ends, and the expected immediate answer to the caller. */
@@ -157,6 +167,15 @@
     EXPECT_EQ(scheduler.last<SendBatch>()->batch.orders.front().run.number, 2U);
 }
 
+TEST(SchedulerMachineTest, ADelayedReportOfTheGuardsClockMakesNoOrderValidForLonger)
+{
+    SchedulerDriver scheduler;
+    const auto first = scheduler.reportClock(milliseconds(5'000));
+    scheduler.advance(milliseconds(400));
+    EXPECT_LE(scheduler.reportClock(milliseconds(5'010)), first + milliseconds(400)) << "this report was on its way for 390 ms";
+    EXPECT_GE(scheduler.reportClock(milliseconds(5'010)), first + milliseconds(390)) << "the first report still holds";
+}
+
 INSTANTIATE_TEST_SUITE_P(Runs, SchedulerReturnTest, testing::ValuesIn(ReturnCases), [](const auto &row) { return row.param.name; });
 
 } // namespace Sycamoremoor
--- a/net/src/guard_server.cpp
+++ b/net/src/guard_server.cpp
@@ -219,6 +219,7 @@
     if (const auto seen = m_seen.find(watcher.scheduler); seen != m_seen.end()) {
         room.lastCountedBatch = seen->second;
     }
+    room.clock = GuardTime(monotonicNow().time_since_epoch().count());
     watcher.exchange->stream(encode(room) + "\n");
     return true;
 }
--- a/wire/src/describe_func.h
+++ b/wire/src/describe_func.h
@@ -504,6 +504,8 @@
     archive("scheduler", batch.scheduler);
     archive("scheduler_incarnation", batch.schedulerIncarnation);
     archive("batch", batch.batch);
+    archive("receive_by", batch.receiveBy);
+    archive("expires_at", batch.expiresAt);
     archive("payload", batch.payload);
     archive("orders", batch.orders);
 }
@@ -535,6 +537,7 @@
     archive.optional("waiting", room.waiting);
     archive("labels", room.labels);
     archive("seen", room.lastCountedBatch);
+    archive("clock", room.clock);
 }
 
 void describe(auto &archive, Described<AgentRecord> auto &record)
