Fix: [core] A scheduler's runs end at its guards before its callers submit their jobs elsewhere

Cause: a caller whose scheduler vanished, froze or was cut off submits its job again after 1.3 s, to another scheduler. The guards learned of the loss after 2.2 s or more, from a connection that carries no data, or never; the runs of the first scheduler went on beside those of the second. Change: a batch is a lease of 1.1 s by its guard's clock. Its scheduler renews it every 400 ms while it waits for the runs, one message a guard; the guard stops runs whose lease has ended. Runs shorter than the lease need no renewal.

--- a/core/include/sycamoremoor/core/guard_input_type.h
+++ b/core/include/sycamoremoor/core/guard_input_type.h
@@ -50,6 +50,11 @@
     ConnectionId connection;
 };
 
+/** A scheduler extends the lease of batches. Batches that are not known are passed over. */
+struct BatchesRenewed {
+    BatchRenewal renewal;
+};
+
 /** A scheduler recalls a batch. All of its runs are answered by ReportRun, then the recall by EndBatch. */
 struct RecallReceived {
     ConnectionId connection;
@@ -111,6 +116,7 @@
                                 UpstreamLeft,
                                 BatchReceived,
                                 BatchAbandoned,
+                                BatchesRenewed,
                                 RecallReceived,
                                 RunStartAnswered,
                                 RunStopAnswered,
--- a/core/include/sycamoremoor/core/guard_message_type.h
+++ b/core/include/sycamoremoor/core/guard_message_type.h
@@ -44,14 +44,25 @@
     EntryName scheduler;
     Incarnation schedulerIncarnation;
     BatchNumber batch;
-    GuardTime receiveBy; ///< the guard refuses the batch if it is received later
-    GuardTime expiresAt; ///< runs that have not ended by then are stopped
-    std::string payload; ///< payload of the job
+    GuardTime receiveBy;  ///< the guard refuses the batch if it is received later
+    GuardTime leaseUntil; ///< runs that have not ended by then are stopped, unless BatchRenewal extends the lease
+    GuardTime expiresAt;  ///< runs that have not ended by then are stopped
+    std::string payload;  ///< payload of the job
     std::vector<RunOrder> orders;
 
     friend bool operator==(const StartBatch &, const StartBatch &) = default;
 };
 
+/** Scheduler to guard: the scheduler still waits for the runs of these batches. */
+struct BatchRenewal {
+    EntryName scheduler;
+    Incarnation schedulerIncarnation;
+    std::vector<BatchNumber> batches;
+    GuardTime leaseUntil;
+
+    friend bool operator==(const BatchRenewal &, const BatchRenewal &) = default;
+};
+
 /**
  * Scheduler to guard: end a batch whose connection was lost, and report all of its runs on the connection of this message.
  * A batch that has not been received yet is refused when it is.
--- a/core/include/sycamoremoor/core/scheduler_output_type.h
+++ b/core/include/sycamoremoor/core/scheduler_output_type.h
@@ -17,6 +17,12 @@
     StartBatch batch;
 };
 
+/** Extend the lease of batches at a guard. Not answered; a renewal that is lost is made up for by the next. */
+struct RenewBatches {
+    AgentName agent;
+    BatchRenewal renewal;
+};
+
 /** Recall a batch until its guard has reported all of its runs. Answered by RunReported for each run. */
 struct RecallBatch {
     AgentName agent;
@@ -48,7 +54,8 @@
     Duration retryAfter{};             ///< when to submit again, for Refused and Lost
 };
 
-using SchedulerOutput = std::variant<SendBatch, RecallBatch, CancelBatch, AnswerQueueJob, SetTimer, LogLine, Observation, Count, Stopped>;
+using SchedulerOutput
+    = std::variant<SendBatch, RenewBatches, RecallBatch, CancelBatch, AnswerQueueJob, SetTimer, LogLine, Observation, Count, Stopped>;
 
 using SchedulerOutputs = std::vector<SchedulerOutput>;
 
--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -28,6 +28,7 @@
     void handle(GuardStep &step, const UpstreamLeft &input);
     void handle(GuardStep &step, const BatchReceived &input);
     void handle(GuardStep &step, const BatchAbandoned &input);
+    void handle(GuardStep &step, const BatchesRenewed &input);
     void handle(GuardStep &step, const RecallReceived &input);
     void handle(GuardStep &step, const RunStartAnswered &input);
     void handle(GuardStep &step, const RunStopAnswered &input);
--- a/core/src/guard/run_table.h
+++ b/core/src/guard/run_table.h
@@ -47,6 +47,7 @@
     MonotonicTime latestStart;                    ///< latest start time that meets the objective
     MonotonicTime startBy;                        ///< the run is not started later
     Duration runLimit{};                          ///< the run is stopped when it has run this long
+    MonotonicTime leaseUntil;                     ///< the run is stopped then, however short it has run; its scheduler extends it
     MonotonicTime expiresAt;                      ///< the run is stopped then, however short it has run
     MonotonicTime startedAt;                      ///< when the start was confirmed
     bool started = false;                         ///< the start was confirmed
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -33,6 +33,20 @@
     return MonotonicTime(Duration(time.value()));
 }
 
+MonotonicTime stopTimeOf(const GuardedRun &record)
+{
+    return std::min({record.startedAt + record.runLimit, record.leaseUntil, record.expiresAt});
+}
+
+/** Returns why a run that is due to be stopped at @p now is stopped. */
+ErrorKind stopReasonOf(const GuardedRun &record, MonotonicTime now)
+{
+    if (record.leaseUntil <= now) {
+        return ErrorKind::OwnerUnavailable;
+    }
+    return record.expiresAt <= now ? ErrorKind::DeadlineUnreachable : ErrorKind::RunLimitReached;
+}
+
 std::vector<LogField> fieldsOf(const RunId &run, const GuardedRun &record)
 {
     return {{"task", queueTaskIdToString(run.task)},
@@ -150,6 +164,7 @@
         record.latestStart = step.now() + order.urgency.slack;
         record.startBy = std::min(step.now() + order.startWithin, expiresAt);
         record.runLimit = order.runLimit;
+        record.leaseUntil = toMonotonicTime(batch.leaseUntil);
         record.expiresAt = expiresAt;
         m_runTable.add(order.run, record);
     }
@@ -207,6 +222,26 @@
     }
 }
 
+void GuardMachine::Private::handle(GuardStep & /*step*/, const BatchesRenewed &input)
+{
+    const auto &renewal = input.renewal;
+    std::set<ConnectionId> renewed;
+    for (const auto &number : renewal.batches) {
+        if (const auto batch = m_batches.find({renewal.scheduler, renewal.schedulerIncarnation, number})) {
+            renewed.insert(*batch);
+        }
+    }
+    for (auto &[run, record] : m_runTable.runs()) {
+        if (!renewed.contains(record.connection)) {
+            continue;
+        }
+        record.leaseUntil = std::max(record.leaseUntil, toMonotonicTime(renewal.leaseUntil));
+        if (record.stage == RunStage::Running) {
+            record.stopDue = stopTimeOf(record);
+        }
+    }
+}
+
 void GuardMachine::Private::handle(GuardStep &step, const RecallReceived &input)
 {
     const auto &recall = input.recall;
@@ -318,7 +353,7 @@
         record.stage = RunStage::Running;
         record.unansweredAfter.reset();
         record.stopReason = ErrorKind::None;
-        record.stopDue = std::min(step.now() + record.runLimit, record.expiresAt);
+        record.stopDue = stopTimeOf(record);
     }
 }
 
@@ -592,13 +627,13 @@
             continue;
         }
         if (record.stage == RunStage::Running) {
+            record.stopReason = stopReasonOf(record, step.now());
+            auto fields = fieldsOf(run, record);
+            fields.push_back({"reason", std::string(errorRow(record.stopReason).code)});
+            fields.push_back({"limit_s", std::to_string(toSeconds(record.runLimit))});
             step.log(Severity::Warning,
-                     record.expiresAt <= step.now() ? "A run outlived its job and is stopped."
-                                                    : "A run exceeded its run time limit and is stopped.",
-                     {{"task", queueTaskIdToString(run.task)},
-                      {"run", std::to_string(run.number)},
-                      {"limit_s", std::to_string(toSeconds(record.runLimit))}});
-            record.stopReason = record.expiresAt <= step.now() ? ErrorKind::DeadlineUnreachable : ErrorKind::RunLimitReached;
+                     "A run exceeded its limit, the lease of its batch or the time of its job, and is stopped.",
+                     std::move(fields));
         }
         stop(step, run, record);
     }
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -34,7 +34,7 @@
     void handle(SchedulerStep &step, const BatchInterrupted &input);
     void handle(SchedulerStep &step, const DrainRequested &input);
 
-    /** Does what is due: places tasks, abandons expired jobs, ends a drain. Sets the timer. */
+    /** Does what is due: renews leases, places tasks, abandons expired jobs, ends a drain. Sets the timer. */
     void processDue(SchedulerStep &step);
 
     [[nodiscard]] const QueueSetPointer &queues() const;
@@ -46,8 +46,10 @@
         JobNumber job;
         AgentName agent;
         Incarnation guard;
+        MonotonicTime sentAt;
         std::vector<std::size_t> tasks; ///< indices in ScheduledJob::tasks, by index of the order
         std::vector<bool> reported;     ///< whether the end was reported, by index of the order
+        bool recalled = false;
     };
 
     /** A task with the worker that was chosen for it and the batch in which it will be sent. */
@@ -78,10 +80,11 @@
     /** Returns the time from which the job can no longer end before it expires. */
     [[nodiscard]] static MonotonicTime deadlineUnreachableAt(const ScheduledJob &job);
     void abandon(SchedulerStep &step, ScheduledJob &job);
-    void recall(SchedulerStep &step, ScheduledJob &job, BatchNumber number, const OpenBatch &batch);
+    void recall(SchedulerStep &step, ScheduledJob &job, BatchNumber number, OpenBatch &batch);
     void runEnded(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const AgentName &agent, const RunReport &report);
     void runFailed(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const AgentName &agent);
     void handleDueChecks(SchedulerStep &step);
+    void renewBatches(SchedulerStep &step);
     void place(SchedulerStep &step);
     bool placeJob(SchedulerStep &step, ScheduledJob &job);
     bool placeTask(SchedulerStep &step, ScheduledJob &job, std::size_t index, std::vector<PlacedTask> &placed);
@@ -99,6 +102,7 @@
     std::unordered_map<ConnectionId, JobNumber> m_callers;
     std::map<QueueJobId, JobNumber> m_byId;
     std::map<BatchNumber, OpenBatch> m_batches;
+    MonotonicTime m_renewAt; ///< when the leases of batches are renewed next
     JobOrder m_order;
     std::set<std::pair<MonotonicTime, JobNumber>> m_checks; ///< next check of each job whether it has to be abandoned
     std::uint64_t m_lastJob = 0;
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -16,6 +16,7 @@
 constexpr double ExpiryFactor = 3;                                   ///< a job expires at this multiple of its objective
 constexpr double RunLimitFactor = 4; ///< run limit per expected run time; declared and estimated times are off by less
 constexpr Duration RunLimitSlack = std::chrono::milliseconds(200); ///< added to the scaled run limit
+constexpr Duration RenewInterval = std::chrono::milliseconds(400); ///< of the leases of batches, so that one lost renewal stops no run
 constexpr Duration DeliveryLimit = std::chrono::milliseconds(250); ///< of a batch; a guard that is busier gets no new work
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(500); ///< a job submitted again earlier would arrive within the same burst
 constexpr Duration MaxGuardWait = std::chrono::milliseconds(80);   ///< a run that waits longer at its guard would start sooner elsewhere
@@ -374,7 +375,8 @@
                   {"error", std::string(errorRow(report.error).code)},
                   {"ran_ms", inMilliseconds(report.runTime)},
                   {"expected_ms", inMilliseconds(job.expected[task.step])}});
-        if (report.error == ErrorKind::UpstreamLost || report.error == ErrorKind::Cancelled) {
+        if (report.error == ErrorKind::UpstreamLost || report.error == ErrorKind::Cancelled
+            || report.error == ErrorKind::OwnerUnavailable) {
             task.avoided.push_back(agent); // a lost connection or answer to an order says nothing about the worker's health
         } else {
             runFailed(step, job, task, agent);
@@ -412,7 +414,7 @@
     if (found == m_batches.end()) {
         return;
     }
-    const auto batch = found->second;
+    auto &batch = found->second;
     auto &job = m_jobs.at(batch.job);
     m_workers.forgetBatch(batch.agent, input.batch);
     const bool mayHaveArrived = input.delivery != Delivery::NotSent;
@@ -425,8 +427,6 @@
     if (mayHaveArrived) {
         recall(step, job, input.batch, batch);
     } else {
-        m_batches.erase(found);
-        job.batches.erase(input.batch);
         for (const auto index : batch.tasks) {
             auto &task = job.tasks[index];
             m_workers.removeTasks(batch.agent, 1);
@@ -434,12 +434,15 @@
             task.avoided.push_back(batch.agent);
             setWaiting(step, job, task);
         }
+        job.batches.erase(input.batch);
+        m_batches.erase(found);
     }
     continueJob(step, job);
 }
 
-void SchedulerMachine::Private::recall(SchedulerStep &step, ScheduledJob &job, BatchNumber number, const OpenBatch &batch)
+void SchedulerMachine::Private::recall(SchedulerStep &step, ScheduledJob &job, BatchNumber number, OpenBatch &batch)
 {
+    batch.recalled = true;
     for (std::size_t order = 0; order < batch.tasks.size(); ++order) {
         if (!batch.reported[order]) {
             auto &task = job.tasks[batch.tasks[order]];
@@ -460,6 +463,7 @@
 
 void SchedulerMachine::Private::processDue(SchedulerStep &step)
 {
+    renewBatches(step);
     place(step);
     handleDueChecks(step);
     if (m_drainSince && !m_stopped) {
@@ -472,6 +476,27 @@
     setTimer(step);
 }
 
+void SchedulerMachine::Private::renewBatches(SchedulerStep &step)
+{
+    if (step.now() < m_renewAt) {
+        return;
+    }
+    m_renewAt = step.now() + RenewInterval;
+    std::map<AgentName, BatchRenewal> renewals;
+    for (const auto &[number, batch] : m_batches) {
+        // A batch that was sent within the interval is renewed next time.
+        if (!batch.recalled && batch.sentAt + RenewInterval <= step.now()) {
+            renewals[batch.agent].batches.push_back(number);
+        }
+    }
+    for (auto &[agent, renewal] : renewals) {
+        renewal.scheduler = m_settings.name;
+        renewal.schedulerIncarnation = m_settings.incarnation;
+        renewal.leaseUntil = m_workers.earliestGuardTime(step.now(), agent) + GuardTime(m_settings.batchLease.count());
+        step.emit(RenewBatches{agent, std::move(renewal)});
+    }
+}
+
 void SchedulerMachine::Private::handleDueChecks(SchedulerStep &step)
 {
     while (!m_checks.empty() && m_checks.begin()->first <= step.now()) {
@@ -630,6 +655,7 @@
     output.batch.batch = batch.number;
     const auto guardTime = m_workers.earliestGuardTime(step.now(), agent);
     output.batch.receiveBy = guardTime + GuardTime(DeliveryLimit.count());
+    output.batch.leaseUntil = guardTime + GuardTime(m_settings.batchLease.count());
     output.batch.expiresAt = guardTime + GuardTime((job.expiresAt - step.now()).count());
     output.batch.payload = job.spec->payload;
     for (const auto index : batch.tasks) {
@@ -658,7 +684,7 @@
     }
     job.batches.insert(batch.number);
     m_batches[batch.number]
-        = {job.number, agent, m_workers.guardIncarnation(agent), batch.tasks, std::vector<bool>(batch.tasks.size(), false)};
+        = {job.number, agent, m_workers.guardIncarnation(agent), step.now(), batch.tasks, std::vector<bool>(batch.tasks.size(), false)};
     step.emit(Count{CounterMetric::TasksSent, batch.tasks.size()});
     step.emit(std::move(output));
 }
@@ -669,6 +695,9 @@
     if (!m_checks.empty()) {
         wake = std::min(wake, m_checks.begin()->first);
     }
+    if (!m_batches.empty()) {
+        wake = std::min(wake, m_renewAt);
+    }
     if (const auto next = m_workers.nextReadmission(step.now()); next && !m_order.jobs().empty()) {
         wake = std::min(wake, *next);
     }
--- a/core/tests/guard_machine_test.cpp
+++ b/core/tests/guard_machine_test.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::int64_t RunnerCores = 10'000;
 constexpr Incarnation GuardIncarnation(7);
+constexpr auto BatchLease = milliseconds(1'100);
 constexpr auto JobTime = milliseconds(2'000); ///< from the time at which a batch is sent
 
 /** Drives one guard whose upstream has announced itself and runs nothing. */
@@ -69,24 +70,32 @@
     }
 
     /** Sends a batch of one run. @param delay how long the batch is on its way */
-    void order(std::uint64_t connection, std::uint32_t index, std::int64_t cores, Duration delay = {})
+    void
+    order(std::uint64_t connection, std::uint32_t index, std::int64_t cores, Duration delay = {}, Duration runLimit = milliseconds(500))
     {
         StartBatch batch;
         batch.scheduler = EntryName("S");
         batch.batch = BatchNumber(connection);
         batch.schedulerIncarnation = Incarnation(4);
         batch.receiveBy = guardTime(m_now + milliseconds(250));
+        batch.leaseUntil = guardTime(m_now + BatchLease);
         batch.expiresAt = guardTime(m_now + JobTime);
         m_now += delay;
         RunOrder order;
         order.run = run(index);
         order.size = {MilliCores(cores), Megabytes(1), Accelerators(0)};
         order.startWithin = milliseconds(80);
-        order.runLimit = milliseconds(500);
+        order.runLimit = runLimit;
         batch.orders.push_back(order);
         feed(BatchReceived{ConnectionId(connection), batch});
     }
 
+    /** The scheduler extends the lease of a batch. */
+    void renew(std::uint64_t batch)
+    {
+        feed(BatchesRenewed{{EntryName("S"), Incarnation(4), {BatchNumber(batch)}, guardTime(m_now + BatchLease)}});
+    }
+
     /** The scheduler recalls a batch of one run. @param guard the incarnation of the guard that it was sent to */
     void recall(std::uint64_t connection, std::uint64_t batch, Incarnation guard = GuardIncarnation)
     {
@@ -362,6 +371,7 @@
     GuardDriver guard;
     guard.order(1, 0, 1'000);
     guard.advance(JobTime - milliseconds(100));
+    guard.renew(1);
     guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
     guard.advance(milliseconds(99));
     guard.feed(Tick{});
@@ -371,6 +381,21 @@
     EXPECT_EQ(guard.all<StopRun>().size(), 1U);
 }
 
+TEST(GuardMachineTest, ARunIsStoppedWhenItsSchedulerNoLongerRenewsItsBatch)
+{
+    GuardDriver guard;
+    guard.order(1, 0, 1'000, {}, std::chrono::seconds(10));
+    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+    guard.advance(milliseconds(700));
+    guard.renew(1);
+    guard.advance(BatchLease - milliseconds(1));
+    guard.feed(Tick{});
+    EXPECT_TRUE(guard.all<StopRun>().empty());
+    guard.advance(milliseconds(1));
+    guard.feed(Tick{});
+    EXPECT_EQ(guard.all<StopRun>().size(), 1U);
+}
+
 TEST(GuardMachineTest, AnUnansweredStartIsStoppedWhenNoListConfirmsIt)
 {
     GuardDriver guard;
--- a/core/tests/pool_simulation.cpp
+++ b/core/tests/pool_simulation.cpp
@@ -261,6 +261,11 @@
     auto &node = *m_schedulers[scheduler];
     if (const auto *batch = std::get_if<SendBatch>(&output)) {
         deliverBatch(scheduler, *batch);
+    } else if (const auto *renewed = std::get_if<RenewBatches>(&output)) {
+        const auto worker = static_cast<std::uint32_t>(std::stoul(renewed->agent.value().substr(1)));
+        deliver(scheduler, worker, m_now + randomDelay(), [this, worker, renewal = renewed->renewal](bool /*wasHeldUp*/) {
+            stepGuard(worker, BatchesRenewed{renewal});
+        });
     } else if (const auto *recall = std::get_if<RecallBatch>(&output)) {
         node.recalls.insert(recall->recall.batch);
         deliverRecall(scheduler, *recall);
--- a/daemon/src/scheduler_task.cpp
+++ b/daemon/src/scheduler_task.cpp
@@ -76,6 +76,11 @@
     m_batches.carryOut(output);
 }
 
+void SchedulerTask::carryOut(const RenewBatches &output)
+{
+    m_batches.carryOut(output);
+}
+
 void SchedulerTask::carryOut(const RecallBatch &output)
 {
     m_batches.carryOut(output);
--- a/daemon/src/scheduler_task.h
+++ b/daemon/src/scheduler_task.h
@@ -54,6 +54,7 @@
     friend Driver;
 
     void carryOut(const SendBatch &output);
+    void carryOut(const RenewBatches &output);
     void carryOut(const RecallBatch &output);
     void carryOut(const CancelBatch &output);
     void carryOut(const AnswerQueueJob &output);
--- a/net/include/sycamoremoor/net/batch_sender.h
+++ b/net/include/sycamoremoor/net/batch_sender.h
@@ -39,6 +39,7 @@
     sigc::signal<void(SchedulerInput)> &signalInput();
 
     void carryOut(const SendBatch &output);
+    void carryOut(const RenewBatches &output);
     void carryOut(const RecallBatch &output);
     void carryOut(const CancelBatch &output);
 
--- a/net/include/sycamoremoor/net/guard_server.h
+++ b/net/include/sycamoremoor/net/guard_server.h
@@ -42,6 +42,7 @@
     };
 
     void takeBatch(const RoutedRequest &request);
+    void takeRenewal(const RoutedRequest &request);
     void takeRecall(const RoutedRequest &request);
     /** Keeps an exchange that takes reports. @return the connection that stands for it */
     ConnectionId openExchange(const EntryName &scheduler, const HttpExchangePointer &exchange);
--- a/net/include/sycamoremoor/net/path_type.h
+++ b/net/include/sycamoremoor/net/path_type.h
@@ -27,6 +27,7 @@
 inline constexpr std::string_view OwnerQuery = "/internal/v1/owner-query";
 inline constexpr std::string_view Handover = "/internal/v1/handover";
 inline constexpr std::string_view StartBatch = "/internal/v1/start-batch";
+inline constexpr std::string_view RenewBatches = "/internal/v1/renew-batches";
 inline constexpr std::string_view RecallBatch = "/internal/v1/recall-batch";
 inline constexpr std::string_view WatchRoom = "/internal/v1/watch-room";
 
--- a/net/src/batch_sender.cpp
+++ b/net/src/batch_sender.cpp
@@ -19,7 +19,8 @@
 {
 
 constexpr Duration ConnectLimit = std::chrono::milliseconds(300); ///< guards answer within milliseconds, or not at all
-constexpr Duration RecallLimit = std::chrono::milliseconds(600);  ///< a guard that answers stops the runs within a tenth of a second
+constexpr Duration RenewLimit = std::chrono::milliseconds(300);
+constexpr Duration RecallLimit = std::chrono::milliseconds(600); ///< a guard that answers stops the runs within a tenth of a second
 constexpr Duration RecallInterval = std::chrono::milliseconds(100);
 constexpr Duration ExchangeSlack = std::chrono::seconds(2); ///< beyond the last run's limit, for the guard to report its stop
 
@@ -79,6 +80,22 @@
     m_exchanges[number] = std::move(exchange);
 }
 
+void BatchSender::carryOut(const RenewBatches &output)
+{
+    const auto endpoint = m_findGuard(output.agent);
+    if (!endpoint) {
+        return;
+    }
+    ClientCall call;
+    call.endpoint = *endpoint;
+    call.path = Path::RenewBatches;
+    call.body = encode(output.renewal);
+    call.connectLimit = ConnectLimit;
+    call.timeLimit = RenewLimit;
+    m_metrics.addMessage(MessageDirection::Out, Path::RenewBatches, call.body.size());
+    m_client.send(std::move(call), [](const ClientResult & /*result*/) {});
+}
+
 void BatchSender::carryOut(const RecallBatch &output)
 {
     const auto number = output.recall.batch;
--- a/net/src/guard_server.cpp
+++ b/net/src/guard_server.cpp
@@ -8,6 +8,8 @@
 #include <sycamoremoor/net/metric_registry.h>
 #include <sycamoremoor/net/path_type.h>
 
+#include <sycamoremoor/wire/http_status.h>
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -34,6 +36,7 @@
     })
 {
     router.add(RequestMethod::Post, Path::StartBatch, [this](const RoutedRequest &request) { takeBatch(request); });
+    router.add(RequestMethod::Post, Path::RenewBatches, [this](const RoutedRequest &request) { takeRenewal(request); });
     router.add(RequestMethod::Post, Path::RecallBatch, [this](const RoutedRequest &request) { takeRecall(request); });
     router.add(RequestMethod::Get, Path::WatchRoom, [this](const RoutedRequest &request) { takeWatch(request); });
     m_steadyTimer.start(SteadyInterval);
@@ -61,6 +64,17 @@
     m_input.emit(BatchReceived{connection, std::move(batch)});
 }
 
+void GuardServer::takeRenewal(const RoutedRequest &request)
+{
+    BatchRenewal renewal;
+    if (!decodeOrRefuse(request, renewal)) {
+        return;
+    }
+    m_metrics.addMessage(MessageDirection::In, Path::RenewBatches, request.exchange->request().body.size());
+    request.exchange->reply({HttpStatus::Ok, "{}", "application/json", {}});
+    m_input.emit(BatchesRenewed{std::move(renewal)});
+}
+
 void GuardServer::takeRecall(const RoutedRequest &request)
 {
     BatchRecall recall;
--- a/wire/src/describe_func.h
+++ b/wire/src/describe_func.h
@@ -505,11 +505,20 @@
     archive("scheduler_incarnation", batch.schedulerIncarnation);
     archive("batch", batch.batch);
     archive("receive_by", batch.receiveBy);
+    archive("lease_until", batch.leaseUntil);
     archive("expires_at", batch.expiresAt);
     archive("payload", batch.payload);
     archive("orders", batch.orders);
 }
 
+void describe(auto &archive, Described<BatchRenewal> auto &renewal)
+{
+    archive("scheduler", renewal.scheduler);
+    archive("scheduler_incarnation", renewal.schedulerIncarnation);
+    archive("batches", renewal.batches);
+    archive("lease_until", renewal.leaseUntil);
+}
+
 void describe(auto &archive, Described<BatchRecall> auto &recall)
 {
     archive("scheduler", recall.scheduler);
--- a/wire/src/message_codec.cpp
+++ b/wire/src/message_codec.cpp
@@ -83,6 +83,8 @@
 template std::optional<DecodeError> decode(std::string_view, ForwardQuery &);
 template std::string encode(const StartBatch &);
 template std::optional<DecodeError> decode(std::string_view, StartBatch &);
+template std::string encode(const BatchRenewal &);
+template std::optional<DecodeError> decode(std::string_view, BatchRenewal &);
 template std::string encode(const BatchRecall &);
 template std::optional<DecodeError> decode(std::string_view, BatchRecall &);
 template std::string encode(const RunReport &);
