Add: [core tests] Silent runners, and batches that arrive after a guard woke or its runner answers again

Change: the pool simulation can silence a runner: it executes the orders of that time at its end, and answers none. Exchanges break at each tenth of a second of a hold-up or freeze rather than at one moment; a batch that is held up goes to three guards. Rows with late batches after a guard woke and after its runner answers again, and with late orders at a silent runner, are new.

--- a/core/tests/pool_once_test.cpp
+++ b/core/tests/pool_once_test.cpp
@@ -22,6 +22,8 @@
 constexpr Duration QuietTime = seconds(20); ///< longer than any job waits for its end
 constexpr Duration ShortestFault = milliseconds(300);
 constexpr Duration LongestFault = milliseconds(4'000);
+constexpr Duration Recovery = milliseconds(300);      ///< until a guard gives a runner that answers again new work
+constexpr Duration Retransmission = milliseconds(20); ///< from the end of a fault until messages arrive again
 
 PoolLoad loadOf(const char *name, std::uint32_t tasks, Duration runTime, double jobsPerSecond)
 {
@@ -43,6 +45,13 @@
     return Duration(std::uniform_int_distribution<std::int64_t>(ShortestFault.count(), LongestFault.count())(simulation.random()));
 }
 
+void holdUpAll(PoolSimulation &simulation, std::uint32_t worker, Duration duration)
+{
+    for (std::uint32_t scheduler = 0; scheduler < Schedulers; ++scheduler) {
+        simulation.holdUpMessages(scheduler, worker, duration);
+    }
+}
+
 /** A fault that may let a task run twice, injected into random schedulers and workers. */
 struct OnceFault {
     const char *name; ///< what is guarded against
@@ -64,22 +73,36 @@
     OnceFault{"BatchArrivesAfterItWasGivenUp",
               0,
               [](PoolSimulation &simulation, std::uint32_t worker, std::uint32_t scheduler) {
-                  simulation.holdUpMessages(scheduler, worker, randomDuration(simulation));
+                  for (std::uint32_t number = 0; number < 3; ++number) {
+                      simulation.holdUpMessages(scheduler, (worker + number) % Workers, randomDuration(simulation));
+                  }
               }},
     OnceFault{"BatchArrivesAfterZoneWasCutOff",
               0,
               [](PoolSimulation &simulation, std::uint32_t worker, std::uint32_t) {
                   const auto duration = randomDuration(simulation);
-                  for (std::uint32_t scheduler = 0; scheduler < Schedulers; ++scheduler) {
-                      simulation.holdUpMessages(scheduler, worker, duration);
-                      simulation.holdUpMessages(scheduler, (worker + 1) % Workers, duration);
-                  }
+                  holdUpAll(simulation, worker, duration);
+                  holdUpAll(simulation, (worker + 1) % Workers, duration);
               }},
     OnceFault{"GuardWakesAfterBatchWasGivenUp",
               0,
               [](PoolSimulation &simulation, std::uint32_t worker, std::uint32_t) {
                   simulation.freezeGuard(worker, randomDuration(simulation));
               }},
+    OnceFault{"BatchArrivesAfterGuardWoke",
+              0,
+              [](PoolSimulation &simulation, std::uint32_t worker, std::uint32_t) {
+                  const auto duration = randomDuration(simulation);
+                  simulation.freezeGuard(worker, duration);
+                  holdUpAll(simulation, worker, duration + Retransmission);
+              }},
+    OnceFault{"BatchArrivesAfterSilentRunnerAnswersAgain",
+              0,
+              [](PoolSimulation &simulation, std::uint32_t worker, std::uint32_t) {
+                  const auto duration = randomDuration(simulation);
+                  simulation.silenceRunner(worker, duration);
+                  holdUpAll(simulation, worker, duration + Recovery);
+              }},
     OnceFault{"JobSentToOtherSchedulerWhileFirstIsFrozen",
               0,
               [](PoolSimulation &simulation, std::uint32_t, std::uint32_t scheduler) {
@@ -115,6 +138,18 @@
               [](PoolSimulation &simulation, std::uint32_t, std::uint32_t) {
                   simulation.breakExchangesUnseenByGuard(0.2, randomDuration(simulation));
               }},
+    OnceFault{"StartArrivesLateAtSilentRunner",
+              0,
+              [](PoolSimulation &simulation, std::uint32_t worker, std::uint32_t) {
+                  simulation.silenceRunner(worker, randomDuration(simulation));
+                  simulation.silenceRunner((worker + 1) % Workers, randomDuration(simulation));
+              }},
+    OnceFault{"StopArrivesLateAtSilentRunner",
+              0,
+              [](PoolSimulation &simulation, std::uint32_t worker, std::uint32_t) {
+                  simulation.silenceRunner(worker, randomDuration(simulation));
+                  simulation.breakExchanges(0.2);
+              }},
 };
 
 } // namespace
--- a/core/tests/pool_simulation.cpp
+++ b/core/tests/pool_simulation.cpp
@@ -21,7 +21,9 @@
 constexpr Duration RestartDelay = milliseconds(400);
 constexpr Duration ResubmitDelay = milliseconds(1'300);
 constexpr Duration SilenceLimit = milliseconds(1'000); ///< a scheduler gives a worker no new tasks after this time without reports
-constexpr double LostShare = 0.5;                      ///< of the exchanges or callers, during a time without answers
+constexpr Duration BreakInterval = milliseconds(100);  ///< during a time without answers, some exchanges break at each interval
+constexpr double BreakShare = 0.05;                    ///< of the exchanges, at each interval
+constexpr double LostCallerShare = 0.5;                ///< of the callers of a frozen scheduler
 constexpr std::uint64_t TokenStep = 1'000;
 
 Duration scaled(Duration duration, double factor)
@@ -54,6 +56,7 @@
     std::map<RunId, TaskSize> sizes;                     ///< size of every run that the guard was sent
     PoolRunner runner;
     bool runnerUp = true;
+    MonotonicTime runnerSilentUntil; ///< orders to the runner are neither executed nor answered until then
     std::uint64_t sequence = 0;
     std::uint64_t runnerTimer = 0;
     std::set<RenewalNumber> pendingRenewals; ///< renewals that the runner has not answered yet; it waits for the end of a run
@@ -205,7 +208,7 @@
 {
     auto &node = *m_guards[worker];
     at(m_now - m_start + AnnounceInterval, [this, worker] { announce(worker); });
-    if (!node.up || !node.runnerUp) {
+    if (!node.up || !node.runnerUp || node.runnerSilentUntil > m_now) {
         return;
     }
     UpstreamAnnounced announced;
@@ -355,6 +358,19 @@
         return m_guards[worker]->incarnation == incarnation && m_guards[worker]->runnerUp
             && m_guards[worker]->runner.startTimeMs() == startTimeMs;
     };
+    if (const auto silentUntil = m_guards[worker]->runnerSilentUntil; silentUntil > m_now) {
+        at(silentUntil - m_start, [this, worker, startTimeMs, handleEvent] {
+            if (m_guards[worker]->runnerUp && m_guards[worker]->runner.startTimeMs() == startTimeMs) {
+                handleEvent(OrderEvent::Execute);
+            }
+        });
+        at(m_now - m_start + OrderTimeout, [this, worker, incarnation, handleEvent] {
+            if (m_guards[worker]->incarnation == incarnation) {
+                handleEvent(OrderEvent::Timeout);
+            }
+        });
+        return;
+    }
     if (chance(m_settings.lostOrders)) {
         if (chance(0.5)) {
             // A delayed order is executed even if the guard that sent it has restarted since.
@@ -435,7 +451,17 @@
         });
     } else if (const auto *renewal = std::get_if<RenewLease>(&output)) {
         const auto incarnation = node.incarnation;
-        if (chance(m_settings.lostOrders) || !node.runnerUp) {
+        const bool isSilent = node.runnerSilentUntil > m_now;
+        if (isSilent) {
+            at(node.runnerSilentUntil - m_start, [this, worker, order = *renewal, startTimeMs = node.runner.startTimeMs()] {
+                auto &runner = m_guards[worker]->runner;
+                if (m_guards[worker]->runnerUp && runner.startTimeMs() == startTimeMs) {
+                    runner.renew(m_now, order.leaseUntil, order.token, order.acknowledged);
+                    setRunnerTimer(worker);
+                }
+            });
+        }
+        if (isSilent || chance(m_settings.lostOrders) || !node.runnerUp) {
             at(m_now - m_start + renewal->wait + OrderTimeout, [this, worker, incarnation, number = renewal->number] {
                 if (m_guards[worker]->incarnation == incarnation) {
                     stepGuard(worker, RenewalUnanswered{number});
@@ -748,21 +774,32 @@
         recordRunEnd(worker, run);
     }
     node.runnerUp = false;
-    const auto pendingRenewals = std::exchange(node.pendingRenewals, {});
     node.runner.restart(m_now);
     node.sequence = 0;
-    const auto incarnation = node.incarnation;
-    at(m_now - m_start + OrderTimeout, [this, worker, incarnation, pendingRenewals] {
-        for (const auto number : pendingRenewals) {
+    loseRenewals(worker);
+    at(m_now - m_start + milliseconds(900), [this, worker] {
+        m_guards[worker]->runner.restart(m_now);
+        m_guards[worker]->runnerUp = true;
+    });
+}
+
+void PoolSimulation::silenceRunner(std::uint32_t worker, Duration duration)
+{
+    auto &node = *m_guards[worker];
+    node.runnerSilentUntil = std::max(node.runnerSilentUntil, m_now + duration);
+    loseRenewals(worker);
+}
+
+void PoolSimulation::loseRenewals(std::uint32_t worker)
+{
+    auto &node = *m_guards[worker];
+    at(m_now - m_start + OrderTimeout, [this, worker, incarnation = node.incarnation, renewals = std::exchange(node.pendingRenewals, {})] {
+        for (const auto number : renewals) {
             if (m_guards[worker]->incarnation == incarnation) {
                 stepGuard(worker, RenewalUnanswered{number});
             }
         }
     });
-    at(m_now - m_start + milliseconds(900), [this, worker] {
-        m_guards[worker]->runner.restart(m_now);
-        m_guards[worker]->runnerUp = true;
-    });
 }
 
 void PoolSimulation::breakExchanges(double share)
@@ -800,26 +837,27 @@
 {
     auto &until = m_heldUpUntil[{scheduler, worker}];
     until = std::max(until, m_now + duration);
-    breakLater(scheduler, worker, duration);
+    breakMeanwhile(scheduler, worker, duration);
     missReports(scheduler, worker, duration);
 }
 
-void PoolSimulation::breakLater(std::optional<std::uint32_t> scheduler, std::uint32_t worker, Duration duration)
+void PoolSimulation::breakMeanwhile(std::optional<std::uint32_t> scheduler, std::uint32_t worker, Duration duration)
 {
-    const auto delay = std::uniform_int_distribution<std::int64_t>(0, duration.count())(m_random);
-    at(m_now - m_start + Duration(delay), [this, scheduler, worker] {
-        std::vector<std::uint64_t> numbers;
-        for (const auto &[number, exchange] : m_exchanges) {
-            if (exchange.worker == worker && scheduler.value_or(exchange.scheduler) == exchange.scheduler && !exchange.schedulerGone) {
-                numbers.push_back(number);
+    for (Duration delay = BreakInterval; delay < duration; delay += BreakInterval) {
+        at(m_now - m_start + delay, [this, scheduler, worker] {
+            std::vector<std::uint64_t> numbers;
+            for (const auto &[number, exchange] : m_exchanges) {
+                if (exchange.worker == worker && scheduler.value_or(exchange.scheduler) == exchange.scheduler && !exchange.schedulerGone) {
+                    numbers.push_back(number);
+                }
             }
-        }
-        for (const auto number : numbers) {
-            if (chance(LostShare)) {
-                breakExchange(number, true, true);
+            for (const auto number : numbers) {
+                if (chance(BreakShare)) {
+                    breakExchange(number, true, true);
+                }
             }
-        }
-    });
+        });
+    }
 }
 
 void PoolSimulation::missReports(std::uint32_t scheduler, std::uint32_t worker, Duration duration)
@@ -839,7 +877,7 @@
         return;
     }
     freeze(node, duration);
-    breakLater(std::nullopt, worker, duration);
+    breakMeanwhile(std::nullopt, worker, duration);
     for (std::uint32_t scheduler = 0; scheduler < m_schedulers.size(); ++scheduler) {
         missReports(scheduler, worker, duration);
     }
@@ -855,7 +893,7 @@
     const auto delay = std::uniform_int_distribution<std::int64_t>(0, duration.count())(m_random);
     at(m_now - m_start + Duration(delay), [this, scheduler] {
         for (const auto connection : openCallers()) {
-            if (m_callers.at(connection).scheduler == scheduler && chance(LostShare)) {
+            if (m_callers.at(connection).scheduler == scheduler && chance(LostCallerShare)) {
                 disconnectCaller(connection);
             }
         }
--- a/core/tests/pool_simulation.h
+++ b/core/tests/pool_simulation.h
@@ -94,6 +94,9 @@
     /** Ends a runner with all of its runs; it restarts after 900 ms. */
     void crashRunner(std::uint32_t worker);
 
+    /** Lets a runner execute the orders that it gets until @p duration has passed only then, in order; none of them is answered. */
+    void silenceRunner(std::uint32_t worker, Duration duration);
+
     /** Interrupts a random share of the open exchanges. */
     void breakExchanges(double share);
 
@@ -159,8 +162,8 @@
     void breakExchange(std::uint64_t number, bool notifyScheduler, bool notifyGuard);
     void interruptBatch(const Exchange &exchange);
     void abandonBatch(std::uint64_t number, const Exchange &exchange, MonotonicTime arrival);
-    /** Breaks, at a random time until @p duration has passed, a random share of the exchanges of a worker, with all schedulers or one. */
-    void breakLater(std::optional<std::uint32_t> scheduler, std::uint32_t worker, Duration duration);
+    /** Breaks random exchanges of a worker, with all schedulers or one, at random times until @p duration has passed. */
+    void breakMeanwhile(std::optional<std::uint32_t> scheduler, std::uint32_t worker, Duration duration);
     /** Lets a scheduler miss the reports of a worker until @p duration has passed. */
     void missReports(std::uint32_t scheduler, std::uint32_t worker, Duration duration);
     /** Schedules the arrival of a message between a scheduler and a guard; it is later if the messages between them are held up. */
@@ -183,6 +186,7 @@
     void recordRunEnd(std::uint32_t worker, const RunId &run);
     void setRunnerTimer(std::uint32_t worker);
     void scheduleListing(std::uint32_t worker);
+    void loseRenewals(std::uint32_t worker);
     Duration randomDelay();
     bool chance(double share);
     StepContext context();
