Fix: [net] A server hears that a connection with an open request was reset

Cause: while a request is open and nothing of its answer has left, reading is disabled and the socket is watched with EV_CLOSED alone. The epoll backend of libevent 2.1.12 turns EPOLLERR, which a reset sets, into EV_READ and EV_WRITE and never into EV_CLOSED. So onGone was not called, and as the condition stays, the loop span. A FIN was noticed. Once a part of the answer has left, evhttp reads again, and a reset was noticed as well.

Change: the exchange watches for EV_READ too and asks the socket by poll() whether the other end hung up. If there are only bytes of an early second request, which would make every round of the loop ready, it asks every 100 ms instead. RawClient and runUntil of http_test.cpp move to headers, since both files use them.

The same cause is nowhere else: no other code watches with EV_CLOSED or disables reading.

--- a/net/include/sycamoremoor/net/http_exchange.h
+++ b/net/include/sycamoremoor/net/http_exchange.h
@@ -52,7 +52,7 @@
     void watchHangUp();
     void hangUp();
     void finish();
-    static void hungUp(int socket, short what, void *self);
+    static void checkHangUp(int socket, short what, void *self);
     static void connectionClosed(evhttp_connection *connection, void *self);
 
     HttpServer &m_server;
--- a/net/src/http_exchange.cpp
+++ b/net/src/http_exchange.cpp
@@ -1,6 +1,8 @@
 // One request that a server has received, until its reply is sent.
 #include <sycamoremoor/net/http_exchange.h>
 
+#include "socket_func.h"
+
 #include <sycamoremoor/net/http_server.h>
 
 #include <event2/buffer.h>
@@ -17,6 +19,8 @@
 namespace
 {
 
+constexpr timeval HangUpCheckInterval{.tv_sec = 0, .tv_usec = 100'000}; ///< where the socket's events cannot tell
+
 void addHeader(evhttp_request *handle, const char *name, const std::string &value)
 {
     evhttp_add_header(evhttp_request_get_output_headers(handle), name, value.c_str());
@@ -123,16 +127,27 @@
     // Reading on would stop the process when the other end sends a second request before the first is answered.
     bufferevent_disable(transport, EV_READ);
     evhttp_connection_set_closecb(connection, &HttpExchange::connectionClosed, this);
-    m_hangUp = event_new(bufferevent_get_base(transport), bufferevent_getfd(transport), EV_CLOSED, &HttpExchange::hungUp, this);
+    // EV_READ too: libevent reports a reset as readable and never as closed.
+    m_hangUp
+        = event_new(bufferevent_get_base(transport), bufferevent_getfd(transport), EV_READ | EV_CLOSED, &HttpExchange::checkHangUp, this);
     event_add(m_hangUp, nullptr);
 }
 
-void HttpExchange::hungUp(int /*socket*/, short /*what*/, void *self)
+void HttpExchange::checkHangUp(int /*socket*/, short /*what*/, void *self)
 {
     auto *exchange = static_cast<HttpExchange *>(self);
-    if (exchange->m_handle != nullptr) {
-        evhttp_connection_free(evhttp_request_get_connection(exchange->m_handle));
+    if (exchange->m_handle == nullptr) {
+        return;
+    }
+    auto *connection = evhttp_request_get_connection(exchange->m_handle);
+    auto *transport = evhttp_connection_get_bufferevent(connection);
+    if (hasHungUp(bufferevent_getfd(transport))) {
+        evhttp_connection_free(connection);
+        return;
     }
+    // A second request came early. Its bytes stay in the socket and would make every round of the loop ready.
+    event_assign(exchange->m_hangUp, bufferevent_get_base(transport), -1, 0, &HttpExchange::checkHangUp, exchange);
+    event_add(exchange->m_hangUp, &HangUpCheckInterval);
 }
 
 void HttpExchange::connectionClosed(evhttp_connection *connection, void *self)
--- a/net/src/socket_func.cpp
+++ b/net/src/socket_func.cpp
@@ -1,9 +1,10 @@
-// Options of TCP sockets.
+// Options and state of TCP sockets.
 #include "socket_func.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -79,4 +80,10 @@
     setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
 }
 
+bool hasHungUp(int socket)
+{
+    pollfd state{socket, POLLRDHUP, 0}; // POLLERR and POLLHUP are always reported
+    return poll(&state, 1, 0) == 1;
+}
+
 } // namespace Sycamoremoor
--- a/net/src/socket_func.h
+++ b/net/src/socket_func.h
@@ -1,4 +1,4 @@
-// Options of TCP sockets.
+// Options and state of TCP sockets.
 #pragma once
 
 #include <sycamoremoor/core/endpoint_type.h>
@@ -17,4 +17,7 @@
 /** Sets TCP_NODELAY, and the time after which bytes that nobody acknowledges end the connection. */
 void setConnectionOptions(int socket, Duration unacknowledgedLimit);
 
+/** Returns whether the other end closed or reset the connection, or it broke; unread bytes do not matter. */
+[[nodiscard]] bool hasHungUp(int socket);
+
 } // namespace Sycamoremoor
--- a/net/tests/http_test.cpp
+++ b/net/tests/http_test.cpp
@@ -1,20 +1,16 @@
 // Server and client of HTTP against each other and against ends that misbehave.
-#include <sycamoremoor/net/clock_func.h>
+#include "loop_func.h"
+#include "raw_client.h"
+
 #include <sycamoremoor/net/event_loop.h>
 #include <sycamoremoor/net/http_client.h>
 #include <sycamoremoor/net/http_exchange.h>
 #include <sycamoremoor/net/http_server.h>
 #include <sycamoremoor/net/metric_registry.h>
 #include <sycamoremoor/net/router.h>
-#include <sycamoremoor/net/timer.h>
 
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <csignal>
 #include <string>
 #include <vector>
@@ -22,70 +18,6 @@
 namespace Sycamoremoor
 {
 
-namespace
-{
-
-constexpr Duration TestLimit = std::chrono::seconds(20);
-constexpr Duration PollInterval = std::chrono::milliseconds(2);
-
-/** A plain socket that sends what it is told. */
-class RawClient
-{
-public:
-    explicit RawClient(const Endpoint &server)
-        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
-    {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(server.port);
-        inet_pton(AF_INET, server.host.c_str(), &address.sin_addr);
-        m_connected = connect(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
-    }
-
-    ~RawClient()
-    {
-        hangUp();
-    }
-
-    RawClient(const RawClient &) = delete;
-    RawClient &operator=(const RawClient &) = delete;
-
-    void send(const std::string &bytes) const
-    {
-        ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    }
-
-    /** Reads what is there. @return false once the other end closed */
-    bool poll(std::string &received) const
-    {
-        std::string part(4'096, '\0');
-        const auto count = ::recv(m_socket, part.data(), part.size(), MSG_DONTWAIT);
-        if (count > 0) {
-            received.append(part, 0, static_cast<std::size_t>(count));
-        }
-        return count > 0 || (count < 0 && errno == EAGAIN);
-    }
-
-    void hangUp()
-    {
-        if (m_socket >= 0) {
-            close(m_socket);
-        }
-        m_socket = -1;
-    }
-
-    [[nodiscard]] bool connected() const
-    {
-        return m_connected;
-    }
-
-private:
-    int m_socket;
-    bool m_connected = false;
-};
-
-} // namespace
-
 class HttpTest : public testing::Test
 {
 protected:
@@ -101,21 +33,7 @@
     /** Runs the loop until @p condition holds. @return false if it does not within the limit */
     bool runUntil(const std::function<bool()> &condition)
     {
-        const auto end = monotonicNow() + TestLimit;
-        bool held = false;
-        std::function<void()> check;
-        Timer timer(m_loop, [&] { check(); });
-        check = [&] {
-            held = condition();
-            if (held || monotonicNow() > end) {
-                m_loop.stop();
-            } else {
-                timer.start(PollInterval);
-            }
-        };
-        timer.start(Duration::zero());
-        m_loop.run();
-        return held;
+        return Sycamoremoor::runUntil(m_loop, condition);
     }
 
     ClientCall callTo(const std::string &path, const std::string &body = "")
