Fix: [core] Batches name the guard's incarnation, ended leases stay ended, and a lost renewal ends none

Cause: (1) a batch that reached a later incarnation of the guard than the one it was sent to was taken, although the recall of it had been answered there as gone; (2) a renewal that was handled after the end of a lease, but before the stop that this end makes due, extended it; (3) a batch sent just after a renewal was renewed for the first time at 0.8 s, so that a single lost renewal let its lease of 1.1 s end; (4) the token was raised for lapsed runs only, not when another boot of the upstream takes over, and an order of the earlier boot could still be executed; (5) runs stopped because their job had expired counted against the health of their worker. Change: a batch names the incarnation it is meant for; an ended lease is not renewed; batches are renewed from an age of 0.2 s on a fixed beat of 0.4 s; the token is raised whenever runs are reported as lost; only run limits count against a worker. Result: ABatchForAnEarlierIncarnationIsRefused, ARenewalDoesNotReviveALeaseThatHasEnded, ALostRenewalEndsNoLease (40 phases) and OrdersOfTheEarlierBootOfAnUpstreamAreFenced; they were written with the change and not run without it. 58 tests of pools, guards and schedulers pass. ARunIsStoppedWhenItsJobExpiresHoweverLateItStarted renews its lease once more, since it played a renewal that is now refused; its bound is as it was.

--- a/core/include/sycamoremoor/core/guard_message_type.h
+++ b/core/include/sycamoremoor/core/guard_message_type.h
@@ -44,6 +44,7 @@
     EntryName scheduler;
     Incarnation schedulerIncarnation;
     BatchNumber batch;
+    Incarnation guard;    ///< the incarnation that the batch is meant for; another one refuses it
     GuardTime receiveBy;  ///< the guard refuses the batch if it is received later
     GuardTime leaseUntil; ///< runs that have not ended by then are stopped, unless BatchRenewal extends the lease
     GuardTime expiresAt;  ///< runs that have not ended by then are stopped
--- a/core/src/guard/batch_table.cpp
+++ b/core/src/guard/batch_table.cpp
@@ -56,7 +56,7 @@
 {
     auto &ended = m_batches.at(batch);
     setReceiver(ended, batch, std::nullopt);
-    ended.payload.clear();
+    ended.payload = {};
     m_byTime.emplace_back(now, ended.key);
     forgetOld(now);
 }
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -126,6 +126,7 @@
 
 void GuardMachine::Private::reportAllLost(GuardStep &step)
 {
+    m_token += LapseIncrement; // an order that is still on its way would be executed under the next lease
     while (!m_runTable.runs().empty()) {
         const auto &[run, record] = *m_runTable.runs().begin();
         const bool waiting = record.stage == RunStage::Waiting;
@@ -175,6 +176,9 @@
     if (m_batches.isRefused({batch.scheduler, batch.schedulerIncarnation, batch.batch})) {
         return ErrorKind::Tombstoned;
     }
+    if (batch.guard != m_settings.incarnation) {
+        return ErrorKind::WrongIncarnation;
+    }
     return now > toMonotonicTime(batch.receiveBy) ? ErrorKind::StaleMessage : ErrorKind::None;
 }
 
@@ -222,7 +226,7 @@
     }
 }
 
-void GuardMachine::Private::handle(GuardStep & /*step*/, const BatchesRenewed &input)
+void GuardMachine::Private::handle(GuardStep &step, const BatchesRenewed &input)
 {
     const auto &renewal = input.renewal;
     std::set<ConnectionId> renewed;
@@ -232,8 +236,8 @@
         }
     }
     for (auto &[run, record] : m_runTable.runs()) {
-        if (!renewed.contains(record.connection)) {
-            continue;
+        if (!renewed.contains(record.connection) || record.leaseUntil <= step.now()) {
+            continue; // a lease that has ended stays so, although its stop may be due only now
         }
         record.leaseUntil = std::max(record.leaseUntil, toMonotonicTime(renewal.leaseUntil));
         if (record.stage == RunStage::Running) {
@@ -556,7 +560,6 @@
         if (leasesEnded && !m_runTable.runs().empty()) {
             step.log(Severity::Warning, "The leases at the unresponsive upstream have ended; its runs are lost.");
             reportAllLost(step);
-            m_token += LapseIncrement; // an order that is still on its way would be executed under the next lease
         }
         dropExpired(step);
         startWaiting(step);
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -16,7 +16,9 @@
 constexpr double ExpiryFactor = 3;                                   ///< a job expires at this multiple of its objective
 constexpr double RunLimitFactor = 4; ///< run limit per expected run time; declared and estimated times are off by less
 constexpr Duration RunLimitSlack = std::chrono::milliseconds(200); ///< added to the scaled run limit
-constexpr Duration RenewInterval = std::chrono::milliseconds(400); ///< of the leases of batches, so that one lost renewal stops no run
+constexpr Duration RenewInterval = std::chrono::milliseconds(400); ///< of the leases of batches
+constexpr Duration MinRenewAge
+    = std::chrono::milliseconds(200); ///< of a batch: its second renewal still precedes the end of its first lease
 constexpr Duration DeliveryLimit = std::chrono::milliseconds(250); ///< of a batch; a guard that is busier gets no new work
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(500); ///< a job submitted again earlier would arrive within the same burst
 constexpr Duration MaxGuardWait = std::chrono::milliseconds(80);   ///< a run that waits longer at its guard would start sooner elsewhere
@@ -375,9 +377,8 @@
                   {"error", std::string(errorRow(report.error).code)},
                   {"ran_ms", inMilliseconds(report.runTime)},
                   {"expected_ms", inMilliseconds(job.expected[task.step])}});
-        if (report.error == ErrorKind::UpstreamLost || report.error == ErrorKind::Cancelled
-            || report.error == ErrorKind::OwnerUnavailable) {
-            task.avoided.push_back(agent); // a lost connection or answer to an order says nothing about the worker's health
+        if (report.error != ErrorKind::None && report.error != ErrorKind::RunLimitReached) {
+            task.avoided.push_back(agent); // a lost connection or answer, or an expired job, says nothing about the worker's health
         } else {
             runFailed(step, job, task, agent);
         }
@@ -481,11 +482,13 @@
     if (step.now() < m_renewAt) {
         return;
     }
-    m_renewAt = step.now() + RenewInterval;
+    m_renewAt += RenewInterval;
+    if (m_renewAt <= step.now()) {
+        m_renewAt = step.now() + RenewInterval;
+    }
     std::map<AgentName, BatchRenewal> renewals;
     for (const auto &[number, batch] : m_batches) {
-        // A batch that was sent within the interval is renewed next time.
-        if (!batch.recalled && batch.sentAt + RenewInterval <= step.now()) {
+        if (!batch.recalled && batch.sentAt + MinRenewAge <= step.now()) {
             renewals[batch.agent].batches.push_back(number);
         }
     }
@@ -653,6 +656,7 @@
     output.batch.scheduler = m_settings.name;
     output.batch.schedulerIncarnation = m_settings.incarnation;
     output.batch.batch = batch.number;
+    output.batch.guard = m_workers.guardIncarnation(agent);
     const auto guardTime = m_workers.earliestGuardTime(step.now(), agent);
     output.batch.receiveBy = guardTime + GuardTime(DeliveryLimit.count());
     output.batch.leaseUntil = guardTime + GuardTime(m_settings.batchLease.count());
--- a/wire/src/describe_func.h
+++ b/wire/src/describe_func.h
@@ -504,6 +504,7 @@
     archive("scheduler", batch.scheduler);
     archive("scheduler_incarnation", batch.schedulerIncarnation);
     archive("batch", batch.batch);
+    archive("guard", batch.guard);
     archive("receive_by", batch.receiveBy);
     archive("lease_until", batch.leaseUntil);
     archive("expires_at", batch.expiresAt);
