Fix: [core] A delayed announcement of an earlier boot ends no runs

Cause: a guard took each announcement with another incarnation for a restart of its upstream. An announcement that an earlier boot had sent and that arrived late ended the live boot at the guard: its runs were reported as lapsed, and placed again elsewhere, while they went on. Found by reading the code. Change: an announcement with an earlier start time than that of the known boot, whatever its name, is passed over and logged with both start times. Where either start time is not stated nothing changes. An upstream that restarted after its clock was set back also has an earlier start time: it is taken as soon as the known boot answers no renewals and has no runs, at the latest when its leases have ended.

--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -61,6 +61,8 @@
         RecentRuns endedRuns{ListRetention};           ///< runs that it listed as ended recently
     };
 
+    /** Returns whether an announcement was delayed since before the known boot: it says nothing about the runs there. */
+    [[nodiscard]] bool isOfEarlierBoot(const UpstreamIncarnation &incarnation) const;
     void beginIncarnation(GuardStep &step, const UpstreamAnnounced &announced);
     /** Reports all runs: waiting ones as not started, the others as lapsed. */
     void reportAllLost(GuardStep &step);
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -88,6 +88,14 @@
 
 void GuardMachine::Private::handle(GuardStep &step, const UpstreamAnnounced &input)
 {
+    if (isOfEarlierBoot(input.incarnation)) {
+        step.log(Severity::Info,
+                 "An announcement of an earlier boot of the upstream is passed over.",
+                 {{"name", input.incarnation.name},
+                  {"start_ms", std::to_string(input.incarnation.startTimeMs)},
+                  {"known_start_ms", std::to_string(m_upstream->announced.incarnation.startTimeMs)}});
+        return;
+    }
     if (!m_upstream || m_upstream->announced.incarnation != input.incarnation) {
         beginIncarnation(step, input);
     } else if (input.sequence <= m_upstream->announced.sequence) {
@@ -99,6 +107,15 @@
     m_upstream->announced = input;
 }
 
+bool GuardMachine::Private::isOfEarlierBoot(const UpstreamIncarnation &incarnation) const
+{
+    if (!m_upstream || incarnation.startTimeMs == 0 || incarnation.startTimeMs >= m_upstream->announced.incarnation.startTimeMs) {
+        return false;
+    }
+    // The clock may have been set back before a restart. Once the known boot is silent and has no runs, nothing can be lost.
+    return m_upstream->unansweredRenewals < UnansweredRenewalLimit || !m_runTable.runs().empty();
+}
+
 void GuardMachine::Private::beginIncarnation(GuardStep &step, const UpstreamAnnounced &announced)
 {
     if (m_upstream) {
--- a/core/tests/guard_machine_test.cpp
+++ b/core/tests/guard_machine_test.cpp
@@ -25,14 +25,20 @@
 public:
     GuardDriver()
         : m_machine(settings())
+    {
+        announce(incarnation());
+        answerRenewal({}, {});
+    }
+
+    /** An announcement of the upstream arrives. */
+    void announce(const UpstreamIncarnation &announcing)
     {
         UpstreamAnnounced announced;
-        announced.incarnation = incarnation();
+        announced.incarnation = announcing;
         announced.service = ServiceName("service");
         announced.capacity = {MilliCores(RunnerCores), Megabytes(1'000), Accelerators(0)};
         announced.sequence = 1;
         feed(announced);
-        answerRenewal({}, {});
     }
 
     /** Feeds one input; all() returns the resulting outputs of a type. */
@@ -48,11 +54,13 @@
     }
 
     /** The upstream answers the renewal that was sent last. */
-    void answerRenewal(const std::vector<RunId> &running, const std::vector<EndedRun> &ended)
+    void answerRenewal(const std::vector<RunId> &running,
+                       const std::vector<EndedRun> &ended,
+                       const UpstreamIncarnation &answering = incarnation())
     {
         UpstreamListed listed;
         listed.renewal = m_renewal;
-        listed.incarnation = incarnation();
+        listed.incarnation = answering;
         listed.running = running;
         listed.ended = ended;
         feed(listed);
@@ -406,4 +414,51 @@
     EXPECT_EQ(guard.all<StopRun>().size(), 1U);
 }
 
+TEST(GuardMachineTest, DelayedAnnouncementOfAnEarlierBootEndsNothing)
+{
+    for (const auto *name : {"runner", "runner-before"}) {
+        GuardDriver guard;
+        guard.order(1, 0, 1'000);
+        guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+        guard.announce({name, GuardDriver::incarnation().startTimeMs - 1});
+        EXPECT_TRUE(guard.all<ReportRun>().empty()) << name;
+        guard.answerRenewal({GuardDriver::run(0)}, {});
+        EXPECT_TRUE(guard.all<StopRun>().empty()) << name;
+        guard.order(2, 1, 1'000);
+        ASSERT_EQ(guard.all<StartRun>().size(), 1U) << name;
+        EXPECT_EQ(guard.all<StartRun>()[0].incarnation, GuardDriver::incarnation()) << name;
+    }
+}
+
+TEST(GuardMachineTest, ALaterBootOrOneWithoutAStartTimeEndsTheRunsOfTheKnownOne)
+{
+    for (const auto startTimeMs : {GuardDriver::incarnation().startTimeMs + 1, std::int64_t{0}}) {
+        GuardDriver guard;
+        guard.order(1, 0, 1'000);
+        guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+        guard.announce({"runner", startTimeMs});
+        ASSERT_EQ(guard.all<ReportRun>().size(), 1U) << startTimeMs;
+        EXPECT_EQ(guard.all<ReportRun>()[0].report.outcome, RunOutcome::Lapsed) << startTimeMs;
+    }
+}
+
+TEST(GuardMachineTest, AnUpstreamThatRestartedWithItsClockSetBackGetsWorkWhenTheRunsOfItsPreviousBootHaveEnded)
+{
+    const UpstreamIncarnation restarted{"runner", GuardDriver::incarnation().startTimeMs - 1};
+    GuardDriver guard;
+    guard.order(1, 0, 1'000);
+    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+    guard.answerRenewal({}, {}, restarted);
+    guard.announce(restarted);
+    EXPECT_TRUE(guard.all<ReportRun>().empty()) << "the lease of the run has not ended";
+    guard.advance(std::chrono::seconds(10));
+    guard.feed(Tick{});
+    EXPECT_EQ(guard.all<ReportRun>().size(), 1U);
+    guard.announce(restarted);
+    guard.answerRenewal({}, {}, restarted);
+    guard.order(2, 1, 1'000);
+    ASSERT_EQ(guard.all<StartRun>().size(), 1U);
+    EXPECT_EQ(guard.all<StartRun>()[0].incarnation, restarted);
+}
+
 } // namespace Sycamoremoor
