Change: [net] Guards tell their clock four times a second, not with every report of capacity

Reports of capacity are most of what an entry reads, 900 KB a second, and each had grown by a field. Change: a report has the clock if the last one to that scheduler that had it is 250 ms old.

--- a/core/include/sycamoremoor/core/guard_message_type.h
+++ b/core/include/sycamoremoor/core/guard_message_type.h
@@ -99,7 +99,7 @@
     std::uint32_t waiting = 0;                                      ///< number of runs that wait for capacity
     std::vector<std::string> labels;                                ///< labels of the upstream's machine, including its rack
     BatchNumber lastCountedBatch;                                   ///< highest batch of the receiving scheduler that @c free accounts for
-    GuardTime clock;                                                ///< when the report was sent
+    GuardTime clock;                                                ///< when the report was sent, zero if not stated
 
     friend bool operator==(const CapacityReport &, const CapacityReport &) = default;
 };
--- a/core/src/scheduler/worker_table.cpp
+++ b/core/src/scheduler/worker_table.cpp
@@ -84,11 +84,13 @@
 void WorkerTable::handleReport(MonotonicTime now, const CapacityReported &input)
 {
     auto &worker = m_workers[input.agent];
-    const auto clockLead = Duration(input.report.clock.value()) - now.time_since_epoch();
     const bool isNewIncarnation = worker.report.incarnation != input.report.incarnation;
-    // A report that was on its way for long says less about the clock than an earlier one.
-    worker.clockLead = isNewIncarnation ? clockLead : std::max(clockLead, currentClockLead(now, worker));
-    worker.clockLeadAt = now;
+    if (input.report.clock != GuardTime(0) || isNewIncarnation) {
+        // A report that was on its way for long says less about the clock than an earlier one.
+        const auto clockLead = Duration(input.report.clock.value()) - now.time_since_epoch();
+        worker.clockLead = isNewIncarnation ? clockLead : std::max(clockLead, currentClockLead(now, worker));
+        worker.clockLeadAt = now;
+    }
     if (isNewIncarnation) {
         worker.uncountedBatches.clear();
         worker.uncountedSize = ZeroTaskSize;
--- a/net/include/sycamoremoor/net/guard_server.h
+++ b/net/include/sycamoremoor/net/guard_server.h
@@ -39,6 +39,7 @@
     struct OpenExchange {
         EntryName scheduler;
         HttpExchangePointer exchange;
+        MonotonicTime clockToldAt{}; ///< last report of room that told the clock
     };
 
     void takeBatch(const RoutedRequest &request);
@@ -50,7 +51,7 @@
     void watcherGone(std::uint64_t watcher);
     void tellAll();
     /** Tells one scheduler. @return false if it is behind with reading */
-    bool tell(const OpenExchange &watcher);
+    bool tell(OpenExchange &watcher);
     [[nodiscard]] bool isWatched(const EntryName &scheduler) const;
     void dropUnwatched();
 
--- a/net/src/guard_server.cpp
+++ b/net/src/guard_server.cpp
@@ -106,7 +106,7 @@
         return;
     }
     const auto number = ++m_lastWatcher;
-    const auto &watcher = m_watchers.emplace(number, OpenExchange{EntryName(scheduler->second), request.exchange}).first->second;
+    auto &watcher = m_watchers.emplace(number, OpenExchange{EntryName(scheduler->second), request.exchange}).first->second;
     request.exchange->onGone([this, number] { watcherGone(number); });
     m_unwatchedSince.erase(watcher.scheduler);
     tell(watcher);
@@ -224,7 +224,7 @@
     }
 }
 
-bool GuardServer::tell(const OpenExchange &watcher)
+bool GuardServer::tell(OpenExchange &watcher)
 {
     if (watcher.exchange->unsentBytes() > 0) {
         return false; // it reads more slowly than room changes: the next report is newer than all that it misses
@@ -233,7 +233,11 @@
     if (const auto seen = m_seen.find(watcher.scheduler); seen != m_seen.end()) {
         room.lastCountedBatch = seen->second;
     }
-    room.clock = GuardTime(monotonicNow().time_since_epoch().count());
+    // Reports are many, and each field of them costs every scheduler time.
+    if (const auto now = monotonicNow(); now >= watcher.clockToldAt + SteadyInterval) {
+        watcher.clockToldAt = now;
+        room.clock = GuardTime(now.time_since_epoch().count());
+    }
     watcher.exchange->stream(encode(room) + "\n");
     return true;
 }
--- a/wire/src/describe_func.h
+++ b/wire/src/describe_func.h
@@ -547,7 +547,7 @@
     archive.optional("waiting", room.waiting);
     archive("labels", room.labels);
     archive("seen", room.lastCountedBatch);
-    archive("clock", room.clock);
+    archive.optional("clock", room.clock);
 }
 
 void describe(auto &archive, Described<AgentRecord> auto &record)
