--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -18,7 +18,7 @@
 constexpr Duration RunLimitSlack = std::chrono::milliseconds(200); ///< added to the scaled run limit
 constexpr Duration RenewInterval = std::chrono::milliseconds(400); ///< of the leases of batches
 constexpr Duration MinRenewAge
-    = std::chrono::milliseconds(200); ///< of a batch: its second renewal still precedes the end of its first lease
+    = std::chrono::milliseconds(200); ///< of a batch; if one renewal is lost, the next precedes the end of the lease
 constexpr Duration DeliveryLimit = std::chrono::milliseconds(250); ///< of a batch; a guard that is busier gets no new work
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(500); ///< a job submitted again earlier would arrive within the same burst
 constexpr Duration MaxGuardWait = std::chrono::milliseconds(80);   ///< a run that waits longer at its guard would start sooner elsewhere
--- a/core/tests/guard_machine_test.cpp
+++ b/core/tests/guard_machine_test.cpp
@@ -421,12 +421,7 @@
     guard.order(1, 0, 1'000);
     ASSERT_EQ(guard.all<StartRun>().size(), 1U);
     const auto token = guard.all<StartRun>().front().token;
-    UpstreamAnnounced announced;
-    announced.incarnation = {"runner", 6};
-    announced.service = ServiceName("service");
-    announced.capacity = {MilliCores(RunnerCores), Megabytes(1'000), Accelerators(0)};
-    announced.sequence = 1;
-    guard.feed(announced);
+    guard.announce({"runner", GuardDriver::incarnation().startTimeMs + 1});
     ASSERT_FALSE(guard.all<RenewLease>().empty());
     EXPECT_GT(guard.all<RenewLease>().front().token, token);
 }
