--- a/core/tests/pool_simulation.cpp
+++ b/core/tests/pool_simulation.cpp
@@ -26,12 +26,34 @@
 constexpr double BreakShare = 0.05;                    ///< of the exchanges, at each interval
 constexpr double LostCallerShare = 0.5;                ///< of the callers of a frozen scheduler
 constexpr std::uint64_t TokenStep = 1'000;
+constexpr Duration MinReportInterval = milliseconds(4); ///< between two reports of a guard to one scheduler
 
 Duration scaled(Duration duration, double factor)
 {
     return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
 }
 
+Duration costOf(const SchedulerCosts &costs, const SchedulerInput &input)
+{
+    if (std::holds_alternative<CapacityReported>(input)) {
+        return costs.capacityReport;
+    }
+    if (std::holds_alternative<QueueJobSubmitted>(input)) {
+        return costs.job;
+    }
+    return std::holds_alternative<RunReported>(input) ? costs.runReport : Duration::zero();
+}
+
+Duration costOf(const SchedulerCosts &costs, const SchedulerOutput &output)
+{
+    if (std::holds_alternative<AnswerQueueJob>(output)) {
+        return costs.job;
+    }
+    const bool isSent = std::holds_alternative<SendBatch>(output) || std::holds_alternative<RenewBatches>(output)
+        || std::holds_alternative<RecallBatch>(output);
+    return isSent ? costs.batch : Duration::zero();
+}
+
 } // namespace
 
 /** A scheduler process and its incarnation, which changes when it is killed and when it restarts. */
@@ -43,6 +65,14 @@
     bool frozen = false;
     std::vector<std::function<void()>> inputs; ///< that arrived while it was frozen
     std::set<BatchNumber> recalls;             ///< batches whose recall is repeated if its exchange is interrupted
+    std::vector<SchedulerInput> unread;        ///< that arrived while it was busy
+    bool busy = false;
+};
+
+/** When a guard reported its capacity to a scheduler, and whether it will again. */
+struct PoolSimulation::ReportPace {
+    MonotonicTime reportedAt;
+    bool isPending = false;
 };
 
 /** A guard process and the runner beside it. The incarnation is that of the guard. */
@@ -56,6 +86,7 @@
     std::vector<std::function<void()>> inputs;           ///< that arrived while it was frozen
     std::map<std::uint32_t, BatchNumber> highestBatches; ///< highest batch received, by scheduler
     std::map<RunId, TaskSize> sizes;                     ///< size of every run that the guard was sent
+    std::map<std::uint32_t, ReportPace> paces;           ///< reports of capacity, by scheduler
     PoolRunner runner;
     bool runnerUp = true;
     MonotonicTime runnerSilentUntil; ///< orders to the runner are neither executed nor answered until then
@@ -184,6 +215,8 @@
     settings.name = EntryName("S" + std::to_string(index));
     settings.incarnation = Incarnation(node.incarnation);
     node.recalls.clear();
+    node.unread.clear();
+    node.busy = false;
     node.machine = std::make_unique<SchedulerMachine>(settings);
     auto queues = std::make_shared<QueueSet>();
     queues->version = Revision(1);
@@ -235,6 +268,13 @@
         node.inputs.emplace_back([this, index, input = std::move(input)] { stepScheduler(index, input); });
         return;
     }
+    if (m_settings.schedulerCosts.batch > Duration::zero()) {
+        node.unread.push_back(std::move(input));
+        if (!node.busy) {
+            workScheduler(index);
+        }
+        return;
+    }
     SchedulerOutputs outputs;
     node.machine->step(context(), std::move(input), outputs);
     for (const auto &output : outputs) {
@@ -242,6 +282,41 @@
     }
 }
 
+void PoolSimulation::workScheduler(std::uint32_t index)
+{
+    auto &node = *m_schedulers[index];
+    node.busy = !node.unread.empty();
+    if (!node.busy) {
+        return;
+    }
+    const auto input = std::move(node.unread.front());
+    node.unread.erase(node.unread.begin());
+    const auto isSame = [this, index, incarnation = node.incarnation] {
+        return m_schedulers[index]->incarnation == incarnation;
+    };
+    at(m_now - m_start + costOf(m_settings.schedulerCosts, input), [this, index, input, isSame] {
+        if (!isSame()) {
+            return;
+        }
+        SchedulerOutputs outputs;
+        m_schedulers[index]->machine->step(context(), input, outputs);
+        Duration cost{};
+        for (const auto &output : outputs) {
+            cost += costOf(m_settings.schedulerCosts, output);
+            at(m_now - m_start + cost, [this, index, output, isSame] {
+                if (isSame()) {
+                    applySchedulerOutput(index, output);
+                }
+            });
+        }
+        at(m_now - m_start + cost, [this, index, isSame] {
+            if (isSame()) {
+                workScheduler(index);
+            }
+        });
+    });
+}
+
 void PoolSimulation::stepGuard(std::uint32_t index, GuardInput input)
 {
     auto &node = *m_guards[index];
@@ -554,7 +629,11 @@
     } else if (const auto *changed = std::get_if<CapacityChanged>(&output)) {
         node.capacityReport = changed->report;
         for (std::uint32_t scheduler = 0; scheduler < m_schedulers.size(); ++scheduler) {
-            reportCapacity(worker, scheduler);
+            if (m_settings.schedulerCosts.batch > Duration::zero()) {
+                gatherReports(worker, scheduler);
+            } else {
+                reportCapacity(worker, scheduler);
+            }
         }
     } else if (const auto *timer = std::get_if<SetTimer>(&output)) {
         const auto number = ++node.timer;
@@ -566,6 +645,18 @@
     }
 }
 
+void PoolSimulation::gatherReports(std::uint32_t worker, std::uint32_t scheduler)
+{
+    auto &pace = m_guards[worker]->paces[scheduler];
+    if (std::exchange(pace.isPending, true)) {
+        return;
+    }
+    at(std::max(m_now, pace.reportedAt + MinReportInterval) - m_start, [this, worker, scheduler] {
+        m_guards[worker]->paces[scheduler] = {m_now, false};
+        reportCapacity(worker, scheduler);
+    });
+}
+
 void PoolSimulation::reportCapacity(std::uint32_t worker, std::uint32_t scheduler)
 {
     auto &guard = *m_guards[worker];
@@ -749,6 +840,7 @@
         break;
     case QueueJobResult::Refused:
         ++counts.refused;
+        counts.longestRefusal = std::max(counts.longestRefusal, m_now - caller.sentAt);
         m_refusedJobs.insert(caller.spec->id);
         if (m_startsByJob[caller.spec->id] > 0 && !m_resubmittedJobs.contains(caller.spec->id)) {
             m_violations.push_back("job " + caller.spec->id.value() + " was refused after one of its tasks started");
--- a/core/tests/pool_simulation.h
+++ b/core/tests/pool_simulation.h
@@ -21,6 +21,14 @@
 namespace Sycamoremoor
 {
 
+/** Processor time that a scheduler takes for its messages. While it is busy, messages wait. All zero: no message ever waits. */
+struct SchedulerCosts {
+    Duration capacityReport{}; ///< for each report that it reads
+    Duration job{};            ///< for each job that it receives, and again for its answer
+    Duration batch{};          ///< for each batch, renewal or recall that it sends
+    Duration runReport{};      ///< for each other message from a guard
+};
+
 /** Size of the simulated pool and the faults injected into it. */
 struct PoolSettings {
     std::uint64_t seed = 1;
@@ -30,6 +38,7 @@
     double lostOrders = 0;        ///< share of messages to runners without an answer; half of the orders are executed up to 4 s later
     double lostAnswers = 0;       ///< share of orders to runners that are executed, but whose answer is lost
     bool callersResubmit = false; ///< callers whose connection broke send their job to another scheduler 1.3 s later
+    SchedulerCosts schedulerCosts;
     /** Called for each order to start; sets outcome and end time of the run. If empty, runs succeed after 50 ms. */
     std::function<void(const RunnerStart &, RunnerRun &)> customizeRun;
 };
@@ -54,6 +63,8 @@
     std::uint32_t refused = 0;
     std::uint32_t lost = 0; ///< without a result: the scheduler was down, was killed, or reported neither of the above
 
+    Duration longestRefusal{}; ///< longest time from sending a job to its refusal
+
     [[nodiscard]] double onTimeShare() const
     {
         return static_cast<double>(onTime) / static_cast<double>(std::max(1U, sent));
@@ -140,6 +151,7 @@
 private:
     struct SchedulerNode;
     struct GuardNode;
+    struct ReportPace;
     struct Exchange;
     struct Caller;
 
@@ -147,6 +159,8 @@
     void startGuard(std::uint32_t index);
     void announce(std::uint32_t worker);
     void stepScheduler(std::uint32_t index, SchedulerInput input);
+    /** Lets a scheduler read what has arrived, and carries out its outputs when it has had the processor time for both. */
+    void workScheduler(std::uint32_t index);
     void stepGuard(std::uint32_t index, GuardInput input);
     void applySchedulerOutput(std::uint32_t scheduler, const SchedulerOutput &output);
     void applyGuardOutput(std::uint32_t worker, const GuardOutput &output);
@@ -182,6 +196,8 @@
     ConnectionId submit(std::uint32_t scheduler, Caller caller);
     void deliverRecall(std::uint32_t scheduler, const RecallBatch &output);
     void reportCapacity(std::uint32_t worker, std::uint32_t scheduler);
+    /** Reports the capacity of a worker when the interval between reports to this scheduler has passed. */
+    void gatherReports(std::uint32_t worker, std::uint32_t scheduler);
     void answer(const AnswerQueueJob &answer);
     void recordRunStart(std::uint32_t worker, const RunnerStart &start);
     void recordRunEnd(std::uint32_t worker, const RunId &run);
