Fix: [core, net] A scheduler that is short of processor time does less for each message, asks for fewer reports, and refuses what it is too late for

Cause: what reaches a scheduler did not depend on what it can bear, and being late made more work. Each guard reported each change of its capacity, mostly by tasks of other schedulers: with 61 guards some 3,600 reports a second, 25 us each, three quarters of an eighth of a core. Each of them was decoded though a newer one was behind it, and had the first waiting job tried on every worker. By old capacity tasks were sent to guards that refused them, and sent again; jobs were accepted that could no longer end in time.

Change, of the class "work that grows as its worker falls behind": - All inputs of a round of the event loop are handled in one step, and tasks are placed once, after them. Of the reports of a guard that were read together only the newest is decoded; so each of them tells the clock. - A scheduler says in each batch, and when it opens a stream, how long guards wait between two reports: eight times its lag, from 4 ms to 250 ms. - The time that inputs wait in the process is measured. It counts as part of a job's time, and a job that could not end in time is refused at once. - Leases of batches are renewed for an eighth of the guards at a time, and a step sends 32 tasks before further inputs are read. - A line when a scheduler falls behind and when it is on time again, lag_ms in refusals, and the histogram sycamoremoor_lag_seconds.

--- a/core/include/sycamoremoor/core/guard_message_type.h
+++ b/core/include/sycamoremoor/core/guard_message_type.h
@@ -44,11 +44,12 @@
     EntryName scheduler;
     Incarnation schedulerIncarnation;
     BatchNumber batch;
-    Incarnation guard;    ///< the incarnation that the batch is meant for; another one refuses it
-    GuardTime receiveBy;  ///< the guard refuses the batch if it is received later
-    GuardTime leaseUntil; ///< runs that have not ended by then are stopped, unless BatchRenewal extends the lease
-    GuardTime expiresAt;  ///< runs that have not ended by then are stopped
-    std::string payload;  ///< payload of the job
+    Incarnation guard;         ///< the incarnation that the batch is meant for; another one refuses it
+    GuardTime receiveBy;       ///< the guard refuses the batch if it is received later
+    GuardTime leaseUntil;      ///< runs that have not ended by then are stopped, unless BatchRenewal extends the lease
+    GuardTime expiresAt;       ///< runs that have not ended by then are stopped
+    Duration reportInterval{}; ///< shortest time between two reports of capacity to the scheduler, zero if it does not mind
+    std::string payload;       ///< payload of the job
     std::vector<RunOrder> orders;
 
     friend bool operator==(const StartBatch &, const StartBatch &) = default;
--- a/core/include/sycamoremoor/core/scheduler_machine.h
+++ b/core/include/sycamoremoor/core/scheduler_machine.h
@@ -4,6 +4,7 @@
 #include <sycamoremoor/core/scheduler_output_type.h>
 
 #include <memory>
+#include <vector>
 
 namespace Sycamoremoor
 {
@@ -37,6 +38,12 @@
     /** Handles one input and appends the resulting outputs to @p outputs. */
     void step(const StepContext &context, SchedulerInput input, SchedulerOutputs &outputs);
 
+    /** Handles inputs that arrived together, in order, and places tasks once for all of them. */
+    void step(const StepContext &context, const std::vector<SchedulerInput> &inputs, SchedulerOutputs &outputs);
+
+    /** Returns the shortest time between two reports of a guard to this scheduler. */
+    [[nodiscard]] Duration reportInterval() const;
+
     /** Returns the configuration in force, or null. */
     [[nodiscard]] const QueueSetPointer &queues() const;
 
--- a/core/include/sycamoremoor/core/step_type.h
+++ b/core/include/sycamoremoor/core/step_type.h
@@ -17,6 +17,7 @@
     MonotonicTime now;
     WallTime wall;
     std::uint64_t entropy = 0; ///< 64 random bits, fresh for each step
+    Duration lag{};            ///< for how long the inputs of the step may have waited in this process
 };
 
 /** Severity of a log line. */
@@ -54,6 +55,7 @@
     TaskRunSeconds,   ///< run time of a task by the clock of the agent
     RoundTripSeconds, ///< from sending a task to its report, minus the run time
     TakeoverSeconds,  ///< from receipt of the assignment of an owner slot until the entry acts for it
+    LagSeconds,       ///< for how long inputs waited in this process before they were handled
     End,
 };
 
--- a/core/include/sycamoremoor/core/table/metric_table.h
+++ b/core/include/sycamoremoor/core/table/metric_table.h
@@ -22,6 +22,7 @@
     {"sycamoremoor_task_run_seconds",   "Run time of a task by the agent's clock"},
     {"sycamoremoor_round_trip_seconds", "Time from sending a task to its report, less its run time"},
     {"sycamoremoor_takeover_seconds",   "Time from learning of an owner slot to acting for it"},
+    {"sycamoremoor_lag_seconds",        "Time for which inputs waited in this process"},
     // clang-format on
 }};
 
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -4,6 +4,7 @@
 #include "../dispatch/run_time_estimator.h"
 #include "../machine_step.h"
 #include "job_order.h"
+#include "lag_meter.h"
 #include "scheduled_job.h"
 #include "worker_table.h"
 
@@ -39,6 +40,10 @@
 
     [[nodiscard]] const QueueSetPointer &queues() const;
     [[nodiscard]] bool isReady() const;
+    [[nodiscard]] Duration reportInterval() const;
+
+    /** Records how long the inputs of this step have waited, and logs when the scheduler falls behind and when it is on time again. */
+    void recordLag(SchedulerStep &step);
 
 private:
     /** A batch of which not all runs were reported. */
@@ -68,6 +73,8 @@
     ScheduledJob makeJob(SchedulerStep &step, const QueueJobSubmitted &input);
     void setTimes(ScheduledJob &job) const;
     [[nodiscard]] ErrorKind refusalOf(SchedulerStep &step, const ScheduledJob &job, Duration &retryAfter) const;
+    /** Returns when a job has to be placed to end within its objective, given the lag of this process. */
+    [[nodiscard]] MonotonicTime latestPlacement(const ScheduledJob &job) const;
     void refuse(SchedulerStep &step, const ScheduledJob &job, ErrorKind error, Duration retryAfter);
     void answer(SchedulerStep &step, ScheduledJob &job, QueueJobResult result, ErrorKind error);
     void cancelBatches(SchedulerStep &step, ScheduledJob &job);
@@ -102,9 +109,14 @@
     std::unordered_map<ConnectionId, JobNumber> m_callers;
     std::map<QueueJobId, JobNumber> m_byId;
     std::map<BatchNumber, OpenBatch> m_batches;
-    MonotonicTime m_renewAt; ///< when the leases of batches are renewed next
+    MonotonicTime m_renewAt;      ///< when the leases of a group of guards are renewed next
+    std::size_t m_renewGroup = 0; ///< the group that is renewed next
     JobOrder m_order;
+    LagMeter m_lag;
+    bool m_isBehind = false;                                ///< as last logged
     std::set<std::pair<MonotonicTime, JobNumber>> m_checks; ///< next check of each job whether it has to be abandoned
+    std::size_t m_placedInStep = 0;                         ///< tasks that were sent
+    bool m_placesMore = false;                              ///< the limit of a step was reached before all jobs or all capacity were used
     std::uint64_t m_lastJob = 0;
     std::uint64_t m_lastBatch = 0;
     std::optional<MonotonicTime> m_drainSince;
--- a/core/src/scheduler/worker_table.cpp
+++ b/core/src/scheduler/worker_table.cpp
@@ -238,6 +238,11 @@
     return !anyReporting;
 }
 
+std::size_t WorkerTable::reportingCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_workers, [](const auto &item) { return item.second.isReporting; }));
+}
+
 bool WorkerTable::hasWorker() const
 {
     return std::ranges::any_of(m_workers, [](const auto &item) { return item.second.isReporting && item.second.report.accepting; });
--- a/core/src/scheduler/worker_table.h
+++ b/core/src/scheduler/worker_table.h
@@ -92,6 +92,9 @@
     /** Returns whether @p size fits the total capacity of a worker of @p service; true also if no such worker is known. */
     [[nodiscard]] bool mayEverFit(const ServiceName &service, const TaskSize &size) const;
 
+    /** Returns the number of workers whose guards report. */
+    [[nodiscard]] std::size_t reportingCount() const;
+
     /** Returns whether any worker accepts work. */
     [[nodiscard]] bool hasWorker() const;
 
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -16,7 +16,8 @@
 constexpr double ExpiryFactor = 3;                                   ///< a job expires at this multiple of its objective
 constexpr double RunLimitFactor = 4; ///< run limit per expected run time; declared and estimated times are off by less
 constexpr Duration RunLimitSlack = std::chrono::milliseconds(200); ///< added to the scaled run limit
-constexpr Duration RenewInterval = std::chrono::milliseconds(400); ///< of the leases of batches
+constexpr Duration RenewInterval = std::chrono::milliseconds(400); ///< of the leases of the batches at one guard
+constexpr std::size_t RenewGroups = 8;                             ///< guards are renewed in groups, so that no step sends to all of them
 constexpr Duration MinRenewAge
     = std::chrono::milliseconds(200); ///< of a batch; if one renewal is lost, the next precedes the end of the lease
 constexpr Duration DeliveryLimit = std::chrono::milliseconds(250); ///< of a batch; a guard that is busier gets no new work
@@ -24,7 +25,14 @@
 constexpr Duration MaxGuardWait = std::chrono::milliseconds(80);   ///< a run that waits longer at its guard would start sooner elsewhere
 constexpr double PartialStartShare = 0.25;  ///< of all cores: a job that needs more may start in parts, as so much is never free at once
 constexpr double MinExpectedSeconds = 1e-3; ///< lower bound, since callers may declare a run time of zero
-constexpr std::size_t MaxJobsTriedPerStep = 24; ///< limit on the jobs that are tried for placement per input
+constexpr std::size_t MaxJobsTriedPerStep = 24;                        ///< limit on the jobs that are tried for placement per step
+constexpr std::size_t MaxTasksPlacedPerStep = 32;                      ///< limit on the tasks that are sent before further inputs are read
+constexpr Duration MinReportInterval = std::chrono::milliseconds(4);   ///< a job's tasks end and begin in groups
+constexpr Duration MaxReportInterval = std::chrono::milliseconds(250); ///< guards report as often without a change
+constexpr std::int64_t MaxReportsPerSecond = 15'000;                   ///< of all guards: some 25 us each
+constexpr int ReportLagFactor = 8; ///< reports take the time that is left, and less of it the later the scheduler is
+constexpr Duration BehindLag = std::chrono::milliseconds(50); ///< most of the slack of the shortest jobs
+constexpr Duration OnTimeLag = std::chrono::milliseconds(20);
 
 Duration scaled(Duration duration, double factor)
 {
@@ -53,12 +61,25 @@
 SchedulerMachine &SchedulerMachine::operator=(SchedulerMachine &&) noexcept = default;
 
 void SchedulerMachine::step(const StepContext &context, SchedulerInput input, SchedulerOutputs &outputs)
+{
+    step(context, std::vector{std::move(input)}, outputs);
+}
+
+void SchedulerMachine::step(const StepContext &context, const std::vector<SchedulerInput> &inputs, SchedulerOutputs &outputs)
 {
     SchedulerStep step{context, outputs, "scheduler"};
-    std::visit([&](const auto &content) { d->handle(step, content); }, input);
+    d->recordLag(step);
+    for (const auto &input : inputs) {
+        std::visit([&](const auto &content) { d->handle(step, content); }, input);
+    }
     d->processDue(step);
 }
 
+Duration SchedulerMachine::reportInterval() const
+{
+    return d->reportInterval();
+}
+
 const QueueSetPointer &SchedulerMachine::queues() const
 {
     return d->queues();
@@ -74,6 +95,30 @@
 {
 }
 
+void SchedulerMachine::Private::recordLag(SchedulerStep &step)
+{
+    m_lag.record(step.now(), step.context.lag);
+    const auto lag = m_lag.expectedLag();
+    if (m_isBehind ? lag > OnTimeLag : lag < BehindLag) {
+        return;
+    }
+    m_isBehind = !m_isBehind;
+    step.log(m_isBehind ? Severity::Warning : Severity::Info,
+             m_isBehind ? "This process is behind with its work." : "This process is on time again.",
+             {{"lag_ms", inMilliseconds(lag)},
+              {"last_lag_ms", inMilliseconds(step.context.lag)},
+              {"jobs", std::to_string(m_jobs.size())},
+              {"jobs_waiting", std::to_string(m_order.jobs().size())},
+              {"batches", std::to_string(m_batches.size())},
+              {"report_interval_ms", inMilliseconds(reportInterval())}});
+}
+
+Duration SchedulerMachine::Private::reportInterval() const
+{
+    const auto share = Duration(std::chrono::seconds(1)) * static_cast<std::int64_t>(m_workers.reportingCount()) / MaxReportsPerSecond;
+    return std::clamp(std::max(share, m_lag.expectedLag() * ReportLagFactor), MinReportInterval, MaxReportInterval);
+}
+
 void SchedulerMachine::Private::handle(SchedulerStep & /*step*/, const Tick & /*input*/) { }
 
 void SchedulerMachine::Private::handle(SchedulerStep &step, const QueuesRead &input)
@@ -106,7 +151,7 @@
     m_callers[input.connection] = job.number;
     m_byId[job.spec->id] = job.number;
     auto &stored = m_jobs.emplace(job.number, std::move(job)).first->second;
-    scheduleCheck(stored, stored.latestStart);
+    scheduleCheck(stored, latestPlacement(stored));
     unblockSteps(step, stored);
     enqueue(stored);
 }
@@ -118,7 +163,7 @@
     job.connections.push_back(input.connection);
     job.queue = input.queue;
     job.spec = input.spec;
-    job.arrivedAt = step.now();
+    job.arrivedAt = step.now() - step.context.lag;
     const auto &steps = input.spec->steps;
     for (std::uint32_t index = 0; index < steps.size(); ++index) {
         job.expected.push_back(m_runTimes.expected(input.queue.service, TaskKind(input.queue.name.value()), steps[index].declaredRunTime));
@@ -162,13 +207,19 @@
         }
     }
     const auto wait = m_order.expectedWait(step.now(), JobOrder::keyOf(job));
-    if (step.now() + wait <= job.latestStart) {
+    if (step.now() + wait <= latestPlacement(job)) {
         return ErrorKind::None;
     }
-    retryAfter = wait;
+    retryAfter = wait + m_lag.expectedLag();
     return ErrorKind::QueueFull;
 }
 
+MonotonicTime SchedulerMachine::Private::latestPlacement(const ScheduledJob &job) const
+{
+    constexpr int Waits = 2; // its batches and the reports of its runs wait in this process
+    return job.latestStart - m_lag.expectedLag() * Waits;
+}
+
 void SchedulerMachine::Private::refuse(SchedulerStep &step, const ScheduledJob &job, ErrorKind error, Duration retryAfter)
 {
     step.emit(Count{CounterMetric::JobsRefused, 1});
@@ -181,6 +232,7 @@
               {"held_ms", inMilliseconds(step.now() - job.arrivedAt)},
               {"slack_ms", inMilliseconds(job.latestStart - job.arrivedAt)},
               {"expected_wait_ms", inMilliseconds(retryAfter)},
+              {"lag_ms", inMilliseconds(m_lag.expectedLag())},
               {"jobs_waiting", std::to_string(m_order.jobs().size())},
               {"worker_millicores", std::to_string(m_workers.cores(job.queue.service).value())}});
     for (const auto connection : job.connections) {
@@ -482,13 +534,22 @@
     if (step.now() < m_renewAt) {
         return;
     }
-    m_renewAt += RenewInterval;
+    constexpr auto GroupInterval = RenewInterval / RenewGroups;
+    std::size_t groups = 0;
+    for (; m_renewAt <= step.now() && groups < RenewGroups; m_renewAt += GroupInterval) {
+        ++groups;
+    }
     if (m_renewAt <= step.now()) {
-        m_renewAt = step.now() + RenewInterval;
+        m_renewAt = step.now() + GroupInterval;
     }
+    const auto firstGroup = std::exchange(m_renewGroup, (m_renewGroup + groups) % RenewGroups);
+    const auto isDue = [&](const AgentName &agent) {
+        const auto group = std::hash<AgentName>()(agent) % RenewGroups;
+        return (group + RenewGroups - firstGroup) % RenewGroups < groups;
+    };
     std::map<AgentName, BatchRenewal> renewals;
     for (const auto &[number, batch] : m_batches) {
-        if (!batch.recalled && batch.sentAt + MinRenewAge <= step.now()) {
+        if (!batch.recalled && batch.sentAt + MinRenewAge <= step.now() && isDue(batch.agent)) {
             renewals[batch.agent].batches.push_back(number);
         }
     }
@@ -504,7 +565,9 @@
 {
     while (!m_checks.empty() && m_checks.begin()->first <= step.now()) {
         auto &job = m_jobs.at(m_checks.begin()->second);
-        if (!job.started) {
+        if (const auto at = latestPlacement(job); !job.started && at > step.now()) {
+            scheduleCheck(job, at);
+        } else if (!job.started) {
             const auto wait = m_order.expectedWait(step.now(), JobOrder::keyOf(job));
             refuse(step, job, ErrorKind::QueueFull, wait);
             erase(job);
@@ -564,9 +627,16 @@
 {
     // The first job without capacity ends the loop: in a burst, every input would otherwise try all jobs on every worker.
     bool hasCapacity = true;
-    for (std::size_t tried = 0; hasCapacity && tried < MaxJobsTriedPerStep && !m_order.jobs().empty(); ++tried) {
+    std::size_t tried = 0;
+    m_placedInStep = 0;
+    const auto isLimited = [&] {
+        return tried >= MaxJobsTriedPerStep || m_placedInStep >= MaxTasksPlacedPerStep;
+    };
+    while (hasCapacity && !isLimited() && !m_order.jobs().empty()) {
+        ++tried;
         hasCapacity = placeJob(step, m_jobs.at(m_order.jobs().begin()->first.job));
     }
+    m_placesMore = hasCapacity && !m_order.jobs().empty();
 }
 
 TaskNeed SchedulerMachine::Private::needOf(SchedulerStep &step, const ScheduledJob &job, const ScheduledTask &task) const
@@ -661,11 +731,13 @@
     output.batch.receiveBy = guardTime + GuardTime(DeliveryLimit.count());
     output.batch.leaseUntil = guardTime + GuardTime(m_settings.batchLease.count());
     output.batch.expiresAt = guardTime + GuardTime((job.expiresAt - step.now()).count());
+    output.batch.reportInterval = reportInterval();
     output.batch.payload = job.spec->payload;
     for (const auto index : batch.tasks) {
         auto &task = job.tasks[index];
         task.stage = ScheduledStage::Sent;
         --job.waiting;
+        ++m_placedInStep;
         if (++task.runs > 1) {
             step.log(Severity::Info,
                      "A task is sent again.",
@@ -695,7 +767,7 @@
 
 void SchedulerMachine::Private::setTimer(SchedulerStep &step)
 {
-    auto wake = MonotonicTime::max();
+    auto wake = m_placesMore ? step.now() : MonotonicTime::max();
     if (!m_checks.empty()) {
         wake = std::min(wake, m_checks.begin()->first);
     }
--- a/core/tests/pool_simulation.cpp
+++ b/core/tests/pool_simulation.cpp
@@ -67,6 +67,7 @@
     std::set<BatchNumber> recalls;             ///< batches whose recall is repeated if its exchange is interrupted
     std::vector<SchedulerInput> unread;        ///< that arrived while it was busy
     bool busy = false;
+    Duration outputCost{}; ///< processor time of the last outputs, if it has been busy since then
 };
 
 /** When a guard reported its capacity to a scheduler, and whether it will again. */
@@ -87,6 +88,7 @@
     std::map<std::uint32_t, BatchNumber> highestBatches; ///< highest batch received, by scheduler
     std::map<RunId, TaskSize> sizes;                     ///< size of every run that the guard was sent
     std::map<std::uint32_t, ReportPace> paces;           ///< reports of capacity, by scheduler
+    std::map<std::uint32_t, Duration> reportIntervals;   ///< as the schedulers asked
     PoolRunner runner;
     bool runnerUp = true;
     MonotonicTime runnerSilentUntil; ///< orders to the runner are neither executed nor answered until then
@@ -287,29 +289,47 @@
     auto &node = *m_schedulers[index];
     node.busy = !node.unread.empty();
     if (!node.busy) {
+        node.outputCost = Duration::zero();
         return;
     }
-    const auto input = std::move(node.unread.front());
-    node.unread.erase(node.unread.begin());
+    // All that has arrived is read in one round. Of the reports of a guard only the newest is decoded.
+    auto inputs = std::make_shared<std::vector<SchedulerInput>>();
+    std::set<AgentName> decoded;
+    std::ranges::reverse(node.unread);
+    for (auto &unread : node.unread) {
+        const auto *report = std::get_if<CapacityReported>(&unread);
+        if (report == nullptr || decoded.insert(report->agent).second) {
+            inputs->push_back(std::move(unread));
+        }
+    }
+    std::ranges::reverse(*inputs);
+    node.unread.clear();
+    Duration cost{};
+    for (const auto &input : *inputs) {
+        cost += costOf(m_settings.schedulerCosts, input);
+    }
     const auto isSame = [this, index, incarnation = node.incarnation] {
         return m_schedulers[index]->incarnation == incarnation;
     };
-    at(m_now - m_start + costOf(m_settings.schedulerCosts, input), [this, index, input, isSame] {
+    at(m_now - m_start + cost, [this, index, inputs, isSame, lag = cost + node.outputCost] {
         if (!isSame()) {
             return;
         }
+        auto &worked = *m_schedulers[index];
         SchedulerOutputs outputs;
-        m_schedulers[index]->machine->step(context(), input, outputs);
-        Duration cost{};
+        auto stepped = context();
+        stepped.lag = lag;
+        worked.machine->step(stepped, *inputs, outputs);
+        worked.outputCost = Duration::zero();
         for (const auto &output : outputs) {
-            cost += costOf(m_settings.schedulerCosts, output);
-            at(m_now - m_start + cost, [this, index, output, isSame] {
+            worked.outputCost += costOf(m_settings.schedulerCosts, output);
+            at(m_now - m_start + worked.outputCost, [this, index, output, isSame] {
                 if (isSame()) {
                     applySchedulerOutput(index, output);
                 }
             });
         }
-        at(m_now - m_start + cost, [this, index, isSame] {
+        at(m_now - m_start + worked.outputCost, [this, index, isSame] {
             if (isSame()) {
                 workScheduler(index);
             }
@@ -402,6 +422,7 @@
     }
     whenAwake(guard, [this, &guard, number, batch, scheduler = sent.scheduler, worker = sent.worker] {
         guard.highestBatches[scheduler] = std::max(guard.highestBatches[scheduler], batch.batch);
+        guard.reportIntervals[scheduler] = batch.reportInterval;
         for (const auto &order : batch.orders) {
             guard.sizes[order.run] = order.size;
         }
@@ -651,7 +672,8 @@
     if (std::exchange(pace.isPending, true)) {
         return;
     }
-    at(std::max(m_now, pace.reportedAt + MinReportInterval) - m_start, [this, worker, scheduler] {
+    const auto interval = std::max(MinReportInterval, m_guards[worker]->reportIntervals[scheduler]);
+    at(std::max(m_now, pace.reportedAt + interval) - m_start, [this, worker, scheduler] {
         m_guards[worker]->paces[scheduler] = {m_now, false};
         reportCapacity(worker, scheduler);
     });
--- a/core/tests/scheduler_machine_test.cpp
+++ b/core/tests/scheduler_machine_test.cpp
@@ -38,6 +38,20 @@
         m_machine.step({m_now, WallTime{}, 7}, std::move(input), m_outputs);
     }
 
+    /** Handles one input that has waited in the scheduler's process. */
+    void feedLate(Duration lag, SchedulerInput input)
+    {
+        m_outputs.clear();
+        StepContext context{m_now, WallTime{}, 7};
+        context.lag = lag;
+        m_machine.step(context, std::move(input), m_outputs);
+    }
+
+    [[nodiscard]] Duration reportInterval() const
+    {
+        return m_machine.reportInterval();
+    }
+
     void reportCapacity(const AgentName &agent, GuardTime clock = {})
     {
         CapacityReport report;
@@ -59,6 +73,12 @@
 
     /** Submits a job of one task. @return the batch that was sent */
     BatchNumber submit(const std::string &id = "job")
+    {
+        feed(submission(id));
+        return last<SendBatch>()->batch.batch;
+    }
+
+    QueueJobSubmitted submission(const std::string &id)
     {
         auto spec = std::make_shared<QueueJobSpec>();
         spec->id = QueueJobId(id);
@@ -70,8 +90,7 @@
         queue.maxAttempts = 3;
         queue.stretch = 1.6;
         queue.latencyAllowance = Allowance;
-        feed(QueueJobSubmitted{ConnectionId(++m_lastCaller), queue, spec, Duration::zero()});
-        return last<SendBatch>()->batch.batch;
+        return {ConnectionId(++m_lastCaller), queue, spec, Duration::zero()};
     }
 
     /** Returns the clock of a guard that reported zero at the start. */
@@ -209,6 +228,74 @@
     EXPECT_GE(scheduler.reportClock(milliseconds(5'010)), first + milliseconds(390)) << "the first report still holds";
 }
 
+/** A job with 165 ms of slack, submitted to a scheduler whose inputs wait in its process. */
+struct LagCase {
+    const char *name;
+    Duration lag; ///< of the inputs before, and of the job itself
+    bool isRefused;
+};
+
+constexpr std::array LagCases{
+    LagCase{"OnTime", milliseconds(0), false},
+    LagCase{"ALittleLate", milliseconds(50), false},
+    LagCase{"TheReportWouldComeTooLate", milliseconds(60), true},
+    LagCase{"TooLateAlready", milliseconds(200), true},
+};
+
+class SchedulerLagTest : public testing::TestWithParam<LagCase>
+{
+};
+
+TEST_P(SchedulerLagTest, RefusesAtOnceWhatItIsTooLateToServeInTime)
+{
+    SchedulerDriver scheduler;
+    for (int step = 0; step < 20; ++step) {
+        scheduler.advance(milliseconds(50));
+        scheduler.feedLate(GetParam().lag, Tick{});
+    }
+    scheduler.feedLate(GetParam().lag, scheduler.submission("job"));
+    const auto answer = scheduler.last<AnswerQueueJob>();
+    ASSERT_EQ(answer.has_value(), GetParam().isRefused);
+    EXPECT_EQ(scheduler.last<SendBatch>().has_value(), !GetParam().isRefused);
+    if (answer) {
+        EXPECT_EQ(answer->error, ErrorKind::QueueFull);
+        EXPECT_GE(answer->retryAfter, GetParam().lag);
+    }
+}
+
+TEST(SchedulerMachineTest, ServesAgainWithinASecondAfterItWasLate)
+{
+    SchedulerDriver scheduler;
+    for (int step = 0; step < 20; ++step) {
+        scheduler.advance(milliseconds(400));
+        scheduler.feedLate(milliseconds(400), Tick{});
+    }
+    for (int step = 0; step < 10; ++step) {
+        scheduler.advance(milliseconds(50));
+        scheduler.feed(Tick{});
+    }
+    scheduler.feed(scheduler.submission("job"));
+    EXPECT_TRUE(scheduler.last<SendBatch>());
+}
+
+TEST(SchedulerMachineTest, AsksForFewerReportsTheMoreGuardsThereAreAndTheLaterItIs)
+{
+    SchedulerDriver scheduler;
+    EXPECT_EQ(scheduler.reportInterval(), milliseconds(4));
+    for (int worker = 0; worker < 300; ++worker) {
+        scheduler.reportCapacity(AgentName("W" + std::to_string(worker)));
+    }
+    const auto onTime = scheduler.reportInterval();
+    EXPECT_GE(onTime, milliseconds(20));
+    scheduler.advance(milliseconds(500));
+    scheduler.feedLate(milliseconds(10), Tick{});
+    EXPECT_GE(scheduler.reportInterval(), 2 * onTime);
+    scheduler.feed(scheduler.submission("job"));
+    EXPECT_EQ(scheduler.last<SendBatch>()->batch.reportInterval, scheduler.reportInterval());
+}
+
+INSTANTIATE_TEST_SUITE_P(Lags, SchedulerLagTest, testing::ValuesIn(LagCases), [](const auto &row) { return row.param.name; });
+
 INSTANTIATE_TEST_SUITE_P(Runs, SchedulerReturnTest, testing::ValuesIn(ReturnCases), [](const auto &row) { return row.param.name; });
 
 } // namespace Sycamoremoor
--- a/net/include/sycamoremoor/net/guard_server.h
+++ b/net/include/sycamoremoor/net/guard_server.h
@@ -8,6 +8,7 @@
 #include <sigc++/signal.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 
 namespace Sycamoremoor
@@ -39,7 +40,8 @@
     struct OpenExchange {
         EntryName scheduler;
         HttpExchangePointer exchange;
-        MonotonicTime clockToldAt{}; ///< last report of room that told the clock
+        MonotonicTime toldAt{}; ///< last report of room
+        bool isBehind = false;  ///< the room has changed since then
     };
 
     void takeBatch(const RoutedRequest &request);
@@ -50,8 +52,16 @@
     void takeWatch(const RoutedRequest &request);
     void watcherGone(std::uint64_t watcher);
     void tellAll();
-    /** Tells one scheduler. @return false if it is behind with reading */
-    bool tell(OpenExchange &watcher);
+    /** Tells the schedulers that have heard nothing for a while. */
+    void tellQuiet();
+    /** Tells the schedulers that have not been told of the last change and whose interval has passed. */
+    void tellDue();
+    void tellWatchers(const std::function<bool(const OpenExchange &)> &isDue);
+    /** Tells one scheduler, unless it is behind with reading. */
+    void tell(OpenExchange &watcher);
+    [[nodiscard]] MonotonicTime tellAt(const OpenExchange &watcher) const;
+    void startTellTimer();
+    void setReportInterval(const EntryName &scheduler, Duration interval);
     [[nodiscard]] bool isWatched(const EntryName &scheduler) const;
     void dropUnwatched();
 
@@ -63,10 +73,10 @@
     std::map<std::uint64_t, OpenExchange> m_watchers;    ///< streams of room
     std::map<EntryName, BatchNumber> m_seen;             ///< highest batch by scheduler
     std::map<ConnectionId, OpenExchange> m_batches;      ///< batches and recalls
+    std::map<EntryName, Duration> m_reportIntervals;     ///< shortest time between two reports, as the scheduler asked
     std::map<EntryName, MonotonicTime> m_unwatchedSince; ///< schedulers whose stream broke
-    Timer m_tellTimer;                                   ///< gathers changes
+    Timer m_tellTimer;                                   ///< tells the next scheduler that is due
     Timer m_steadyTimer;                                 ///< tells without a change
-    bool m_telling = false;
 };
 
 } // namespace Sycamoremoor
--- a/net/include/sycamoremoor/net/room_watcher.h
+++ b/net/include/sycamoremoor/net/room_watcher.h
@@ -5,6 +5,7 @@
 
 #include <sigc++/signal.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,7 +21,10 @@
 class RoomWatcher
 {
 public:
-    RoomWatcher(EventLoop &loop, HttpClient &client, EntryName scheduler);
+    using ReportInterval = std::function<Duration()>;
+
+    /** @param reportInterval tells the shortest time between two reports of a guard */
+    RoomWatcher(EventLoop &loop, HttpClient &client, EntryName scheduler, ReportInterval reportInterval);
     ~RoomWatcher();
 
     RoomWatcher(const RoomWatcher &) = delete;
@@ -40,11 +44,14 @@
 
     void open(Watch &watch);
     void received(Watch &watch, std::string_view part);
+    /** Hands on the newest report of a guard. Those before it say nothing more. */
+    void decodeNewest(Watch &watch);
     void broken(Watch &watch);
 
     EventLoop &m_loop;
     HttpClient &m_client;
     EntryName m_scheduler;
+    ReportInterval m_reportInterval;
     sigc::signal<void(SchedulerInput)> m_input;
     std::map<AgentName, std::unique_ptr<Watch>> m_watches;
 };
--- a/net/src/event_loop.cpp
+++ b/net/src/event_loop.cpp
@@ -28,11 +28,13 @@
 EventLoop::EventLoop()
     : m_base(makeBase())
     , m_wakeUp(event_new(m_base, -1, EV_PERSIST, &EventLoop::mailboxReady, this))
+    , m_roundEnd(event_new(m_base, -1, EV_PERSIST, &EventLoop::roundEnded, this))
 {
 }
 
 EventLoop::~EventLoop()
 {
+    event_free(m_roundEnd);
     event_free(m_wakeUp);
     event_base_free(m_base);
 }
@@ -56,6 +58,12 @@
     event_active(m_wakeUp, EV_READ, 0);
 }
 
+void EventLoop::atEndOfRound(RoundPhase phase, Message message)
+{
+    m_endOfRound.at(static_cast<std::size_t>(phase)).push_back(std::move(message));
+    event_active(m_roundEnd, EV_READ, 0); // goes behind the events that are ready already
+}
+
 event_base *EventLoop::base() const
 {
     return m_base;
@@ -66,6 +74,20 @@
     static_cast<EventLoop *>(self)->readMailbox();
 }
 
+void EventLoop::roundEnded(int /*socket*/, short /*what*/, void *self)
+{
+    static_cast<EventLoop *>(self)->endRound();
+}
+
+void EventLoop::endRound()
+{
+    for (auto &phase : m_endOfRound) {
+        for (const auto &message : std::exchange(phase, {})) {
+            message();
+        }
+    }
+}
+
 void EventLoop::readMailbox()
 {
     std::vector<Message> messages;
--- a/net/src/guard_server.cpp
+++ b/net/src/guard_server.cpp
@@ -11,6 +11,10 @@
 #include <sycamoremoor/wire/http_status.h>
 
 #include <algorithm>
+#include <charconv>
+#include <optional>
+#include <string_view>
+#include <system_error>
 #include <utility>
 #include <vector>
 
@@ -20,26 +24,33 @@
 namespace
 {
 
-constexpr Duration GatherTime = std::chrono::milliseconds(4);        ///< a job's tasks end and begin in groups
-constexpr Duration SlowReaderDelay = std::chrono::milliseconds(20);  ///< until a scheduler that was behind is told again
+constexpr Duration MinReportInterval = std::chrono::milliseconds(4); ///< a job's tasks end and begin in groups
 constexpr Duration SteadyInterval = std::chrono::milliseconds(250);  ///< a quarter of the silence that schedulers bear
 constexpr Duration UnwatchedLimit = std::chrono::milliseconds(1200); ///< a scheduler that lives watches anew within a second
 
+/** Reads the whole of @p text as a number of microseconds, or nothing. */
+std::optional<Duration> readMicroseconds(std::string_view text)
+{
+    Duration::rep count = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), count);
+    return error == std::errc() && end == text.data() + text.size() ? std::optional(Duration(count)) : std::nullopt;
+}
+
 } // namespace
 
 GuardServer::GuardServer(EventLoop &loop, Router &router, MetricRegistry &metrics)
     : m_metrics(metrics)
-    , m_tellTimer(loop, [this] { tellAll(); })
+    , m_tellTimer(loop, [this] { tellDue(); })
     , m_steadyTimer(loop, [this] {
         dropUnwatched();
-        tellAll();
+        tellQuiet();
     })
 {
     router.add(RequestMethod::Post, Path::StartBatch, [this](const RoutedRequest &request) { takeBatch(request); });
     router.add(RequestMethod::Post, Path::RenewBatches, [this](const RoutedRequest &request) { takeRenewal(request); });
     router.add(RequestMethod::Post, Path::RecallBatch, [this](const RoutedRequest &request) { takeRecall(request); });
     router.add(RequestMethod::Get, Path::WatchRoom, [this](const RoutedRequest &request) { takeWatch(request); });
-    m_steadyTimer.start(SteadyInterval);
+    m_steadyTimer.start(SteadyInterval / 2);
 }
 
 sigc::signal<void(GuardInput)> &GuardServer::signalInput()
@@ -60,6 +71,7 @@
     m_metrics.addMessage(MessageDirection::In, Path::StartBatch, request.exchange->request().body.size());
     auto &seen = m_seen[batch.scheduler];
     seen = std::max(seen, batch.batch);
+    setReportInterval(batch.scheduler, batch.reportInterval);
     const auto connection = openExchange(batch.scheduler, request.exchange);
     m_input.emit(BatchReceived{connection, std::move(batch)});
 }
@@ -105,6 +117,14 @@
         replyError(request, ErrorKind::InvalidValue, "the parameter scheduler is missing");
         return;
     }
+    if (const auto interval = parameters.find("interval_us"); interval != parameters.end()) {
+        const auto microseconds = readMicroseconds(interval->second);
+        if (!microseconds) {
+            replyError(request, ErrorKind::InvalidValue, "the parameter interval_us is no number of microseconds: " + interval->second);
+            return;
+        }
+        setReportInterval(EntryName(scheduler->second), *microseconds);
+    }
     const auto number = ++m_lastWatcher;
     auto &watcher = m_watchers.emplace(number, OpenExchange{EntryName(scheduler->second), request.exchange}).first->second;
     request.exchange->onGone([this, number] { watcherGone(number); });
@@ -151,6 +171,7 @@
                       "Scheduler " + scheduler.value() + " is gone; its " + std::to_string(dropped.size()) + " batches are stopped."});
         }
         m_seen.erase(scheduler);
+        m_reportIntervals.erase(scheduler);
         position = m_unwatchedSince.erase(position);
         for (const auto connection : dropped) {
             m_batches.at(connection).exchange->endStream();
@@ -183,28 +204,71 @@
     m_room = output.report;
     if (urgent) {
         tellAll();
-    } else if (!std::exchange(m_telling, true)) {
-        m_tellTimer.start(GatherTime);
+        return;
     }
+    for (auto &[number, watcher] : m_watchers) {
+        watcher.isBehind = true;
+    }
+    startTellTimer();
+}
+
+void GuardServer::setReportInterval(const EntryName &scheduler, Duration interval)
+{
+    m_reportIntervals[scheduler] = std::clamp(interval, MinReportInterval, SteadyInterval);
+}
+
+MonotonicTime GuardServer::tellAt(const OpenExchange &watcher) const
+{
+    const auto interval = m_reportIntervals.find(watcher.scheduler);
+    return watcher.toldAt + (interval == m_reportIntervals.end() ? MinReportInterval : interval->second);
+}
+
+void GuardServer::startTellTimer()
+{
+    auto next = MonotonicTime::max();
+    for (const auto &[number, watcher] : m_watchers) {
+        if (watcher.isBehind) {
+            next = std::min(next, tellAt(watcher));
+        }
+    }
+    if (next != MonotonicTime::max()) {
+        m_tellTimer.start(std::max(next - monotonicNow(), MinReportInterval));
+    }
+}
+
+void GuardServer::tellDue()
+{
+    const auto now = monotonicNow();
+    tellWatchers([this, now](const OpenExchange &watcher) { return watcher.isBehind && tellAt(watcher) <= now; });
+}
+
+void GuardServer::tellQuiet()
+{
+    m_steadyTimer.start(SteadyInterval / 2);
+    const auto quietSince = monotonicNow() - SteadyInterval / 2;
+    tellWatchers([quietSince](const OpenExchange &watcher) { return watcher.toldAt <= quietSince; });
 }
 
 void GuardServer::tellAll()
 {
-    m_telling = false;
-    m_steadyTimer.start(SteadyInterval);
-    std::vector<std::uint64_t> watchers;
+    tellWatchers([](const OpenExchange & /*watcher*/) { return true; });
+}
+
+void GuardServer::tellWatchers(const std::function<bool(const OpenExchange &)> &isDue)
+{
+    std::vector<std::uint64_t> due;
     for (const auto &[number, watcher] : m_watchers) {
-        watchers.push_back(number);
+        if (isDue(watcher)) {
+            due.push_back(number);
+        }
     }
-    bool allTold = true;
-    for (const auto number : watchers) {
+    for (const auto number : due) {
+        // Writing may find that another stream has ended.
         if (const auto found = m_watchers.find(number); found != m_watchers.end()) {
-            allTold = tell(found->second) && allTold;
+            tell(found->second);
         }
     }
-    if (!allTold && !std::exchange(m_telling, true)) {
-        m_tellTimer.start(SlowReaderDelay);
-    }
+    startTellTimer();
 }
 
 std::size_t GuardServer::unsentBytes() const
@@ -224,22 +288,20 @@
     }
 }
 
-bool GuardServer::tell(OpenExchange &watcher)
+void GuardServer::tell(OpenExchange &watcher)
 {
-    if (watcher.exchange->unsentBytes() > 0) {
-        return false; // it reads more slowly than room changes: the next report is newer than all that it misses
+    const auto now = monotonicNow();
+    watcher.toldAt = now;
+    watcher.isBehind = watcher.exchange->unsentBytes() > 0;
+    if (watcher.isBehind) {
+        return; // it reads more slowly than room changes: the next report is newer than all that it misses
     }
     auto room = m_room;
     if (const auto seen = m_seen.find(watcher.scheduler); seen != m_seen.end()) {
         room.lastCountedBatch = seen->second;
     }
-    // Reports are many, and each field of them costs every scheduler time.
-    if (const auto now = monotonicNow(); now >= watcher.clockToldAt + SteadyInterval) {
-        watcher.clockToldAt = now;
-        room.clock = GuardTime(now.time_since_epoch().count());
-    }
+    room.clock = GuardTime(now.time_since_epoch().count());
     watcher.exchange->stream(encode(room) + "\n");
-    return true;
 }
 
 } // namespace Sycamoremoor
--- a/net/src/room_watcher.cpp
+++ b/net/src/room_watcher.cpp
@@ -1,6 +1,7 @@
 // Keeps a scheduler informed of the room of every worker in the directory.
 #include <sycamoremoor/net/room_watcher.h>
 
+#include <sycamoremoor/net/event_loop.h>
 #include <sycamoremoor/net/http_client.h>
 #include <sycamoremoor/net/line_reader.h>
 #include <sycamoremoor/net/log_func.h>
@@ -10,7 +11,6 @@
 
 #include <string>
 #include <utility>
-#include <vector>
 
 namespace Sycamoremoor
 {
@@ -34,14 +34,16 @@
     CallNumber call = 0;
     Duration reopenDelay = ReopenDelay;
     LineReader lines;
+    std::string newestReport; ///< read in this round of the loop and not decoded yet
     std::unique_ptr<Timer> silence;
     std::unique_ptr<Timer> reopen;
 };
 
-RoomWatcher::RoomWatcher(EventLoop &loop, HttpClient &client, EntryName scheduler)
+RoomWatcher::RoomWatcher(EventLoop &loop, HttpClient &client, EntryName scheduler, ReportInterval reportInterval)
     : m_loop(loop)
     , m_client(client)
     , m_scheduler(std::move(scheduler))
+    , m_reportInterval(std::move(reportInterval))
 {
 }
 
@@ -90,10 +92,12 @@
 void RoomWatcher::open(Watch &watch)
 {
     watch.lines = {};
+    watch.newestReport.clear();
     ClientCall call;
     call.endpoint = watch.record.endpoint;
     call.method = RequestMethod::Get;
-    call.path = std::string(Path::WatchRoom) + "?scheduler=" + m_scheduler.value();
+    call.path
+        = std::string(Path::WatchRoom) + "?scheduler=" + m_scheduler.value() + "&interval_us=" + std::to_string(m_reportInterval().count());
     call.connectLimit = ConnectLimit;
     call.timeLimit = WatchLimit;
     call.newConnection = true;
@@ -111,25 +115,38 @@
 
 void RoomWatcher::received(Watch &watch, std::string_view part)
 {
-    watch.silence->start(SilenceLimit);
-    std::vector<CapacityReport> rooms;
-    watch.lines.take(part, [&rooms](std::string_view line) {
-        if (CapacityReport room; const auto error = decode(line, room)) {
-            writeLog({Severity::Error, "rooms", "A report of room cannot be read: " + error->detail + "."});
-        } else {
-            rooms.push_back(std::move(room));
-        }
-    });
-    for (auto &room : rooms) {
-        watch.heard = true;
-        watch.reopenDelay = ReopenDelay;
-        m_input.emit(CapacityReported{watch.record.agent, watch.record.zone, std::move(room)});
+    const bool isFirst = watch.newestReport.empty();
+    watch.lines.take(part, [&watch](std::string_view line) { watch.newestReport = line; });
+    if (isFirst && !watch.newestReport.empty()) {
+        watch.silence->start(SilenceLimit);
+        m_loop.atEndOfRound(RoundPhase::Decode, [this, agent = watch.record.agent] {
+            if (const auto found = m_watches.find(agent); found != m_watches.end()) {
+                decodeNewest(*found->second);
+            }
+        });
+    }
+}
+
+void RoomWatcher::decodeNewest(Watch &watch)
+{
+    const auto line = std::exchange(watch.newestReport, {});
+    if (line.empty()) {
+        return; // its connection was opened anew meanwhile
+    }
+    CapacityReport report;
+    if (const auto error = decode(line, report)) {
+        writeLog({Severity::Error, "rooms", "A report of room cannot be read: " + error->detail + "."});
+        return;
     }
+    watch.heard = true;
+    watch.reopenDelay = ReopenDelay;
+    m_input.emit(CapacityReported{watch.record.agent, watch.record.zone, std::move(report)});
 }
 
 void RoomWatcher::broken(Watch &watch)
 {
     m_client.cancel(watch.record.endpoint, watch.call);
+    watch.newestReport.clear();
     watch.silence->stop();
     const auto agent = watch.record.agent;
     if (std::exchange(watch.heard, false)) {
--- a/net/tests/guard_server_test.cpp
+++ b/net/tests/guard_server_test.cpp
@@ -1,9 +1,15 @@
 // The stream of room that a guard holds with each scheduler.
+#include "loop_func.h"
+
+#include <sycamoremoor/net/clock_func.h>
 #include <sycamoremoor/net/event_loop.h>
 #include <sycamoremoor/net/guard_server.h>
+#include <sycamoremoor/net/http_client.h>
 #include <sycamoremoor/net/http_server.h>
+#include <sycamoremoor/net/line_reader.h>
 #include <sycamoremoor/net/metric_registry.h>
 #include <sycamoremoor/net/timer.h>
+#include <sycamoremoor/wire/message_codec.h>
 
 #include <gtest/gtest.h>
 
@@ -14,6 +20,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Sycamoremoor
 {
@@ -60,4 +67,45 @@
     EXPECT_LT(mostUnsent, 4 * LabelBytes);
 }
 
+TEST(GuardServerTest, ASchedulerIsToldNoMoreOftenThanItAsked)
+{
+    constexpr auto Interval = milliseconds(50);
+    constexpr int Changes = 100; // one each millisecond
+    EventLoop loop;
+    MetricRegistry metrics;
+    Router router(metrics, [] { return std::uint64_t{1}; });
+    HttpServer server(loop, {"127.0.0.1", 0}, {}, [&router](const HttpExchangePointer &exchange) { router.route(exchange); });
+    GuardServer guard(loop, router, metrics);
+    HttpClient client(loop);
+    ClientCall call;
+    call.endpoint = server.endpoint();
+    call.method = RequestMethod::Get;
+    call.path = "/internal/v1/watch-room?scheduler=S&interval_us=" + std::to_string(Duration(Interval).count());
+    std::vector<MonotonicTime> told;
+    std::int64_t lastFree = -1;
+    LineReader lines;
+    call.received = [&](std::string_view part) {
+        lines.take(part, [&](std::string_view line) {
+            CapacityReport report;
+            ASSERT_FALSE(decode(line, report));
+            told.push_back(monotonicNow());
+            lastFree = report.free.cores.value();
+        });
+    };
+    client.send(std::move(call), [](const ClientResult & /*result*/) {});
+    CapacityReport room;
+    int changes = 0;
+    Timer change(loop, [&] {
+        room.free.cores = MilliCores(++changes);
+        guard.carryOut(CapacityChanged{room});
+        if (changes < Changes) {
+            change.start(milliseconds(1));
+        }
+    });
+    change.start(milliseconds(20));
+    ASSERT_TRUE(runUntil(loop, [&lastFree] { return lastFree == Changes; })) << "the last change is told, too";
+    const auto longest = told.back() - told.front();
+    EXPECT_LE(told.size(), static_cast<std::size_t>(longest / Interval) + 2);
+}
+
 } // namespace Sycamoremoor
--- /dev/null
+++ b/net/tests/room_watcher_test.cpp
@@ -0,0 +1,61 @@
+// What a scheduler reads of the reports of a guard's capacity.
+#include "loop_func.h"
+
+#include <sycamoremoor/net/event_loop.h>
+#include <sycamoremoor/net/http_client.h>
+#include <sycamoremoor/net/http_exchange.h>
+#include <sycamoremoor/net/http_server.h>
+#include <sycamoremoor/net/room_watcher.h>
+#include <sycamoremoor/wire/message_codec.h>
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace Sycamoremoor
+{
+
+using std::chrono::milliseconds;
+
+namespace
+{
+
+CapacityReport reportOf(std::int64_t freeCores)
+{
+    CapacityReport report;
+    report.incarnation = Incarnation(1);
+    report.accepting = true;
+    report.capacity = report.free = {MilliCores(freeCores), Megabytes(1), Accelerators(0)};
+    return report;
+}
+
+} // namespace
+
+TEST(RoomWatcherTest, OfReportsThatAreReadTogetherOnlyTheNewestIsHandedOn)
+{
+    EventLoop loop;
+    std::vector<HttpExchangePointer> streams;
+    HttpServer guard(loop, {"127.0.0.1", 0}, {}, [&streams](const HttpExchangePointer &exchange) { streams.push_back(exchange); });
+    HttpClient client(loop);
+    RoomWatcher rooms(loop, client, EntryName("S"), [] { return Duration(milliseconds(40)); });
+    std::vector<std::int64_t> freeCores;
+    rooms.signalInput().connect([&freeCores](const SchedulerInput &input) {
+        if (const auto *reported = std::get_if<CapacityReported>(&input)) {
+            freeCores.push_back(reported->report.free.cores.value());
+        }
+    });
+    rooms.setGuards({{AgentName("A"), AgentRecord{AgentName("A"), guard.endpoint(), ZoneName("z")}}});
+    ASSERT_TRUE(runUntil(loop, [&streams] { return streams.size() == 1; }));
+    EXPECT_EQ(streams.front()->request().parameters.at("interval_us"), "40000");
+    std::string parts;
+    for (const auto cores : {1, 2, 3}) {
+        parts += encode(reportOf(cores)) + "\n";
+    }
+    streams.front()->stream(parts);
+    ASSERT_TRUE(runUntil(loop, [&freeCores] { return !freeCores.empty(); }));
+    streams.front()->stream(encode(reportOf(4)) + "\n");
+    ASSERT_TRUE(runUntil(loop, [&freeCores] { return freeCores.size() >= 2; }));
+    EXPECT_EQ(freeCores, (std::vector<std::int64_t>{3, 4}));
+}
+
+} // namespace Sycamoremoor
--- a/wire/src/describe_func.h
+++ b/wire/src/describe_func.h
@@ -508,6 +508,7 @@
     archive("receive_by", batch.receiveBy);
     archive("lease_until", batch.leaseUntil);
     archive("expires_at", batch.expiresAt);
+    archive.optional("report_interval", batch.reportInterval);
     archive("payload", batch.payload);
     archive("orders", batch.orders);
 }
