Fix: [core] Jobs that arrive together are not refused for each other while capacity is free

Since a scheduler handles the inputs of a round together, a job was judged by the expected wait while the jobs read before it still waited to be placed. With little work sent of late, four of five jobs that arrived together were refused with every worker free.

The expected wait is looked at after the placement, for the jobs that got no capacity. The test fails on the commit before: 1 job sent and 4 refused, of 5.

--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <vector>
 
 namespace Sycamoremoor
 {
@@ -73,6 +74,8 @@
     ScheduledJob makeJob(SchedulerStep &step, const QueueJobSubmitted &input);
     void setTimes(ScheduledJob &job) const;
     [[nodiscard]] ErrorKind refusalOf(SchedulerStep &step, const ScheduledJob &job, Duration &retryAfter) const;
+    /** Refuses those of the jobs that arrived in this step which got no capacity and are expected to wait for too long. */
+    void refuseArrivals(SchedulerStep &step);
     /** Returns when a job has to be placed to end within its objective, given the lag of this process. */
     [[nodiscard]] MonotonicTime latestPlacement(const ScheduledJob &job) const;
     void refuse(SchedulerStep &step, const ScheduledJob &job, ErrorKind error, Duration retryAfter);
@@ -115,6 +118,7 @@
     LagMeter m_lag;
     bool m_isBehind = false;                                ///< as last logged
     std::set<std::pair<MonotonicTime, JobNumber>> m_checks; ///< next check of each job whether it has to be abandoned
+    std::vector<JobNumber> m_arrivals;                      ///< jobs that were accepted in this step
     std::size_t m_placedInStep = 0;                         ///< tasks that were sent
     bool m_placesMore = false;                              ///< the limit of a step was reached before all jobs or all capacity were used
     std::uint64_t m_lastJob = 0;
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -154,6 +154,7 @@
     scheduleCheck(stored, latestPlacement(stored));
     unblockSteps(step, stored);
     enqueue(stored);
+    m_arrivals.push_back(stored.number);
 }
 
 ScheduledJob SchedulerMachine::Private::makeJob(SchedulerStep &step, const QueueJobSubmitted &input)
@@ -206,14 +207,29 @@
             return ErrorKind::NeverFits;
         }
     }
-    const auto wait = m_order.expectedWait(step.now(), JobOrder::keyOf(job));
-    if (step.now() + wait <= latestPlacement(job)) {
+    if (step.now() <= latestPlacement(job)) {
         return ErrorKind::None;
     }
-    retryAfter = wait + m_lag.expectedLag();
+    retryAfter = m_lag.expectedLag();
     return ErrorKind::QueueFull;
 }
 
+void SchedulerMachine::Private::refuseArrivals(SchedulerStep &step)
+{
+    for (const auto number : std::exchange(m_arrivals, {})) {
+        const auto found = m_jobs.find(number);
+        if (found == m_jobs.end() || found->second.started) {
+            continue;
+        }
+        auto &job = found->second;
+        const auto wait = m_order.expectedWait(step.now(), JobOrder::keyOf(job));
+        if (step.now() + wait > latestPlacement(job)) {
+            refuse(step, job, ErrorKind::QueueFull, wait + m_lag.expectedLag());
+            erase(job);
+        }
+    }
+}
+
 MonotonicTime SchedulerMachine::Private::latestPlacement(const ScheduledJob &job) const
 {
     constexpr int Waits = 2; // its batches and the reports of its runs wait in this process
@@ -518,6 +534,7 @@
 {
     renewBatches(step);
     place(step);
+    refuseArrivals(step);
     handleDueChecks(step);
     if (m_drainSince && !m_stopped) {
         const bool done = m_jobs.empty() && step.now() >= *m_drainSince + m_settings.drainGrace;
--- a/core/tests/scheduler_machine_test.cpp
+++ b/core/tests/scheduler_machine_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <memory>
 #include <optional>
@@ -47,6 +48,20 @@
         m_machine.step(context, std::move(input), m_outputs);
     }
 
+    /** Handles inputs that arrived together. */
+    void feed(const std::vector<SchedulerInput> &inputs)
+    {
+        m_outputs.clear();
+        m_machine.step({m_now, WallTime{}, 7}, inputs, m_outputs);
+    }
+
+    template<typename Output>
+    [[nodiscard]] std::size_t count() const
+    {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(m_outputs, [](const auto &output) { return std::holds_alternative<Output>(output); }));
+    }
+
     [[nodiscard]] Duration reportInterval() const
     {
         return m_machine.reportInterval();
@@ -263,6 +278,21 @@
     }
 }
 
+TEST(SchedulerMachineTest, JobsThatArriveTogetherAreNotRefusedForEachOtherWhileCapacityIsFree)
+{
+    constexpr std::size_t Jobs = 5;
+    SchedulerDriver scheduler;
+    scheduler.submit("before"); // so that little was sent of late
+    scheduler.advance(milliseconds(400));
+    std::vector<SchedulerInput> inputs;
+    for (std::size_t job = 0; job < Jobs; ++job) {
+        inputs.emplace_back(scheduler.submission("job-" + std::to_string(job)));
+    }
+    scheduler.feed(inputs);
+    EXPECT_EQ(scheduler.count<SendBatch>(), Jobs);
+    EXPECT_EQ(scheduler.count<AnswerQueueJob>(), 0U);
+}
+
 TEST(SchedulerMachineTest, ServesAgainWithinASecondAfterItWasLate)
 {
     SchedulerDriver scheduler;
