--- a/core/include/sycamoremoor/core/error_type.h
+++ b/core/include/sycamoremoor/core/error_type.h
@@ -39,6 +39,7 @@
     Tombstoned,          ///< the agent has a tombstone for the task, which guarantees that it never starts
     Cancelled,           ///< the caller cancelled the job
     TaskFailed,          ///< the upstream ran the task and it failed
+    CrashesUpstreams,    ///< upstreams that started the task crashed, several times
     RunLimitReached,     ///< the task ran for much longer than expected and was stopped
     UpstreamLost,        ///< the upstream ended while the task ran
     AgentLost,           ///< the agent has no record of the task any more
--- a/core/include/sycamoremoor/core/guard_input_type.h
+++ b/core/include/sycamoremoor/core/guard_input_type.h
@@ -111,6 +111,11 @@
     RenewalNumber renewal;
 };
 
+/** Result of a ProbeListener. */
+struct ListenerProbed {
+    bool refused = false; ///< nothing listens at the endpoint of the upstream
+};
+
 using GuardInput = std::variant<Tick,
                                 UpstreamAnnounced,
                                 UpstreamLeft,
@@ -122,6 +127,7 @@
                                 RunStopAnswered,
                                 UpstreamListed,
                                 RenewalUnanswered,
+                                ListenerProbed,
                                 DrainRequested>;
 
 } // namespace Sycamoremoor
--- a/core/include/sycamoremoor/core/guard_message_type.h
+++ b/core/include/sycamoremoor/core/guard_message_type.h
@@ -1,6 +1,7 @@
 // Messages between schedulers and guards.
 #pragma once
 
+#include <sycamoremoor/core/crash_notice_type.h>
 #include <sycamoremoor/core/queue_job_type.h>
 #include <sycamoremoor/core/time_type.h>
 
@@ -49,6 +50,7 @@
     GuardTime leaseUntil;      ///< runs that have not ended by then are stopped, unless BatchRenewal extends the lease
     GuardTime expiresAt;       ///< runs that have not ended by then are stopped
     Duration reportInterval{}; ///< shortest time between two reports of capacity to the scheduler, zero if it does not mind
+    QueueName queue;           ///< queue of the job
     std::string payload;       ///< payload of the job
     std::vector<RunOrder> orders;
 
@@ -85,6 +87,8 @@
     RunOutcome outcome = RunOutcome::NotStarted;
     Duration runTime{};                ///< from the confirmation of its start to its end, zero if it did not start
     ErrorKind error = ErrorKind::None; ///< reason of NotStarted and Stopped
+    CrashNumber crash;                 ///< crash of the upstream that ended the run, zero if none did
+    bool isSuspect = false;            ///< the run may have caused that crash
 
     friend bool operator==(const RunReport &, const RunReport &) = default;
 };
--- a/core/include/sycamoremoor/core/guard_output_type.h
+++ b/core/include/sycamoremoor/core/guard_output_type.h
@@ -46,6 +46,11 @@
     Duration wait{};                ///< how long the upstream may delay the answer until a run ends (long poll)
 };
 
+/** Find out whether anything listens at the endpoint of the upstream. Answered by ListenerProbed. */
+struct ProbeListener {
+    Endpoint upstream;
+};
+
 /** Report the end of one run to the scheduler of its batch. */
 struct ReportRun {
     ConnectionId connection;
@@ -62,8 +67,26 @@
     CapacityReport report;
 };
 
+/** The upstream crashed; tell all schedulers of it, and those that connect until its expiry. */
+struct UpstreamCrashed {
+    CrashNotice notice;
+    MonotonicTime expiresAt; ///< from then on no scheduler has use for it
+};
+
 using GuardOutput
-    = std::variant<StartRun, StopRun, RenewLease, ReportRun, EndBatch, CapacityChanged, SetTimer, LogLine, Observation, Count, Stopped>;
+    = std::variant<StartRun,
+                   StopRun,
+                   RenewLease,
+                   ProbeListener,
+                   ReportRun,
+                   EndBatch,
+                   CapacityChanged,
+                   UpstreamCrashed,
+                   SetTimer,
+                   LogLine,
+                   Observation,
+                   Count,
+                   Stopped>;
 
 using GuardOutputs = std::vector<GuardOutput>;
 
--- a/core/include/sycamoremoor/core/scheduler_input_type.h
+++ b/core/include/sycamoremoor/core/scheduler_input_type.h
@@ -33,6 +33,12 @@
     CapacityReport report;
 };
 
+/** A guard reported that its upstream crashed. It may report the same crash again. */
+struct CrashReported {
+    AgentName agent;
+    CrashNotice notice;
+};
+
 /** The connection to a worker's guard ended, or no report arrived on it in time. */
 struct WorkerUnreachable {
     AgentName agent;
@@ -55,6 +61,7 @@
                                     QueueJobSubmitted,
                                     CallerDisconnected,
                                     CapacityReported,
+                                    CrashReported,
                                     WorkerUnreachable,
                                     RunReported,
                                     BatchInterrupted,
--- a/core/include/sycamoremoor/core/table/error_table.h
+++ b/core/include/sycamoremoor/core/table/error_table.h
@@ -41,6 +41,7 @@
     {ErrorKind::Tombstoned,          409, "tombstoned",              RunState::NotRun,  true,  "the task was promised never to start"},
     {ErrorKind::Cancelled,           409, "cancelled",               RunState::Unknown, false, "the caller cancelled"},
     {ErrorKind::TaskFailed,          424, "task_failed",             RunState::Ran,     false, "the task ran and failed"},
+    {ErrorKind::CrashesUpstreams,    424, "crashes_upstreams",       RunState::Ran,     false, "the upstreams that started the task crashed"},
     {ErrorKind::RunLimitReached,     424, "run_limit_reached",       RunState::Ran,     false, "the task ran too long and was stopped"},
     {ErrorKind::UpstreamLost,        502, "upstream_lost",           RunState::Unknown, false, "the upstream ended while the task ran"},
     {ErrorKind::AgentLost,           502, "agent_lost",              RunState::Unknown, false, "the record of the task is gone"},
--- a/core/src/guard/batch_table.cpp
+++ b/core/src/guard/batch_table.cpp
@@ -15,6 +15,7 @@
 {
     GuardedBatch added;
     added.key = {batch.scheduler, batch.schedulerIncarnation, batch.batch};
+    added.queue = batch.queue;
     added.payload = batch.payload;
     added.unreported = static_cast<std::uint32_t>(batch.orders.size());
     added.receiver = connection;
--- a/core/src/guard/batch_table.h
+++ b/core/src/guard/batch_table.h
@@ -30,6 +30,7 @@
 /** A batch and the reports of its runs. */
 struct GuardedBatch {
     BatchKey key;
+    QueueName queue;
     std::string payload;
     std::uint32_t unreported = 0;         ///< number of runs without a report
     std::vector<RunReport> reports;       ///< in the order in which they were made
--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -3,6 +3,7 @@
 
 #include "../machine_step.h"
 #include "batch_table.h"
+#include "crash_log.h"
 #include "recent_runs.h"
 #include "run_table.h"
 
@@ -34,6 +35,7 @@
     void handle(GuardStep &step, const RunStopAnswered &input);
     void handle(GuardStep &step, const UpstreamListed &input);
     void handle(GuardStep &step, const RenewalUnanswered &input);
+    void handle(GuardStep &step, const ListenerProbed &input);
     void handle(GuardStep &step, const DrainRequested &input);
 
     /** Does what is due: starts, stops and drops runs, renews the lease, reports a changed capacity. Sets the timer. */
@@ -57,6 +59,12 @@
         bool immediateRenewalWanted = false;           ///< a list made after this is needed soon
         bool reconciled = false;                       ///< no run of an earlier incarnation of this guard runs there
         std::uint32_t unansweredRenewals = 0;          ///< consecutive renewals without an answer
+        MonotonicTime silentSince;                     ///< when the first of these was found to have no answer
+        std::uint32_t refusedProbes = 0;               ///< consecutive probes that found that nothing listens
+        bool isProbing = false;                        ///< a probe is in flight
+        std::optional<MonotonicTime> probeDue;         ///< when to probe again
+        bool crashed = false;                          ///< its process has ended, as far as is known
+        std::vector<OpenRun> lapsedRuns;               ///< runs that were taken for ended while it did not answer
         std::map<RunId, MonotonicTime> unknownRuns;    ///< runs of an earlier incarnation of this guard, and when to repeat their stop
         RecentRuns endedRuns{ListRetention};           ///< runs that it listed as ended recently
     };
@@ -64,9 +72,16 @@
     /** Returns whether an announcement was delayed since before the known boot: it says nothing about the runs there. */
     [[nodiscard]] bool isOfEarlierBoot(const UpstreamIncarnation &incarnation) const;
     void beginIncarnation(GuardStep &step, const UpstreamAnnounced &announced);
-    /** Reports all runs: waiting ones as not started, the others as lapsed. */
-    void reportAllLost(GuardStep &step);
-    void report(GuardStep &step, const RunId &run, RunOutcome outcome, ErrorKind error);
+    /** Reports all runs: waiting ones as not started, the others as lapsed. @param crash the crash that ended them, or null */
+    void reportAllLost(GuardStep &step, const CrashNotice *crash = nullptr);
+    /** Records that the upstream crashed under @p runs, when it fell silent. */
+    CrashNotice recordCrash(GuardStep &step, const std::vector<OpenRun> &runs);
+    /** The process of the upstream has ended: its runs have, too. */
+    void upstreamCrashed(GuardStep &step);
+    void probe(GuardStep &step);
+    /** Returns the runs that the upstream was told to start and that have not ended. */
+    [[nodiscard]] std::vector<OpenRun> openRuns() const;
+    void report(GuardStep &step, const RunId &run, RunOutcome outcome, ErrorKind error, const CrashNotice *crash = nullptr);
     void refuse(GuardStep &step, ConnectionId connection, std::uint32_t order, ErrorKind error);
     void sendReport(GuardStep &step, ConnectionId connection, const RunReport &report);
     /** Ends the runs of a batch. */
@@ -102,6 +117,7 @@
     std::uint64_t m_lastRenewal = 0;
     RunTable m_runTable;
     BatchTable m_batches;
+    CrashLog m_crashes;
     std::map<ConnectionId, BatchRecall> m_earlierRecalls; ///< recalls of batches of earlier incarnations of this guard
     CapacityReport m_lastReported;                        ///< capacity as last reported
     std::optional<MonotonicTime> m_drainUntil;
--- a/core/src/guard/run_table.h
+++ b/core/src/guard/run_table.h
@@ -49,6 +49,7 @@
     Duration runLimit{};                          ///< the run is stopped when it has run this long
     MonotonicTime leaseUntil;                     ///< the run is stopped then, however short it has run; its scheduler extends it
     MonotonicTime expiresAt;                      ///< the run is stopped then, however short it has run
+    MonotonicTime startSentAt;                    ///< when the order to start it was sent
     MonotonicTime startedAt;                      ///< when the start was confirmed
     bool started = false;                         ///< the start was confirmed
     ErrorKind stopReason = ErrorKind::None;       ///< why it is stopped
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -21,7 +21,11 @@
 constexpr std::uint32_t UnansweredRenewalLimit = 3; ///< bad networks lose one answer in twenty; three lost in a row are rare
 constexpr FencingToken TokenIncrement{60'000};      ///< in milliseconds: exceeds any step of the clock from which the first token was taken
 constexpr FencingToken LapseIncrement{1};           ///< in milliseconds: below the first token of the next incarnation of the guard
-constexpr std::size_t BackfillLimit = 32;           ///< limit on the waiting runs that are tried for capacity per input
+constexpr Duration ProbeInterval = std::chrono::milliseconds(5); ///< between probes: a process that restarts at once may listen again
+constexpr std::uint32_t RefusalsOfCrash = 2;                     ///< consecutive probes that nothing listens to, in a crash
+constexpr Duration CrashRetention = std::chrono::seconds(15);    ///< longer than a job is open, with a submission to another scheduler
+constexpr std::size_t MaxRunsInLine = 8;                         ///< limit on the runs that one log line names
+constexpr std::size_t BackfillLimit = 32;                        ///< limit on the waiting runs that are tried for capacity per input
 
 Duration millisecondsOf(UpstreamTime time)
 {
@@ -47,6 +51,19 @@
     return record.expiresAt <= now ? ErrorKind::DeadlineUnreachable : ErrorKind::RunLimitReached;
 }
 
+/** Returns the tasks of the runs and their ages, the youngest first, for logs. */
+std::string describeRuns(std::vector<OpenRun> runs, MonotonicTime now)
+{
+    std::ranges::sort(runs, std::ranges::greater(), &OpenRun::startedAt);
+    runs.resize(std::min(runs.size(), MaxRunsInLine));
+    std::string text;
+    for (const auto &run : runs) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - run.startedAt);
+        text.append(text.empty() ? "" : " ").append(queueTaskIdToString(run.task)).append(":").append(std::to_string(age.count()));
+    }
+    return text;
+}
+
 std::vector<LogField> fieldsOf(const RunId &run, const GuardedRun &record)
 {
     return {{"task", queueTaskIdToString(run.task)},
@@ -81,6 +98,7 @@
 GuardMachine::Private::Private(const GuardSettings &settings)
     : m_settings(settings)
     , m_token(settings.firstToken)
+    , m_crashes(settings.incarnation)
 {
 }
 
@@ -121,10 +139,18 @@
     if (m_upstream) {
         step.log(Severity::Warning,
                  "The upstream restarted as " + announced.incarnation.name + "; the runs of its previous incarnation are lost.");
-        reportAllLost(step);
+        if (!m_upstream->lapsedRuns.empty()) {
+            recordCrash(step, m_upstream->lapsedRuns);
+        }
+        if (m_runTable.runs().empty()) {
+            m_token += LapseIncrement; // an order that is still on its way would be executed by the new incarnation
+        } else {
+            upstreamCrashed(step);
+        }
     } else {
         step.log(Severity::Info, "The upstream " + announced.incarnation.name + " announced itself.");
     }
+    m_crashes.upstreamRestarted(step.now());
     m_upstream = Upstream{};
     m_upstream->announced = announced;
     m_upstream->announced.leaving = false;
@@ -141,15 +167,92 @@
     }
 }
 
-void GuardMachine::Private::reportAllLost(GuardStep &step)
+void GuardMachine::Private::reportAllLost(GuardStep &step, const CrashNotice *crash)
 {
     m_token += LapseIncrement; // an order that is still on its way would be executed under the next lease
     while (!m_runTable.runs().empty()) {
         const auto &[run, record] = *m_runTable.runs().begin();
         const bool waiting = record.stage == RunStage::Waiting;
-        report(
-            step, RunId(run), waiting ? RunOutcome::NotStarted : RunOutcome::Lapsed, waiting ? ErrorKind::UpstreamLost : ErrorKind::None);
+        report(step,
+               RunId(run),
+               waiting ? RunOutcome::NotStarted : RunOutcome::Lapsed,
+               waiting ? ErrorKind::UpstreamLost : ErrorKind::None,
+               waiting ? nullptr : crash);
+    }
+}
+
+std::vector<OpenRun> GuardMachine::Private::openRuns() const
+{
+    std::vector<OpenRun> open;
+    for (const auto &[run, record] : m_runTable.runs()) {
+        if (record.stage != RunStage::Waiting) {
+            open.push_back({run.task, record.startSentAt});
+        }
+    }
+    return open;
+}
+
+CrashNotice GuardMachine::Private::recordCrash(GuardStep &step, const std::vector<OpenRun> &runs)
+{
+    // What it was doing later says nothing about the cause.
+    const auto at = m_upstream->unansweredRenewals > 0 ? m_upstream->silentSince : step.now();
+    auto notice = m_crashes.recordCrash(at, runs);
+    std::string evidence;
+    for (const auto &[queue, ratio, hadRuns] : notice.queues) {
+        evidence.append(evidence.empty() ? "" : " ").append(queue.value()).append(":").append(std::to_string(ratio.value()));
+    }
+    step.log(Severity::Warning,
+             "The upstream crashed under its runs.",
+             {{"upstream", m_upstream->announced.incarnation.name},
+              {"crash", std::to_string(notice.number.value())},
+              {"runs", std::to_string(runs.size())},
+              {"suspects", std::to_string(std::ranges::count(notice.runs, true, &CrashedRun::isSuspect))},
+              {"noticed_after_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(step.now() - at).count())},
+              {"youngest_ms", describeRuns(runs, at)},
+              {"queues", evidence}});
+    step.emit(UpstreamCrashed{notice, step.now() + CrashRetention});
+    return notice;
+}
+
+void GuardMachine::Private::upstreamCrashed(GuardStep &step)
+{
+    auto &upstream = *m_upstream;
+    upstream.crashed = true;
+    upstream.probeDue.reset();
+    upstream.unansweredRenewals = std::max(upstream.unansweredRenewals, UnansweredRenewalLimit);
+    const auto runs = openRuns();
+    const bool endedAsPlanned = upstream.announced.leaving; // it ends after a while, with or without an acknowledged goodbye
+    if (runs.empty() || endedAsPlanned) {
+        reportAllLost(step);
+        return;
     }
+    const auto notice = recordCrash(step, runs);
+    reportAllLost(step, &notice);
+}
+
+void GuardMachine::Private::handle(GuardStep &step, const ListenerProbed &input)
+{
+    if (!m_upstream || !std::exchange(m_upstream->isProbing, false)) {
+        return;
+    }
+    auto &upstream = *m_upstream;
+    upstream.refusedProbes = input.refused ? upstream.refusedProbes + 1 : 0;
+    if (upstream.refusedProbes >= RefusalsOfCrash && !upstream.crashed) {
+        upstreamCrashed(step);
+    } else if (input.refused && !upstream.crashed) {
+        upstream.probeDue = step.now() + ProbeInterval;
+    }
+}
+
+void GuardMachine::Private::probe(GuardStep &step)
+{
+    auto &upstream = *m_upstream;
+    if (!upstream.probeDue || *upstream.probeDue > step.now() || upstream.isProbing || upstream.crashed) {
+        return;
+    }
+    upstream.probeDue.reset();
+    upstream.isProbing = true;
+    step.emit(ProbeListener{upstream.announced.endpoint});
 }
 
 void GuardMachine::Private::handle(GuardStep &step, const BatchReceived &input)
@@ -424,6 +527,10 @@
         step.log(Severity::Info, "The upstream answers again.");
     }
     upstream.unansweredRenewals = 0;
+    upstream.refusedProbes = 0;
+    upstream.probeDue.reset();
+    upstream.crashed = false;
+    upstream.lapsedRuns.clear();
     upstream.lastReceivedAt = step.now();
     upstream.clockOffset = millisecondsOf(input.clock) - step.now().time_since_epoch();
     handleEndedRuns(step, input);
@@ -510,9 +617,15 @@
         return;
     }
     renewalEnded(input.renewal);
+    if (m_upstream->unansweredRenewals == 0) {
+        m_upstream->silentSince = step.now();
+    }
     if (++m_upstream->unansweredRenewals == UnansweredRenewalLimit) {
         step.log(Severity::Warning, "The upstream does not answer; it gets no new work.");
     }
+    if (!m_upstream->crashed && !m_upstream->probeDue) {
+        m_upstream->probeDue = step.now();
+    }
 }
 
 void GuardMachine::Private::handle(GuardStep &step, const DrainRequested & /*input*/)
@@ -522,10 +635,13 @@
     }
 }
 
-void GuardMachine::Private::report(GuardStep &step, const RunId &run, RunOutcome outcome, ErrorKind error)
+void GuardMachine::Private::report(GuardStep &step, const RunId &run, RunOutcome outcome, ErrorKind error, const CrashNotice *crash)
 {
     const auto record = *m_runTable.find(run);
     m_runTable.remove(run);
+    if (record.stage != RunStage::Waiting) {
+        m_crashes.runEnded(step.now(), m_batches.find(record.connection)->queue);
+    }
     if (record.stage != RunStage::Waiting && outcome != RunOutcome::Done && outcome != RunOutcome::Failed) {
         auto fields = fieldsOf(run, record);
         fields.push_back({"outcome", std::string(runOutcomeName(outcome))});
@@ -536,6 +652,11 @@
     report.order = record.order;
     report.outcome = outcome;
     report.error = error;
+    if (crash != nullptr) {
+        report.crash = crash->number;
+        report.isSuspect
+            = std::ranges::any_of(crash->runs, [&](const CrashedRun &other) { return other.task == run.task && other.isSuspect; });
+    }
     if (record.started) {
         report.runTime = step.now() - record.startedAt;
         step.emit(Observation{HistogramMetric::TaskRunSeconds, toSeconds(report.runTime)});
@@ -576,12 +697,14 @@
             = m_upstream->unansweredRenewals >= UnansweredRenewalLimit && step.now() >= m_upstream->leaseUntil + LapseBound;
         if (leasesEnded && !m_runTable.runs().empty()) {
             step.log(Severity::Warning, "The leases at the unresponsive upstream have ended; its runs are lost.");
+            m_upstream->lapsedRuns = openRuns();
             reportAllLost(step);
         }
         dropExpired(step);
         startWaiting(step);
         stopDueRuns(step);
         renew(step);
+        probe(step);
     }
     answerEarlierRecalls(step);
     reportCapacity(step);
@@ -629,15 +752,13 @@
 void GuardMachine::Private::start(GuardStep &step, const RunId &run)
 {
     m_runTable.reserve(run);
-    const auto &record = *m_runTable.find(run);
+    auto &record = *m_runTable.find(run);
+    record.startSentAt = step.now();
+    const auto &batch = *m_batches.find(record.connection);
+    m_crashes.runStarted(step.now(), batch.queue);
     auto &upstream = *m_upstream;
     upstream.leaseUntil = step.now() + m_settings.leaseTerm;
-    step.emit(StartRun{upstream.announced.endpoint,
-                       upstream.announced.incarnation,
-                       run,
-                       m_batches.find(record.connection)->payload,
-                       leaseEnd(step.now()),
-                       m_token});
+    step.emit(StartRun{upstream.announced.endpoint, upstream.announced.incarnation, run, batch.payload, leaseEnd(step.now()), m_token});
 }
 
 void GuardMachine::Private::stopDueRuns(GuardStep &step)
@@ -756,6 +877,9 @@
     if (m_upstream && m_upstream->longPolls.size() < m_settings.parallelLongPolls) {
         wake = std::min(wake, m_upstream->lastReceivedAt + RenewalPause * m_upstream->unansweredRenewals);
     }
+    if (m_upstream && m_upstream->probeDue && !m_upstream->isProbing) {
+        wake = std::min(wake, *m_upstream->probeDue);
+    }
     if (m_drainUntil && !m_stopped) {
         wake = std::min(wake, *m_drainUntil);
     }
--- a/core/src/scheduler/scheduled_job.h
+++ b/core/src/scheduler/scheduled_job.h
@@ -32,6 +32,8 @@
     std::uint32_t runs = 0;         ///< number of runs that were sent
     std::uint32_t failures = 0;     ///< number of runs that failed
     bool mayHaveRun = false;        ///< a run was reported as started, or its state is unknown
+    bool isIsolated = false;        ///< it may have crashed an upstream: its next run has a worker to itself
+    bool wasSentIsolated = false;   ///< its last run had a worker to itself
     MonotonicTime readyAt;          ///< earliest time to send it; for the stages Waiting and Recalled
     std::vector<AgentName> avoided; ///< workers that refused the task, lost a run of it, or on which it failed
 };
@@ -50,7 +52,8 @@
     std::vector<Duration> expected; ///< expected run time of a task, by step
     std::vector<ScheduledTask> tasks;
     std::vector<std::uint32_t> openTasks;                               ///< number of tasks that are not done, by step
-    std::size_t waiting = 0;                                            ///< number of tasks in stage Waiting
+    std::size_t waiting = 0;                                            ///< number of tasks in stage Waiting that are not isolated
+    std::size_t waitingIsolated = 0;                                    ///< number of isolated tasks in stage Waiting
     bool started = false;                                               ///< a task was sent
     MonotonicTime startedAt;                                            ///< when the first task was sent
     std::set<BatchNumber> batches;                                      ///< open batches
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -3,6 +3,8 @@
 
 #include "../dispatch/run_time_estimator.h"
 #include "../machine_step.h"
+#include "bulkhead.h"
+#include "crash_record.h"
 #include "job_order.h"
 #include "lag_meter.h"
 #include "scheduled_job.h"
@@ -31,6 +33,7 @@
     void handle(SchedulerStep &step, const QueueJobSubmitted &input);
     void handle(SchedulerStep &step, const CallerDisconnected &input);
     void handle(SchedulerStep &step, const CapacityReported &input);
+    void handle(SchedulerStep &step, const CrashReported &input);
     void handle(SchedulerStep &step, const WorkerUnreachable &input);
     void handle(SchedulerStep &step, const RunReported &input);
     void handle(SchedulerStep &step, const BatchInterrupted &input);
@@ -92,11 +95,26 @@
     void abandon(SchedulerStep &step, ScheduledJob &job);
     void recall(SchedulerStep &step, ScheduledJob &job, BatchNumber number, OpenBatch &batch);
     void runEnded(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const AgentName &agent, const RunReport &report);
+    /** Records that an upstream crashed under a run of a task. @return whether the job was answered, since the task is given up */
+    bool runCrashed(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const CrashKey &crash, bool isSuspect);
+    /** Isolates a task or gives it up, if crashes say so. @return whether the job was answered */
+    bool judge(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task);
+    [[nodiscard]] bool hasGivenUpTask(const ScheduledJob &job) const;
+    void updateBulkhead(SchedulerStep &step);
+    [[nodiscard]] JobOrder &orderOf(const ScheduledJob &job);
+    [[nodiscard]] std::size_t waitingCount() const;
     void runFailed(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const AgentName &agent);
     void handleDueChecks(SchedulerStep &step);
     void renewBatches(SchedulerStep &step);
     void place(SchedulerStep &step);
+    /** Places jobs of one order. @return whether it stopped at a limit before all jobs or all capacity were used */
+    bool place(SchedulerStep &step, const JobOrder &order);
+    void placeIsolated(SchedulerStep &step);
     bool placeJob(SchedulerStep &step, ScheduledJob &job);
+    /** Sends placed tasks in a batch for each worker. */
+    void sendPlaced(SchedulerStep &step, ScheduledJob &job, const std::vector<PlacedTask> &placed);
+    /** Returns what a task reserves on a worker: all of it if it is isolated. */
+    [[nodiscard]] TaskSize sizeOf(const ScheduledJob &job, const ScheduledTask &task, const AgentName &agent) const;
     bool placeTask(SchedulerStep &step, ScheduledJob &job, std::size_t index, std::vector<PlacedTask> &placed);
     [[nodiscard]] bool mayStartInPart(const ScheduledJob &job) const;
     [[nodiscard]] TaskNeed needOf(SchedulerStep &step, const ScheduledJob &job, const ScheduledTask &task) const;
@@ -114,7 +132,11 @@
     std::map<BatchNumber, OpenBatch> m_batches;
     MonotonicTime m_renewAt;      ///< when the leases of a group of guards are renewed next
     std::size_t m_renewGroup = 0; ///< the group that is renewed next
-    JobOrder m_order;
+    JobOrder m_order;                    ///< jobs of queues that are not confined
+    JobOrder m_confinedOrder;            ///< jobs of confined queues
+    std::set<JobNumber> m_isolatingJobs; ///< jobs with isolated tasks that wait
+    CrashRecord m_crashes;
+    Bulkhead m_bulkhead;
     LagMeter m_lag;
     bool m_isBehind = false;                                ///< as last logged
     std::set<std::pair<MonotonicTime, JobNumber>> m_checks; ///< next check of each job whether it has to be abandoned
--- a/core/src/scheduler/worker_table.cpp
+++ b/core/src/scheduler/worker_table.cpp
@@ -1,6 +1,8 @@
 // Workers as a scheduler knows them: free capacity, health, and the choice of a worker for a task.
 #include "worker_table.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -123,11 +125,39 @@
     }
 }
 
+void WorkerTable::keepForConfined(std::size_t count)
+{
+    std::vector<std::pair<std::uint64_t, ScheduledWorker *>> byHash;
+    for (auto &[agent, worker] : m_workers) {
+        worker.isForConfined = false;
+        if (worker.isReporting) {
+            byHash.emplace_back(XXH3_64bits(agent.value().data(), agent.value().size()), &worker);
+        }
+    }
+    std::ranges::sort(byHash, {}, &std::pair<std::uint64_t, ScheduledWorker *>::first);
+    for (std::size_t index = 0; index < std::min(count, byHash.size()); ++index) {
+        byHash[index].second->isForConfined = true;
+    }
+}
+
+bool WorkerTable::hasWorker(const ServiceName &service, bool isConfined) const
+{
+    return std::ranges::any_of(m_workers, [&](const auto &item) { return serves(item.second, service) && item.second.isForConfined == isConfined; });
+}
+
+TaskSize WorkerTable::capacity(const AgentName &agent) const
+{
+    return m_workers.at(agent).report.capacity;
+}
+
 double WorkerTable::score(MonotonicTime now, const ScheduledWorker &worker, const TaskNeed &need) const
 {
     const auto &health = worker.health;
     const auto offered = offeredCapacity(worker, need.isOrdinary);
-    if (!serves(worker, need.service) || !fits(need.size, offered)) {
+    if (!serves(worker, need.service) || worker.isForConfined != need.isConfined || !fits(need.size, offered)) {
+        return 0;
+    }
+    if (need.isIsolated && !fits(worker.report.capacity, worker.report.free - worker.uncountedSize)) {
         return 0;
     }
     if (!need.label.empty() && !hasLabel(worker.report, need.label)) {
--- a/core/src/scheduler/worker_table.h
+++ b/core/src/scheduler/worker_table.h
@@ -33,6 +33,7 @@
     Duration clockLead{};                             ///< least by which the guard's clock is ahead of this scheduler's at clockLeadAt
     MonotonicTime clockLeadAt;
     WorkerHealth health;
+    bool isForConfined = false; ///< belongs to the share that is kept for confined queues
 };
 
 /** Requirements of a task on its worker. */
@@ -44,6 +45,8 @@
     std::string rack;                ///< preferred rack, empty for none
     std::uint32_t mostPerWorker = 0; ///< most tasks of the step on one worker, zero for no limit
     double slowestAllowed = 0;       ///< highest WorkerHealth::slowness with which the task can end in time
+    bool isConfined = false;         ///< only the share of the workers that is kept for confined queues may be used, else only the others
+    bool isIsolated = false;         ///< the worker must have no other tasks
 };
 
 /** The workers of all services. */
@@ -61,6 +64,15 @@
     /** Returns the incarnation of a worker's guard that reported last. */
     [[nodiscard]] Incarnation guardIncarnation(const AgentName &agent) const;
 
+    /** Keeps @p count of the workers that report for confined queues: the same ones as any other scheduler that knows the same workers. */
+    void keepForConfined(std::size_t count);
+
+    /** Returns whether a worker accepts tasks of @p service, of those for confined queues or of the others. */
+    [[nodiscard]] bool hasWorker(const ServiceName &service, bool isConfined) const;
+
+    /** Returns the total capacity of a worker. */
+    [[nodiscard]] TaskSize capacity(const AgentName &agent) const;
+
     /** Excludes a worker from placement until its guard reports again. */
     void markUnreachable(const AgentName &agent);
 
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -22,10 +22,12 @@
     = std::chrono::milliseconds(200); ///< of a batch; if one renewal is lost, the next precedes the end of the lease
 constexpr Duration DeliveryLimit = std::chrono::milliseconds(250); ///< of a batch; a guard that is busier gets no new work
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(500); ///< a job submitted again earlier would arrive within the same burst
+constexpr Duration ConfinedRetryAfter = std::chrono::seconds(3);   ///< usual time until a crashed upstream is back
 constexpr Duration MaxGuardWait = std::chrono::milliseconds(80);   ///< a run that waits longer at its guard would start sooner elsewhere
 constexpr double PartialStartShare = 0.25;  ///< of all cores: a job that needs more may start in parts, as so much is never free at once
 constexpr double MinExpectedSeconds = 1e-3; ///< lower bound, since callers may declare a run time of zero
 constexpr std::size_t MaxJobsTriedPerStep = 24;                        ///< limit on the jobs that are tried for placement per step
+constexpr std::size_t MaxIsolatedJobsPerStep = 8;                      ///< limit on the jobs with isolated tasks that are tried per step
 constexpr std::size_t MaxTasksPlacedPerStep = 32;                      ///< limit on the tasks that are sent before further inputs are read
 constexpr Duration MinReportInterval = std::chrono::milliseconds(4);   ///< a job's tasks end and begin in groups
 constexpr Duration MaxReportInterval = std::chrono::milliseconds(250); ///< guards report as often without a change
@@ -108,7 +110,7 @@
              {{"lag_ms", inMilliseconds(lag)},
               {"last_lag_ms", inMilliseconds(step.context.lag)},
               {"jobs", std::to_string(m_jobs.size())},
-              {"jobs_waiting", std::to_string(m_order.jobs().size())},
+              {"jobs_waiting", std::to_string(waitingCount())},
               {"batches", std::to_string(m_batches.size())},
               {"report_interval_ms", inMilliseconds(reportInterval())}});
 }
@@ -148,6 +150,13 @@
         return;
     }
     step.emit(Count{CounterMetric::JobsAccepted, 1});
+    if (hasGivenUpTask(job)) {
+        step.log(Severity::Info,
+                 "A job has a task that was given up before: the upstreams that start it crash.",
+                 {{"job", job.spec->id.value()}});
+        step.emit(AnswerQueueJob{input.connection, QueueJobResult::Failed, ErrorKind::CrashesUpstreams, MinRetryAfter});
+        return;
+    }
     m_callers[input.connection] = job.number;
     m_byId[job.spec->id] = job.number;
     auto &stored = m_jobs.emplace(job.number, std::move(job)).first->second;
@@ -157,6 +166,13 @@
     m_arrivals.push_back(stored.number);
 }
 
+bool SchedulerMachine::Private::hasGivenUpTask(const ScheduledJob &job) const
+{
+    return std::ranges::any_of(job.tasks, [&](const ScheduledTask &task) {
+        return m_crashes.of({job.spec->id, task.step, task.index}).isGivenUp();
+    });
+}
+
 ScheduledJob SchedulerMachine::Private::makeJob(SchedulerStep &step, const QueueJobSubmitted &input)
 {
     ScheduledJob job;
@@ -171,6 +187,7 @@
         job.openTasks.push_back(steps[index].count);
         for (std::uint32_t task = 0; task < steps[index].count; ++task) {
             job.tasks.push_back({.step = index, .index = task});
+            job.tasks.back().isIsolated = m_crashes.of({job.spec->id, index, task}).needsIsolation();
         }
     }
     setTimes(job);
@@ -207,6 +224,10 @@
             return ErrorKind::NeverFits;
         }
     }
+    if (m_bulkhead.isConfined(job.queue.name) && !m_workers.hasWorker(job.queue.service, true)) {
+        retryAfter = ConfinedRetryAfter;
+        return ErrorKind::QueueFull;
+    }
     if (step.now() <= latestPlacement(job)) {
         return ErrorKind::None;
     }
@@ -222,7 +243,7 @@
             continue;
         }
         auto &job = found->second;
-        const auto wait = m_order.expectedWait(step.now(), JobOrder::keyOf(job));
+        const auto wait = orderOf(job).expectedWait(step.now(), JobOrder::keyOf(job));
         if (step.now() + wait > latestPlacement(job)) {
             refuse(step, job, ErrorKind::QueueFull, wait + m_lag.expectedLag());
             erase(job);
@@ -249,7 +270,8 @@
               {"slack_ms", inMilliseconds(job.latestStart - job.arrivedAt)},
               {"expected_wait_ms", inMilliseconds(retryAfter)},
               {"lag_ms", inMilliseconds(m_lag.expectedLag())},
-              {"jobs_waiting", std::to_string(m_order.jobs().size())},
+              {"jobs_waiting", std::to_string(waitingCount())},
+              {"confined", m_bulkhead.isConfined(job.queue.name) ? "yes" : "no"},
               {"worker_millicores", std::to_string(m_workers.cores(job.queue.service).value())}});
     for (const auto connection : job.connections) {
         step.emit(AnswerQueueJob{connection, QueueJobResult::Refused, error, std::max(MinRetryAfter, retryAfter)});
@@ -296,6 +318,8 @@
         m_byId.erase(named);
     }
     m_order.remove(job.number);
+    m_confinedOrder.remove(job.number);
+    m_isolatingJobs.erase(job.number);
     m_checks.erase({job.checkAt, job.number});
     const auto number = job.number;
     m_jobs.erase(number);
@@ -345,15 +369,30 @@
 {
     task.stage = ScheduledStage::Waiting;
     task.readyAt = step.now();
-    ++job.waiting;
+    ++(task.isIsolated ? job.waitingIsolated : job.waiting);
+}
+
+JobOrder &SchedulerMachine::Private::orderOf(const ScheduledJob &job)
+{
+    return m_bulkhead.isConfined(job.queue.name) ? m_confinedOrder : m_order;
+}
+
+std::size_t SchedulerMachine::Private::waitingCount() const
+{
+    return m_order.jobs().size() + m_confinedOrder.jobs().size();
 }
 
 void SchedulerMachine::Private::enqueue(ScheduledJob &job)
 {
     if (job.waiting > 0) {
-        m_order.put(job, waitingCoreTime(job));
+        orderOf(job).put(job, waitingCoreTime(job));
     } else {
-        m_order.remove(job.number);
+        orderOf(job).remove(job.number);
+    }
+    if (job.waitingIsolated > 0) {
+        m_isolatingJobs.insert(job.number);
+    } else {
+        m_isolatingJobs.erase(job.number);
     }
 }
 
@@ -361,7 +400,7 @@
 {
     CoreTime coreTime{0};
     for (const auto &task : job.tasks) {
-        if (task.stage == ScheduledStage::Waiting) {
+        if (task.stage == ScheduledStage::Waiting && !task.isIsolated) {
             coreTime += CoreTime(job.spec->steps[task.step].size.cores.value() * job.expected[task.step].count());
         }
     }
@@ -373,6 +412,80 @@
     m_workers.handleReport(step.now(), input);
 }
 
+void SchedulerMachine::Private::handle(SchedulerStep &step, const CrashReported &input)
+{
+    if (!m_crashes.add(step.now(), input.agent, input.notice)) {
+        return;
+    }
+    m_bulkhead.record(step.now(), input.notice);
+    for (const auto &[id, isSuspect] : input.notice.runs) {
+        const auto job = m_byId.find(id.job);
+        if (job == m_byId.end()) {
+            continue;
+        }
+        auto &known = m_jobs.at(job->second);
+        const auto task = std::ranges::find_if(
+            known.tasks, [&id = id](const ScheduledTask &other) { return other.step == id.step && other.index == id.index; });
+        if (task != known.tasks.end() && !judge(step, known, *task)) {
+            enqueue(known);
+        }
+    }
+}
+
+bool SchedulerMachine::Private::judge(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task)
+{
+    const auto crashes = m_crashes.of({job.spec->id, task.step, task.index});
+    if (!crashes.needsIsolation() || task.stage == ScheduledStage::Done) {
+        return false;
+    }
+    const std::vector<LogField> fields{{"task", nameOf(job, task)},
+                                       {"crashes", std::to_string(crashes.all)},
+                                       {"as_suspect", std::to_string(crashes.asSuspect)},
+                                       {"as_the_only_one", std::to_string(crashes.asTheOnlyOne)}};
+    if (crashes.isGivenUp()) {
+        step.log(Severity::Warning, "A task is given up: the upstreams that start it crash.", fields);
+        answer(step, job, QueueJobResult::Failed, ErrorKind::CrashesUpstreams);
+        return true;
+    }
+    if (!std::exchange(task.isIsolated, true)) {
+        step.log(Severity::Info, "A task may have crashed an upstream; its next run gets a worker to itself.", fields);
+        if (task.stage == ScheduledStage::Waiting) {
+            --job.waiting;
+            ++job.waitingIsolated;
+        }
+    }
+    return false;
+}
+
+bool SchedulerMachine::Private::runCrashed(
+    SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const CrashKey &crash, bool isSuspect)
+{
+    // A run that had the worker to itself can blame no other.
+    m_crashes.add(step.now(), crash, {job.spec->id, task.step, task.index}, isSuspect, isSuspect && task.wasSentIsolated);
+    return judge(step, job, task);
+}
+
+void SchedulerMachine::Private::updateBulkhead(SchedulerStep &step)
+{
+    const auto workers = m_workers.reportingCount();
+    if (!m_bulkhead.update(step.now(), workers)) {
+        return;
+    }
+    m_workers.keepForConfined(m_bulkhead.share(workers));
+    std::string names;
+    for (const auto &queue : m_bulkhead.confined()) {
+        names.append(names.empty() ? "" : " ").append(queue.value());
+    }
+    step.log(Severity::Warning,
+             names.empty() ? "No queue is confined any more." : "Queues whose tasks crash their upstreams are confined to some workers.",
+             {{"queues", names}, {"workers", std::to_string(m_bulkhead.share(workers))}, {"of", std::to_string(workers)}});
+    for (auto &[number, job] : m_jobs) {
+        m_order.remove(number);
+        m_confinedOrder.remove(number);
+        enqueue(job);
+    }
+}
+
 void SchedulerMachine::Private::handle(SchedulerStep &step, const WorkerUnreachable &input)
 {
     step.log(Severity::Warning, "No reports arrive from a worker; it gets no new work.", {{"worker", input.agent.value()}});
@@ -389,12 +502,16 @@
     found->second.reported[order] = true;
     auto &job = m_jobs.at(found->second.job);
     const auto agent = found->second.agent;
+    const CrashKey crash{agent, found->second.guard, input.report.crash};
     const auto task = found->second.tasks[order];
     if (std::ranges::find(found->second.reported, false) == found->second.reported.end()) {
         job.batches.erase(input.batch);
         m_batches.erase(found);
     }
     m_workers.removeTasks(agent, 1);
+    if (input.report.crash != CrashNumber() && runCrashed(step, job, job.tasks[task], crash, input.report.isSuspect)) {
+        return;
+    }
     runEnded(step, job, job.tasks[task], agent, input.report);
 }
 
@@ -445,8 +562,9 @@
                   {"error", std::string(errorRow(report.error).code)},
                   {"ran_ms", inMilliseconds(report.runTime)},
                   {"expected_ms", inMilliseconds(job.expected[task.step])}});
-        if (report.error != ErrorKind::None && report.error != ErrorKind::RunLimitReached) {
-            task.avoided.push_back(agent); // a lost connection or answer, or an expired job, says nothing about the worker's health
+        if (report.crash != CrashNumber() || (report.error != ErrorKind::None && report.error != ErrorKind::RunLimitReached)) {
+            task.avoided.push_back(
+                agent); // a crash, a lost connection or answer, or an expired job, says nothing about the worker's health
         } else {
             runFailed(step, job, task, agent);
         }
@@ -533,6 +651,7 @@
 void SchedulerMachine::Private::processDue(SchedulerStep &step)
 {
     renewBatches(step);
+    updateBulkhead(step);
     place(step);
     refuseArrivals(step);
     handleDueChecks(step);
@@ -585,7 +704,7 @@
         if (const auto at = latestPlacement(job); !job.started && at > step.now()) {
             scheduleCheck(job, at);
         } else if (!job.started) {
-            const auto wait = m_order.expectedWait(step.now(), JobOrder::keyOf(job));
+            const auto wait = orderOf(job).expectedWait(step.now(), JobOrder::keyOf(job));
             refuse(step, job, ErrorKind::QueueFull, wait);
             erase(job);
         } else if (const auto unreachableAt = deadlineUnreachableAt(job); unreachableAt <= step.now()) {
@@ -635,25 +754,51 @@
         answer(step, job, QueueJobResult::Lost, ErrorKind::DeadlineUnreachable);
         return;
     }
-    const auto wait = m_order.expectedWait(step.now(), JobOrder::keyOf(job));
+    const auto wait = orderOf(job).expectedWait(step.now(), JobOrder::keyOf(job));
     refuse(step, job, ErrorKind::QueueFull, wait);
     erase(job);
 }
 
 void SchedulerMachine::Private::place(SchedulerStep &step)
+{
+    m_placedInStep = 0;
+    const bool hasMore = place(step, m_order);
+    m_placesMore = place(step, m_confinedOrder) || hasMore;
+    placeIsolated(step);
+}
+
+bool SchedulerMachine::Private::place(SchedulerStep &step, const JobOrder &order)
 {
     // The first job without capacity ends the loop: in a burst, every input would otherwise try all jobs on every worker.
     bool hasCapacity = true;
     std::size_t tried = 0;
-    m_placedInStep = 0;
     const auto isLimited = [&] {
         return tried >= MaxJobsTriedPerStep || m_placedInStep >= MaxTasksPlacedPerStep;
     };
-    while (hasCapacity && !isLimited() && !m_order.jobs().empty()) {
+    while (hasCapacity && !isLimited() && !order.jobs().empty()) {
         ++tried;
-        hasCapacity = placeJob(step, m_jobs.at(m_order.jobs().begin()->first.job));
+        hasCapacity = placeJob(step, m_jobs.at(order.jobs().begin()->first.job));
+    }
+    return hasCapacity && !order.jobs().empty();
+}
+
+void SchedulerMachine::Private::placeIsolated(SchedulerStep &step)
+{
+    std::size_t tried = 0;
+    const auto jobs = m_isolatingJobs;
+    for (const auto number : jobs) {
+        if (++tried > MaxIsolatedJobsPerStep) {
+            return;
+        }
+        auto &job = m_jobs.at(number);
+        std::vector<PlacedTask> placed;
+        for (std::size_t index = 0; index < job.tasks.size(); ++index) {
+            if (job.tasks[index].isIsolated && job.tasks[index].stage == ScheduledStage::Waiting) {
+                placeTask(step, job, index, placed);
+            }
+        }
+        sendPlaced(step, job, placed);
     }
-    m_placesMore = hasCapacity && !m_order.jobs().empty();
 }
 
 TaskNeed SchedulerMachine::Private::needOf(SchedulerStep &step, const ScheduledJob &job, const ScheduledTask &task) const
@@ -663,6 +808,8 @@
     need.service = job.queue.service;
     need.size = jobStep.size;
     need.isOrdinary = job.queue.priority > 0;
+    need.isConfined = m_bulkhead.isConfined(job.queue.name);
+    need.isIsolated = task.isIsolated;
     need.label = jobStep.requiredLabel;
     need.rack = jobStep.dataRack;
     need.mostPerWorker = jobStep.mostPerWorker;
@@ -680,7 +827,8 @@
     bool allPlaced = true;
     bool mayStart = true;
     for (std::size_t index = 0; index < job.tasks.size() && mayStart; ++index) {
-        if (job.tasks[index].stage == ScheduledStage::Waiting && !placeTask(step, job, index, placed)) {
+        const auto &task = job.tasks[index];
+        if (task.stage == ScheduledStage::Waiting && !task.isIsolated && !placeTask(step, job, index, placed)) {
             allPlaced = false;
             mayStart = mayStartInPart(job);
         }
@@ -693,6 +841,12 @@
         }
         return false;
     }
+    sendPlaced(step, job, placed);
+    return allPlaced;
+}
+
+void SchedulerMachine::Private::sendPlaced(SchedulerStep &step, ScheduledJob &job, const std::vector<PlacedTask> &placed)
+{
     std::map<AgentName, PlacedBatch> batches;
     for (const auto &[task, agent, batch] : placed) {
         auto &content = batches[agent];
@@ -703,7 +857,6 @@
         send(step, job, agent, batch);
     }
     enqueue(job);
-    return allPlaced;
 }
 
 bool SchedulerMachine::Private::mayStartInPart(const ScheduledJob &job) const
@@ -731,11 +884,16 @@
     const auto same = std::ranges::find(placed, *agent, &PlacedTask::agent);
     const auto batch = same == placed.end() ? BatchNumber(++m_lastBatch) : same->batch;
     ++ofStep[*agent];
-    m_workers.addBatch(*agent, batch, need.size, 1);
+    m_workers.addBatch(*agent, batch, sizeOf(job, task, *agent), 1);
     placed.push_back({index, *agent, batch});
     return true;
 }
 
+TaskSize SchedulerMachine::Private::sizeOf(const ScheduledJob &job, const ScheduledTask &task, const AgentName &agent) const
+{
+    return task.isIsolated ? m_workers.capacity(agent) : job.spec->steps[task.step].size;
+}
+
 void SchedulerMachine::Private::send(SchedulerStep &step, ScheduledJob &job, const AgentName &agent, const PlacedBatch &batch)
 {
     SendBatch output;
@@ -749,11 +907,13 @@
     output.batch.leaseUntil = guardTime + GuardTime(m_settings.batchLease.count());
     output.batch.expiresAt = guardTime + GuardTime((job.expiresAt - step.now()).count());
     output.batch.reportInterval = reportInterval();
+    output.batch.queue = job.queue.name;
     output.batch.payload = job.spec->payload;
     for (const auto index : batch.tasks) {
         auto &task = job.tasks[index];
         task.stage = ScheduledStage::Sent;
-        --job.waiting;
+        task.wasSentIsolated = task.isIsolated;
+        --(task.isIsolated ? job.waitingIsolated : job.waiting);
         ++m_placedInStep;
         if (++task.runs > 1) {
             step.log(Severity::Info,
@@ -766,7 +926,7 @@
         m_order.recordSent(step.now(), CoreTime(job.spec->steps[task.step].size.cores.value() * job.expected[task.step].count()));
         RunOrder order;
         order.run = {{job.spec->id, task.step, task.index}, task.runs};
-        order.size = job.spec->steps[task.step].size;
+        order.size = sizeOf(job, task, agent);
         order.urgency = {job.queue.priority > 0, job.latestStart - step.now()};
         order.startWithin = std::clamp(job.expiresAt - job.expected[task.step] - step.now(), Duration::zero(), MaxGuardWait);
         order.runLimit = scaled(job.expected[task.step], RunLimitFactor) + RunLimitSlack;
@@ -791,7 +951,8 @@
     if (!m_batches.empty()) {
         wake = std::min(wake, m_renewAt);
     }
-    if (const auto next = m_workers.nextReadmission(step.now()); next && !m_order.jobs().empty()) {
+    wake = std::min(wake, m_bulkhead.nextUpdate());
+    if (const auto next = m_workers.nextReadmission(step.now()); next && waitingCount() > 0) {
         wake = std::min(wake, *next);
     }
     if (m_drainSince && !m_stopped) {
--- a/core/tests/guard_machine_test.cpp
+++ b/core/tests/guard_machine_test.cpp
@@ -1,5 +1,5 @@
 // Single decisions of a guard: lost answers, unreachable and leaving upstreams, abandoned batches, a second run of a task.
-#include <sycamoremoor/core/guard_machine.h>
+#include "guard_driver.h"
 
 #include <gtest/gtest.h>
 
@@ -14,148 +14,7 @@
 namespace
 {
 
-constexpr std::int64_t RunnerCores = 10'000;
-constexpr Incarnation GuardIncarnation(7);
-constexpr auto BatchLease = milliseconds(1'100);
-constexpr auto JobTime = milliseconds(2'000); ///< from the time at which a batch is sent
-
-/** Drives one guard whose upstream has announced itself and runs nothing. */
-class GuardDriver
-{
-public:
-    GuardDriver()
-        : m_machine(settings())
-    {
-        announce(incarnation());
-        answerRenewal({}, {});
-    }
-
-    /** An announcement of the upstream arrives. */
-    void announce(const UpstreamIncarnation &announcing)
-    {
-        UpstreamAnnounced announced;
-        announced.incarnation = announcing;
-        announced.service = ServiceName("service");
-        announced.capacity = {MilliCores(RunnerCores), Megabytes(1'000), Accelerators(0)};
-        announced.sequence = 1;
-        feed(announced);
-    }
-
-    /** Feeds one input; all() returns the resulting outputs of a type. */
-    void feed(GuardInput input)
-    {
-        m_outputs.clear();
-        m_machine.step({m_now, WallTime{}, 0}, std::move(input), m_outputs);
-        for (const auto &output : m_outputs) {
-            if (const auto *renewal = std::get_if<RenewLease>(&output)) {
-                m_renewal = renewal->number;
-            }
-        }
-    }
-
-    /** The upstream answers the renewal that was sent last. */
-    void answerRenewal(const std::vector<RunId> &running,
-                       const std::vector<EndedRun> &ended,
-                       const UpstreamIncarnation &answering = incarnation())
-    {
-        UpstreamListed listed;
-        listed.renewal = m_renewal;
-        listed.incarnation = answering;
-        listed.running = running;
-        listed.ended = ended;
-        feed(listed);
-    }
-
-    /** The upstream does not answer the renewal that was sent last. */
-    void leaveRenewalUnanswered()
-    {
-        feed(RenewalUnanswered{m_renewal});
-    }
-
-    void advance(Duration time)
-    {
-        m_now += time;
-    }
-
-    /** Sends a batch of one run. @param delay how long the batch is on its way */
-    void order(std::uint64_t connection,
-               std::uint32_t index,
-               std::int64_t cores,
-               Duration delay = {},
-               Duration runLimit = milliseconds(500),
-               Incarnation guard = GuardIncarnation)
-    {
-        StartBatch batch;
-        batch.scheduler = EntryName("S");
-        batch.batch = BatchNumber(connection);
-        batch.schedulerIncarnation = Incarnation(4);
-        batch.guard = guard;
-        batch.receiveBy = guardTime(m_now + milliseconds(250));
-        batch.leaseUntil = guardTime(m_now + BatchLease);
-        batch.expiresAt = guardTime(m_now + JobTime);
-        m_now += delay;
-        RunOrder order;
-        order.run = run(index);
-        order.size = {MilliCores(cores), Megabytes(1), Accelerators(0)};
-        order.startWithin = milliseconds(80);
-        order.runLimit = runLimit;
-        batch.orders.push_back(order);
-        feed(BatchReceived{ConnectionId(connection), batch});
-    }
-
-    /** The scheduler extends the lease of a batch. */
-    void renew(std::uint64_t batch)
-    {
-        feed(BatchesRenewed{{EntryName("S"), Incarnation(4), {BatchNumber(batch)}, guardTime(m_now + BatchLease)}});
-    }
-
-    /** The scheduler recalls a batch of one run. @param guard the incarnation of the guard that it was sent to */
-    void recall(std::uint64_t connection, std::uint64_t batch, Incarnation guard = GuardIncarnation)
-    {
-        feed(RecallReceived{ConnectionId(connection), {EntryName("S"), Incarnation(4), BatchNumber(batch), guard, 1}});
-    }
-
-    static GuardTime guardTime(MonotonicTime time)
-    {
-        return GuardTime(time.time_since_epoch().count());
-    }
-
-    static UpstreamIncarnation incarnation()
-    {
-        return {"runner", 5};
-    }
-
-    static RunId run(std::uint32_t index)
-    {
-        return {{QueueJobId("job"), 0, index}, 1};
-    }
-
-    template<typename Output>
-    [[nodiscard]] std::vector<Output> all() const
-    {
-        std::vector<Output> found;
-        for (const auto &output : m_outputs) {
-            if (const auto *match = std::get_if<Output>(&output)) {
-                found.push_back(*match);
-            }
-        }
-        return found;
-    }
-
-private:
-    static GuardSettings settings()
-    {
-        GuardSettings settings;
-        settings.incarnation = GuardIncarnation;
-        settings.firstToken = FencingToken(100);
-        return settings;
-    }
-
-    MonotonicTime m_now{std::chrono::hours(1)};
-    GuardMachine m_machine;
-    GuardOutputs m_outputs;
-    RenewalNumber m_renewal;
-};
+constexpr auto RunnerCores = GuardDriver::RunnerCores;
 
 } // namespace
 
@@ -383,9 +242,9 @@
 {
     GuardDriver guard;
     guard.order(1, 0, 1'000);
-    guard.advance(JobTime / 2);
+    guard.advance(GuardDriver::JobTime / 2);
     guard.renew(1);
-    guard.advance(JobTime / 2 - milliseconds(100));
+    guard.advance(GuardDriver::JobTime / 2 - milliseconds(100));
     guard.renew(1);
     guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
     guard.advance(milliseconds(99));
@@ -410,7 +269,7 @@
     GuardDriver guard;
     guard.order(1, 0, 1'000, {}, std::chrono::seconds(10));
     guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
-    guard.advance(BatchLease);
+    guard.advance(GuardDriver::BatchLease);
     guard.renew(1);
     EXPECT_EQ(guard.all<StopRun>().size(), 1U);
 }
@@ -433,7 +292,7 @@
     guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
     guard.advance(milliseconds(700));
     guard.renew(1);
-    guard.advance(BatchLease - milliseconds(1));
+    guard.advance(GuardDriver::BatchLease - milliseconds(1));
     guard.feed(Tick{});
     EXPECT_TRUE(guard.all<StopRun>().empty());
     guard.advance(milliseconds(1));
--- a/core/tests/pool_runner.h
+++ b/core/tests/pool_runner.h
@@ -23,6 +23,7 @@
 struct RunnerRun {
     MonotonicTime endsAt;                  ///< when it ends unless it is stopped or the lease expires
     RunOutcome outcome = RunOutcome::Done; ///< at endsAt
+    std::optional<Duration> crashesAfter;  ///< time from its start after which it crashes the runner, if it still runs
 };
 
 /** One incarnation of a runner with its lists of running and ended runs. */
--- a/core/tests/pool_simulation.cpp
+++ b/core/tests/pool_simulation.cpp
@@ -26,6 +26,9 @@
 constexpr double BreakShare = 0.05;                    ///< of the exchanges, at each interval
 constexpr double LostCallerShare = 0.5;                ///< of the callers of a frozen scheduler
 constexpr std::uint64_t TokenStep = 1'000;
+constexpr Duration ResetNotice = milliseconds(1); ///< from the end of a process to the end of its connections
+constexpr std::uint32_t CrashLimit = 3;           ///< a task that has crashed as many runners may be started fewer than StartLimit times
+constexpr std::uint32_t StartLimit = 3;
 constexpr Duration MinReportInterval = milliseconds(4); ///< between two reports of a guard to one scheduler
 
 Duration scaled(Duration duration, double factor)
@@ -81,7 +84,8 @@
     std::uint64_t incarnation = 0;
     bool up = false;
     std::unique_ptr<GuardMachine> machine;
-    CapacityReport capacityReport; ///< last report of the guard
+    CapacityReport capacityReport;    ///< last report of the guard
+    std::vector<CrashNotice> crashes; ///< of its runner that this incarnation of the guard has told
     std::uint64_t timer = 0;
     bool frozen = false;
     std::vector<std::function<void()>> inputs;           ///< that arrived while it was frozen
@@ -90,6 +94,8 @@
     std::map<std::uint32_t, ReportPace> paces;           ///< reports of capacity, by scheduler
     std::map<std::uint32_t, Duration> reportIntervals;   ///< as the schedulers asked
     PoolRunner runner;
+    TaskSize capacity = ZeroTaskSize;      ///< of the runner
+    TaskSize capacityLimit = ZeroTaskSize; ///< capacity that starts must keep to: a smaller one counts once the guard can know of it
     bool runnerUp = true;
     MonotonicTime runnerSilentUntil; ///< orders to the runner are neither executed nor answered until then
     std::uint64_t sequence = 0;
@@ -129,6 +135,7 @@
     for (std::uint32_t index = 0; index < m_settings.workers; ++index) {
         m_guards.push_back(std::make_unique<GuardNode>());
         m_guards[index]->runner.restart(m_now);
+        m_guards[index]->capacity = m_guards[index]->capacityLimit = m_settings.capacity;
         startGuard(index);
         announce(index);
     }
@@ -226,6 +233,9 @@
     for (std::uint32_t worker = 0; worker < m_guards.size(); ++worker) {
         m_guards[worker]->highestBatches.erase(index);
         reportCapacity(worker, index);
+        for (const auto &notice : m_guards[worker]->crashes) {
+            reportCrash(worker, index, notice);
+        }
     }
 }
 
@@ -239,6 +249,7 @@
     settings.firstToken = FencingToken(static_cast<std::int64_t>(node.incarnation * TokenStep));
     node.machine = std::make_unique<GuardMachine>(settings);
     node.capacityReport = {};
+    node.crashes.clear();
     node.highestBatches.clear();
     node.pendingRenewals.clear();
     stepGuard(index, Tick{});
@@ -254,10 +265,13 @@
     UpstreamAnnounced announced;
     announced.incarnation = {"R" + std::to_string(worker), node.runner.startTimeMs()};
     announced.service = ServiceName("service");
-    announced.capacity = m_settings.capacity;
+    announced.capacity = node.capacity;
     announced.clock = node.runner.clock(m_now);
     announced.sequence = ++node.sequence;
     stepGuard(worker, announced);
+    if (!node.frozen) {
+        at(m_now - m_start + OrderTimeout, [&node, capacity = node.capacity] { node.capacityLimit = capacity; });
+    }
 }
 
 void PoolSimulation::stepScheduler(std::uint32_t index, SchedulerInput input)
@@ -575,9 +589,15 @@
                 m_settings.customizeRun(runnerStart, run);
             }
             const bool before = guard.runner.isRunning(order.run);
-            const auto result = guard.runner.start(m_now, runnerStart, order.leaseUntil, order.token, run);
+            const bool fitsIn
+                = before || !m_settings.runnersCheckCapacity || fits(guard.sizes[order.run], guard.capacity - usedCapacity(worker));
+            const auto result
+                = fitsIn ? guard.runner.start(m_now, runnerStart, order.leaseUntil, order.token, run) : StartAnswer::InsufficientCapacity;
             if (result == StartAnswer::Started && !before) {
                 recordRunStart(worker, runnerStart);
+                if (run.crashesAfter) {
+                    scheduleCrash(worker, order.run, *run.crashesAfter);
+                }
             }
             if (!answer->has_value()) {
                 *answer = result;
@@ -613,7 +633,8 @@
             });
         }
         if (isSilent || chance(m_settings.lostOrders) || !node.runnerUp) {
-            at(m_now - m_start + renewal->wait + OrderTimeout, [this, worker, incarnation, number = renewal->number] {
+            const auto noticedAfter = node.runnerUp ? renewal->wait + OrderTimeout : ResetNotice;
+            at(m_now - m_start + noticedAfter, [this, worker, incarnation, number = renewal->number] {
                 if (m_guards[worker]->incarnation == incarnation) {
                     stepGuard(worker, RenewalUnanswered{number});
                 }
@@ -656,6 +677,13 @@
                 reportCapacity(worker, scheduler);
             }
         }
+    } else if (const auto *crash = std::get_if<UpstreamCrashed>(&output)) {
+        node.crashes.push_back(crash->notice);
+        for (std::uint32_t scheduler = 0; scheduler < m_schedulers.size(); ++scheduler) {
+            reportCrash(worker, scheduler, crash->notice);
+        }
+    } else if (std::holds_alternative<ProbeListener>(output)) {
+        probeListener(worker);
     } else if (const auto *timer = std::get_if<SetTimer>(&output)) {
         const auto number = ++node.timer;
         at(std::max(timer->at, m_now) - m_start, [this, worker, number, incarnation = node.incarnation] {
@@ -666,6 +694,34 @@
     }
 }
 
+void PoolSimulation::reportCrash(std::uint32_t worker, std::uint32_t scheduler, const CrashNotice &notice)
+{
+    deliver(scheduler, worker, m_now + randomDelay(), [this, worker, scheduler, notice](bool /*wasHeldUp*/) {
+        stepScheduler(scheduler, CrashReported{AgentName("W" + std::to_string(worker)), notice});
+    });
+}
+
+void PoolSimulation::probeListener(std::uint32_t worker)
+{
+    const auto &node = *m_guards[worker];
+    const bool isSilent = node.runnerSilentUntil > m_now;
+    at(m_now - m_start + (isSilent ? OrderTimeout : Duration(200)), [this, worker, isSilent, incarnation = node.incarnation] {
+        if (const auto &guard = *m_guards[worker]; guard.incarnation == incarnation) {
+            stepGuard(worker, ListenerProbed{!isSilent && !guard.runnerUp});
+        }
+    });
+}
+
+void PoolSimulation::scheduleCrash(std::uint32_t worker, const RunId &run, Duration delay)
+{
+    at(m_now - m_start + delay, [this, worker, run] {
+        if (m_guards[worker]->runner.isRunning(run)) {
+            ++m_crashCounts[run.task];
+            crashRunner(worker);
+        }
+    });
+}
+
 void PoolSimulation::gatherReports(std::uint32_t worker, std::uint32_t scheduler)
 {
     auto &pace = m_guards[worker]->paces[scheduler];
@@ -770,15 +826,26 @@
         m_violations.push_back("job " + task.job.value() + " was refused before one of its tasks started");
     }
     ++m_startsByJob[task.job];
-    TaskSize used = ZeroTaskSize;
-    for (const auto &run : guard.runner.running()) {
-        used += guard.sizes[run];
+    if (const auto crashes = m_crashCounts.find(task);
+        crashes != m_crashCounts.end() && crashes->second >= CrashLimit && ++m_startsAfterCrashes[task] >= StartLimit) {
+        m_violations.push_back("task " + queueTaskIdToString(task) + " was started again after it has crashed "
+                               + std::to_string(crashes->second) + " runners");
     }
-    if (!fits(used, m_settings.capacity)) {
+    if (!fits(usedCapacity(worker), guard.capacityLimit)) {
         m_violations.push_back("worker " + std::to_string(worker) + " runs tasks that exceed its capacity");
     }
 }
 
+TaskSize PoolSimulation::usedCapacity(std::uint32_t worker) const
+{
+    const auto &guard = *m_guards[worker];
+    TaskSize used = ZeroTaskSize;
+    for (const auto &run : guard.runner.running()) {
+        used += guard.sizes.at(run);
+    }
+    return used;
+}
+
 void PoolSimulation::recordRunEnd(std::uint32_t worker, const RunId &run)
 {
     if (const auto running = m_runningTasks.find(run.task); running != m_runningTasks.end()) {
@@ -859,6 +926,8 @@
         break;
     case QueueJobResult::Failed:
         ++counts.failed;
+        counts.toldAsFailed
+            += std::ranges::none_of(m_crashCounts, [&](const auto &item) { return item.first.job == caller.spec->id; }) ? 1 : 0;
         break;
     case QueueJobResult::Refused:
         ++counts.refused;
@@ -946,24 +1015,32 @@
     node.runnerUp = false;
     node.runner.restart(m_now);
     node.sequence = 0;
-    loseRenewals(worker);
-    at(m_now - m_start + milliseconds(900), [this, worker] {
+    loseRenewals(worker, ResetNotice);
+    at(m_now - m_start + m_settings.runnerReturnTime, [this, worker] {
         m_guards[worker]->runner.restart(m_now);
         m_guards[worker]->runnerUp = true;
     });
 }
 
+void PoolSimulation::setCapacity(std::uint32_t worker, const TaskSize &capacity)
+{
+    auto &node = *m_guards[worker];
+    node.capacity = capacity;
+    node.capacityLimit.cores = std::max(node.capacityLimit.cores, capacity.cores);
+    node.capacityLimit.memory = std::max(node.capacityLimit.memory, capacity.memory);
+}
+
 void PoolSimulation::silenceRunner(std::uint32_t worker, Duration duration)
 {
     auto &node = *m_guards[worker];
     node.runnerSilentUntil = std::max(node.runnerSilentUntil, m_now + duration);
-    loseRenewals(worker);
+    loseRenewals(worker, OrderTimeout);
 }
 
-void PoolSimulation::loseRenewals(std::uint32_t worker)
+void PoolSimulation::loseRenewals(std::uint32_t worker, Duration noticedAfter)
 {
     auto &node = *m_guards[worker];
-    at(m_now - m_start + OrderTimeout, [this, worker, incarnation = node.incarnation, renewals = std::exchange(node.pendingRenewals, {})] {
+    at(m_now - m_start + noticedAfter, [this, worker, incarnation = node.incarnation, renewals = std::exchange(node.pendingRenewals, {})] {
         for (const auto number : renewals) {
             if (m_guards[worker]->incarnation == incarnation) {
                 stepGuard(worker, RenewalUnanswered{number});
@@ -1121,6 +1198,11 @@
     return static_cast<std::uint32_t>(m_callers.size());
 }
 
+const std::map<QueueTaskId, std::uint32_t> &PoolSimulation::crashCounts() const
+{
+    return m_crashCounts;
+}
+
 std::uint32_t PoolSimulation::runCount(std::uint32_t worker) const
 {
     return static_cast<std::uint32_t>(m_guards[worker]->runner.running().size());
--- a/core/tests/pool_simulation.h
+++ b/core/tests/pool_simulation.h
@@ -35,8 +35,10 @@
     std::uint32_t schedulers = 3;
     std::uint32_t workers = 8;
     TaskSize capacity{MilliCores(32'000), Megabytes(131'072), Accelerators(0)};
-    double lostOrders = 0;        ///< share of messages to runners without an answer; half of the orders are executed up to 4 s later
-    double lostAnswers = 0;       ///< share of orders to runners that are executed, but whose answer is lost
+    double lostOrders = 0;             ///< share of messages to runners without an answer; half of the orders are executed up to 4 s later
+    double lostAnswers = 0;            ///< share of orders to runners that are executed, but whose answer is lost
+    bool runnersCheckCapacity = false; ///< runners refuse runs that exceed their capacity
+    Duration runnerReturnTime = std::chrono::milliseconds(900); ///< from the crash of a runner to its next incarnation
     bool callersResubmit = false; ///< callers whose connection broke send their job to another scheduler 1.3 s later
     SchedulerCosts schedulerCosts;
     /** Called for each order to start; sets outcome and end time of the run. If empty, runs succeed after 50 ms. */
@@ -63,6 +65,8 @@
     std::uint32_t refused = 0;
     std::uint32_t lost = 0; ///< without a result: the scheduler was down, was killed, or reported neither of the above
 
+    std::uint32_t toldAsFailed = 0; ///< of those in @c failed, jobs without a task that crashes its runners
+
     Duration longestRefusal{}; ///< longest time from sending a job to its refusal
 
     [[nodiscard]] double onTimeShare() const
@@ -105,6 +109,9 @@
     /** Ends a runner with all of its runs; it restarts after 900 ms. */
     void crashRunner(std::uint32_t worker);
 
+    /** Changes the capacity of a runner while it runs; its next announcement says so. */
+    void setCapacity(std::uint32_t worker, const TaskSize &capacity);
+
     /** Lets a runner execute the orders that it gets until @p duration has passed only then, in order; none of them is answered. */
     void silenceRunner(std::uint32_t worker, Duration duration);
 
@@ -145,6 +152,8 @@
     [[nodiscard]] const std::vector<std::string> &violations() const;
     [[nodiscard]] const PoolJobCounts &jobCounts(const QueueName &queue);
     [[nodiscard]] std::uint32_t openCallerCount() const;
+    /** Returns the number of runners that a task has crashed, by task. */
+    [[nodiscard]] const std::map<QueueTaskId, std::uint32_t> &crashCounts() const;
     [[nodiscard]] std::uint32_t runCount(std::uint32_t worker) const;
     [[nodiscard]] std::vector<ConnectionId> openCallers() const;
 
@@ -196,14 +205,21 @@
     ConnectionId submit(std::uint32_t scheduler, Caller caller);
     void deliverRecall(std::uint32_t scheduler, const RecallBatch &output);
     void reportCapacity(std::uint32_t worker, std::uint32_t scheduler);
+    void reportCrash(std::uint32_t worker, std::uint32_t scheduler, const CrashNotice &notice);
+    void probeListener(std::uint32_t worker);
+    /** Lets a run crash its runner after a time, unless it has ended by then. */
+    void scheduleCrash(std::uint32_t worker, const RunId &run, Duration delay);
     /** Reports the capacity of a worker when the interval between reports to this scheduler has passed. */
     void gatherReports(std::uint32_t worker, std::uint32_t scheduler);
     void answer(const AnswerQueueJob &answer);
     void recordRunStart(std::uint32_t worker, const RunnerStart &start);
+    /** Returns the sum of the sizes of the runs on a runner. */
+    [[nodiscard]] TaskSize usedCapacity(std::uint32_t worker) const;
     void recordRunEnd(std::uint32_t worker, const RunId &run);
     void setRunnerTimer(std::uint32_t worker);
     void scheduleListing(std::uint32_t worker);
-    void loseRenewals(std::uint32_t worker);
+    /** @param noticedAfter when the guard learns that they will not be answered */
+    void loseRenewals(std::uint32_t worker, Duration noticedAfter);
     Duration randomDelay();
     bool chance(double share);
     StepContext context();
@@ -240,6 +256,8 @@
     std::map<QueueJobId, std::set<QueueTaskId>> m_completedTasks;
     std::set<QueueJobId> m_refusedJobs;
     std::map<QueueName, PoolJobCounts> m_jobCounts;
+    std::map<QueueTaskId, std::uint32_t> m_crashCounts;
+    std::map<QueueTaskId, std::uint32_t> m_startsAfterCrashes; ///< starts of a task after it has crashed CrashLimit runners
     std::vector<std::string> m_violations;
 };
 
--- a/net/include/sycamoremoor/net/guard_server.h
+++ b/net/include/sycamoremoor/net/guard_server.h
@@ -8,6 +8,7 @@
 #include <sigc++/signal.h>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 
@@ -28,6 +29,7 @@
     void carryOut(const ReportRun &output);
     void carryOut(const EndBatch &output);
     void carryOut(const CapacityChanged &output);
+    void carryOut(const UpstreamCrashed &output);
 
     /** Returns how much of the streams of room waits for schedulers that do not read. */
     [[nodiscard]] std::size_t unsentBytes() const;
@@ -42,6 +44,7 @@
         HttpExchangePointer exchange;
         MonotonicTime toldAt{}; ///< last report of room
         bool isBehind = false;  ///< the room has changed since then
+        CrashNumber toldCrash;  ///< last crash of the upstream that it was told of
     };
 
     void takeBatch(const RoutedRequest &request);
@@ -52,6 +55,7 @@
     void takeWatch(const RoutedRequest &request);
     void watcherGone(std::uint64_t watcher);
     void tellAll();
+    void tellCrashes(OpenExchange &watcher);
     /** Tells the schedulers that have heard nothing for a while. */
     void tellQuiet();
     /** Tells the schedulers that have not been told of the last change and whose interval has passed. */
@@ -70,6 +74,7 @@
     std::uint64_t m_lastConnection = 0;
     std::uint64_t m_lastWatcher = 0;
     CapacityReport m_room;
+    std::deque<UpstreamCrashed> m_crashes; ///< that have not expired
     std::map<std::uint64_t, OpenExchange> m_watchers;    ///< streams of room
     std::map<EntryName, BatchNumber> m_seen;             ///< highest batch by scheduler
     std::map<ConnectionId, OpenExchange> m_batches;      ///< batches and recalls
--- a/net/include/sycamoremoor/net/room_watcher.h
+++ b/net/include/sycamoremoor/net/room_watcher.h
@@ -44,6 +44,7 @@
 
     void open(Watch &watch);
     void received(Watch &watch, std::string_view part);
+    void takeCrash(const Watch &watch, std::string_view line);
     /** Hands on the newest report of a guard. Those before it say nothing more. */
     void decodeNewest(Watch &watch);
     void broken(Watch &watch);
--- a/net/src/guard_server.cpp
+++ b/net/src/guard_server.cpp
@@ -28,6 +28,8 @@
 constexpr Duration SteadyInterval = std::chrono::milliseconds(250);  ///< a quarter of the silence that schedulers bear
 constexpr Duration UnwatchedLimit = std::chrono::milliseconds(1200); ///< a scheduler that lives watches anew within a second
 
+constexpr std::size_t MaxCrashes = 16; ///< that are kept for schedulers that connect
+
 /** Reads the whole of @p text as a number of microseconds, or nothing. */
 std::optional<Duration> readMicroseconds(std::string_view text)
 {
@@ -212,6 +214,27 @@
     startTellTimer();
 }
 
+void GuardServer::carryOut(const UpstreamCrashed &output)
+{
+    const auto now = monotonicNow();
+    while (!m_crashes.empty() && (m_crashes.front().expiresAt <= now || m_crashes.size() >= MaxCrashes)) {
+        m_crashes.pop_front();
+    }
+    m_crashes.push_back(output);
+    tellAll();
+}
+
+void GuardServer::tellCrashes(OpenExchange &watcher)
+{
+    const auto now = monotonicNow();
+    for (const auto &[notice, expiresAt] : m_crashes) {
+        if (notice.number > watcher.toldCrash && expiresAt > now) {
+            watcher.toldCrash = notice.number;
+            watcher.exchange->stream(encode(notice) + "\n");
+        }
+    }
+}
+
 void GuardServer::setReportInterval(const EntryName &scheduler, Duration interval)
 {
     m_reportIntervals[scheduler] = std::clamp(interval, MinReportInterval, SteadyInterval);
@@ -296,6 +319,7 @@
     if (watcher.isBehind) {
         return; // it reads more slowly than room changes: the next report is newer than all that it misses
     }
+    tellCrashes(watcher);
     auto room = m_room;
     if (const auto seen = m_seen.find(watcher.scheduler); seen != m_seen.end()) {
         room.lastCountedBatch = seen->second;
--- a/net/src/room_watcher.cpp
+++ b/net/src/room_watcher.cpp
@@ -22,6 +22,7 @@
 constexpr Duration ConnectLimit = std::chrono::milliseconds(400);
 constexpr Duration ReopenDelay = std::chrono::milliseconds(150);
 constexpr Duration LongestReopenDelay = std::chrono::milliseconds(1000);
+constexpr std::string_view CrashNoticeStart = R"({"crashed_guard":)"; ///< tells a notice of a crash from a report of room
 constexpr Duration WatchLimit = std::chrono::hours(24); ///< a watch has no end of its own
 
 } // namespace
@@ -116,7 +117,13 @@
 void RoomWatcher::received(Watch &watch, std::string_view part)
 {
     const bool isFirst = watch.newestReport.empty();
-    watch.lines.take(part, [&watch](std::string_view line) { watch.newestReport = line; });
+    watch.lines.take(part, [this, &watch](std::string_view line) {
+        if (line.starts_with(CrashNoticeStart)) {
+            takeCrash(watch, line);
+        } else {
+            watch.newestReport = line;
+        }
+    });
     if (isFirst && !watch.newestReport.empty()) {
         watch.silence->start(SilenceLimit);
         m_loop.atEndOfRound(RoundPhase::Decode, [this, agent = watch.record.agent] {
@@ -127,6 +134,16 @@
     }
 }
 
+void RoomWatcher::takeCrash(const Watch &watch, std::string_view line)
+{
+    CrashNotice notice;
+    if (const auto error = decode(line, notice)) {
+        writeLog({Severity::Error, "rooms", "A notice of a crash cannot be read: " + error->detail + "."});
+        return;
+    }
+    m_input.emit(CrashReported{watch.record.agent, std::move(notice)});
+}
+
 void RoomWatcher::decodeNewest(Watch &watch)
 {
     const auto line = std::exchange(watch.newestReport, {});
--- a/net/src/socket_func.cpp
+++ b/net/src/socket_func.cpp
@@ -72,6 +72,34 @@
     return listener;
 }
 
+int beginConnect(const Endpoint &endpoint)
+{
+    sockaddr_storage storage{};
+    const auto length = toAddress(endpoint, storage);
+    if (length == 0) {
+        errno = EINVAL;
+        return -1;
+    }
+    const int connecting = socket(storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (connecting < 0) {
+        return -1;
+    }
+    if (connect(connecting, reinterpret_cast<const sockaddr *>(&storage), length) == 0 || errno == EINPROGRESS) {
+        return connecting;
+    }
+    const int error = errno;
+    close(connecting);
+    errno = error;
+    return -1;
+}
+
+int connectError(int socket)
+{
+    int error = 0;
+    socklen_t length = sizeof(error);
+    return getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &length) == 0 ? error : errno;
+}
+
 void setConnectionOptions(int socket, Duration unacknowledgedLimit)
 {
     const int on = 1;
--- a/net/src/socket_func.h
+++ b/net/src/socket_func.h
@@ -14,6 +14,15 @@
  */
 int listenAt(Endpoint &endpoint);
 
+/**
+ * Begins to connect to @p endpoint without waiting.
+ * @return the socket, which becomes writable when the attempt has ended, or -1 with errno set
+ */
+int beginConnect(const Endpoint &endpoint);
+
+/** Returns the error of an attempt that has ended, 0 if it succeeded. */
+[[nodiscard]] int connectError(int socket);
+
 /** Sets TCP_NODELAY, and the time after which bytes that nobody acknowledges end the connection. */
 void setConnectionOptions(int socket, Duration unacknowledgedLimit);
 
--- a/net/tests/guard_server_test.cpp
+++ b/net/tests/guard_server_test.cpp
@@ -18,6 +18,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -108,4 +110,50 @@
     EXPECT_LE(told.size(), static_cast<std::size_t>(longest / Interval) + 2);
 }
 
+TEST(GuardServerTest, EachStreamIsToldOfARecentCrashOnce)
+{
+    EventLoop loop;
+    MetricRegistry metrics;
+    Router router(metrics, [] { return std::uint64_t{1}; });
+    HttpServer server(loop, {"127.0.0.1", 0}, {}, [&router](const HttpExchangePointer &exchange) { router.route(exchange); });
+    GuardServer guard(loop, router, metrics);
+    HttpClient client(loop);
+    std::map<std::string, std::vector<std::uint64_t>> told;
+    std::map<std::string, LineReader> lines;
+    std::size_t reports = 0;
+    const auto watch = [&](const std::string &scheduler) {
+        ClientCall call;
+        call.endpoint = server.endpoint();
+        call.method = RequestMethod::Get;
+        call.newConnection = true;
+        call.path = "/internal/v1/watch-room?scheduler=" + scheduler;
+        call.received = [&, scheduler](std::string_view part) {
+            lines[scheduler].take(part, [&](std::string_view line) {
+                CrashNotice notice;
+                if (!decode(line, notice)) {
+                    told[scheduler].push_back(notice.number.value());
+                } else {
+                    ++reports;
+                }
+            });
+        };
+        client.send(std::move(call), [](const ClientResult & /*result*/) {});
+    };
+    const auto crash = [&guard](std::uint64_t number) {
+        CrashNotice notice;
+        notice.number = CrashNumber(number);
+        guard.carryOut(UpstreamCrashed{notice, monotonicNow() + std::chrono::seconds(10)});
+    };
+    watch("early");
+    ASSERT_TRUE(runUntil(loop, [&reports] { return reports > 0; }));
+    crash(1);
+    crash(2);
+    ASSERT_TRUE(runUntil(loop, [&told] { return told["early"].size() == 2; }));
+    watch("late");
+    ASSERT_TRUE(runUntil(loop, [&told] { return told["late"].size() == 2; }));
+    crash(3);
+    const std::vector<std::uint64_t> all{1, 2, 3};
+    EXPECT_TRUE(runUntil(loop, [&] { return told["early"] == all && told["late"] == all; }));
+}
+
 } // namespace Sycamoremoor
--- a/net/tests/room_watcher_test.cpp
+++ b/net/tests/room_watcher_test.cpp
@@ -58,4 +58,34 @@
     EXPECT_EQ(freeCores, (std::vector<std::int64_t>{3, 4}));
 }
 
+TEST(RoomWatcherTest, NoticesOfCrashesAreHandedOnAlthoughNewerReportsWereReadWithThem)
+{
+    EventLoop loop;
+    std::vector<HttpExchangePointer> streams;
+    HttpServer guard(loop, {"127.0.0.1", 0}, {}, [&streams](const HttpExchangePointer &exchange) { streams.push_back(exchange); });
+    HttpClient client(loop);
+    RoomWatcher rooms(loop, client, EntryName("S"), [] { return Duration(milliseconds(40)); });
+    std::vector<std::uint64_t> crashes;
+    bool isReported = false;
+    rooms.signalInput().connect([&](const SchedulerInput &input) {
+        if (const auto *crash = std::get_if<CrashReported>(&input)) {
+            EXPECT_EQ(crash->agent, AgentName("A"));
+            crashes.push_back(crash->notice.number.value());
+        }
+        isReported = isReported || std::holds_alternative<CapacityReported>(input);
+    });
+    rooms.setGuards({{AgentName("A"), AgentRecord{AgentName("A"), guard.endpoint(), ZoneName("z")}}});
+    ASSERT_TRUE(runUntil(loop, [&streams] { return streams.size() == 1; }));
+    CrashNotice notice;
+    notice.guard = Incarnation(1);
+    std::string parts;
+    for (std::uint64_t number = 1; number <= 2; ++number) {
+        notice.number = CrashNumber(number);
+        parts += encode(notice) + "\n" + encode(reportOf(1)) + "\n";
+    }
+    streams.front()->stream(parts);
+    ASSERT_TRUE(runUntil(loop, [&isReported] { return isReported; }));
+    EXPECT_EQ(crashes, (std::vector<std::uint64_t>{1, 2}));
+}
+
 } // namespace Sycamoremoor
--- a/wire/include/sycamoremoor/wire/message_codec.h
+++ b/wire/include/sycamoremoor/wire/message_codec.h
@@ -46,6 +46,7 @@
                                 BatchRecall,
                                 RunReport,
                                 CapacityReport,
+                                CrashNotice,
                                 AgentRecord>;
 
 /**
--- a/wire/src/describe_func.h
+++ b/wire/src/describe_func.h
@@ -509,6 +509,7 @@
     archive("lease_until", batch.leaseUntil);
     archive("expires_at", batch.expiresAt);
     archive.optional("report_interval", batch.reportInterval);
+    archive.optional("queue", batch.queue);
     archive("payload", batch.payload);
     archive("orders", batch.orders);
 }
@@ -536,6 +537,29 @@
     archive("outcome", report.outcome);
     archive("run_time", report.runTime);
     archive.optional("why", report.error);
+    archive.optional("crash", report.crash);
+    archive.optional("is_suspect", report.isSuspect);
+}
+
+void describe(auto &archive, Described<CrashedRun> auto &run)
+{
+    archive("task", run.task);
+    archive.optional("is_suspect", run.isSuspect);
+}
+
+void describe(auto &archive, Described<QueueEvidence> auto &evidence)
+{
+    archive("queue", evidence.queue);
+    archive("likelihood_ratio", evidence.likelihoodRatio);
+    archive("had_runs", evidence.hadRuns);
+}
+
+void describe(auto &archive, Described<CrashNotice> auto &notice)
+{
+    archive("crashed_guard", notice.guard);
+    archive("number", notice.number);
+    archive("runs", notice.runs);
+    archive("queues", notice.queues);
 }
 
 void describe(auto &archive, Described<CapacityReport> auto &room)
--- a/wire/src/message_codec.cpp
+++ b/wire/src/message_codec.cpp
@@ -91,6 +91,8 @@
 template std::optional<DecodeError> decode(std::string_view, RunReport &);
 template std::string encode(const CapacityReport &);
 template std::optional<DecodeError> decode(std::string_view, CapacityReport &);
+template std::string encode(const CrashNotice &);
+template std::optional<DecodeError> decode(std::string_view, CrashNotice &);
 template std::string encode(const AgentRecord &);
 template std::optional<DecodeError> decode(std::string_view, AgentRecord &);
 
