--- a/ctl/src/load_check.cpp
+++ b/ctl/src/load_check.cpp
@@ -1,6 +1,8 @@
 // Promises checked on answers and runners' logs, and counters read from metrics.
 #include "load_type.h"
 
+#include <sycamoremoor/wire/json_parse_func.h>
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -95,7 +97,7 @@
         }
         std::ifstream file(item.path());
         for (std::string line; std::getline(file, line);) {
-            if (const auto json = nlohmann::json::parse(line, nullptr, false); json.is_object()) {
+            if (const auto json = parseJson(line); json.is_object()) {
                 ++starts[json.value("id", "")];
             }
         }
--- a/ctl/src/load_driver.cpp
+++ b/ctl/src/load_driver.cpp
@@ -4,6 +4,8 @@
 #include "clock_func.h"
 
 #include <event2/event.h>
+#include <sycamoremoor/wire/json_parse_func.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -116,7 +118,7 @@
 void LoadDriver::take(std::size_t index, std::size_t attempt, const HttpReply &reply)
 {
     auto &outcome = m_outcomes[index];
-    const auto answer = Json::parse(reply.body, nullptr, false);
+    const auto answer = parseJson(reply.body);
     const auto mayRetry = reply.status == 0
         || (answer.is_object() && answer.contains("error") && answer.at("error").value("code", "") == "owner_unavailable")
         || (answer.is_object() && answer.contains("error") && answer.at("error").value("code", "") == "draining");
@@ -139,7 +141,7 @@
     const HttpRequest request{.path = "/v1/jobs", .body = body(index), .headers = {{"Idempotency-Key", m_outcomes[index].key.toString()}}};
     m_caller.call(entryFor(index + 1), request, m_settings.deadline + AnswerSlack, [this, index](const HttpReply &reply) {
         --m_open;
-        const auto answer = Json::parse(reply.body, nullptr, false);
+        const auto answer = parseJson(reply.body);
         const auto results = answer.is_object() ? answer.value("results", std::vector<std::string>()) : std::vector<std::string>();
         if (!results.empty() && m_outcomes[index].answered && m_outcomes[index].error == ErrorKind::None
             && results != m_outcomes[index].results) {
--- a/ctl/src/submit_cmd.cpp
+++ b/ctl/src/submit_cmd.cpp
@@ -5,6 +5,7 @@
 #include "options.h"
 #include "text_table.h"
 
+#include <sycamoremoor/wire/json_parse_func.h>
 #include <sycamoremoor/wire/message_codec.h>
 
 #include <nlohmann/json.hpp>
@@ -42,7 +43,7 @@
     if (reply.status == 0) {
         return true; // the same key never starts anything twice
     }
-    const auto json = Json::parse(reply.body, nullptr, false);
+    const auto json = parseJson<Json>(reply.body);
     return reply.status >= 500 && json.is_object() && json.contains("error") && json.at("error").value("retry_is_safe", false);
 }
 
@@ -137,7 +138,7 @@
         std::cerr << Prefix << (options.isSet("entries") ? "no entry answered" : "--entries names no entry") << "\n";
         return options.isSet("entries") ? ExitCode::Unreachable : ExitCode::Usage;
     }
-    const auto answer = Json::parse(reply.body, nullptr, false);
+    const auto answer = parseJson<Json>(reply.body);
     if (!answer.is_object()) {
         std::cerr << Prefix << "the answer is no JSON object, status " << reply.status << "\n";
         return ExitCode::Fault;
--- a/gateway/src/gateway_codec.cpp
+++ b/gateway/src/gateway_codec.cpp
@@ -2,11 +2,13 @@
 #include "gateway_codec.h"
 
 #include <sycamoremoor/wire/base64_func.h>
+#include <sycamoremoor/wire/json_parse_func.h>
 
 #include <nlohmann/json.hpp>
 
 #include <charconv>
 #include <stdexcept>
+#include <utility>
 
 namespace Sycamoremoor
 {
@@ -25,6 +27,9 @@
     if (field == object.end()) {
         return 0;
     }
+    if (field->is_number_unsigned() && !std::in_range<std::int64_t>(field->get<std::uint64_t>())) {
+        throw std::invalid_argument(name);
+    }
     if (field->is_number_integer()) {
         return field->get<std::int64_t>();
     }
@@ -80,7 +85,11 @@
 bool decode(std::string_view body, Reader reader)
 {
     try {
-        reader(Json::parse(body));
+        const auto json = parseJson(body);
+        if (json.is_discarded()) {
+            return false;
+        }
+        reader(json);
         return true;
     } catch (const std::exception &) {
         return false;
--- a/net/include/sycamoremoor/net/log_func.h
+++ b/net/include/sycamoremoor/net/log_func.h
@@ -23,6 +23,9 @@
 /** Writes one line. */
 void writeLog(const LogLine &line);
 
+/** Returns the beginning of @p text, for a log line about something that cannot be read. */
+std::string excerptOf(std::string_view text);
+
 /** Returns the level called debug, info, warning or error. */
 std::optional<Severity> severityFromName(std::string_view name);
 
--- a/net/src/log_func.cpp
+++ b/net/src/log_func.cpp
@@ -135,6 +135,12 @@
     putLine(line);
 }
 
+std::string excerptOf(std::string_view text)
+{
+    constexpr std::size_t MaxBytes = 120;
+    return text.size() <= MaxBytes ? std::string(text) : std::string(text.substr(0, MaxBytes)) + "...";
+}
+
 std::optional<Severity> severityFromName(std::string_view name)
 {
     return fromName<Severity>(SeverityNames, name);
--- a/net/src/platform_task.cpp
+++ b/net/src/platform_task.cpp
@@ -5,6 +5,7 @@
 #include <sycamoremoor/net/clock_func.h>
 #include <sycamoremoor/net/log_func.h>
 #include <sycamoremoor/wire/config_codec.h>
+#include <sycamoremoor/wire/json_parse_func.h>
 #include <sycamoremoor/wire/message_codec.h>
 
 #include <nlohmann/json.hpp>
@@ -61,7 +62,7 @@
 /** Reads a list of names; nothing if @p text is something else. */
 std::optional<std::vector<AgentName>> readAgents(const std::string &text)
 {
-    const auto json = nlohmann::json::parse(text, nullptr, false);
+    const auto json = parseJson(text);
     if (!json.is_array()) {
         return std::nullopt;
     }
--- /dev/null
+++ b/wire/include/sycamoremoor/wire/json_parse_func.h
@@ -0,0 +1,31 @@
+// The only way in which this program parses JSON that others wrote.
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+#include <string_view>
+
+namespace Sycamoremoor
+{
+
+/** Depth of objects and arrays that is accepted: copies and dumps of a value recurse, and ours nest less than half as deep. */
+inline constexpr std::size_t MaxJsonDepth = 16;
+
+/** Length in bytes that is accepted: that of the longest body that servers take. */
+inline constexpr std::size_t MaxJsonBytes = std::size_t{16} << 20U;
+
+/** Tells whether objects and arrays in @p json nest no deeper than @p depth. */
+[[nodiscard]] bool nestsWithin(std::string_view json, std::size_t depth);
+
+/** Tells whether @p text may be parsed: it is not too long and nests not too deep. */
+[[nodiscard]] bool isBoundedJson(std::string_view text);
+
+/** Returns @p text parsed; a discarded value if it is no JSON, too long, or nests too deep, which is found before anything is built. */
+template<typename Json = nlohmann::json>
+[[nodiscard]] Json parseJson(std::string_view text)
+{
+    return isBoundedJson(text) ? Json::parse(text, nullptr, false) : Json(Json::value_t::discarded);
+}
+
+} // namespace Sycamoremoor
--- a/wire/src/caller_decode.cpp
+++ b/wire/src/caller_decode.cpp
@@ -2,9 +2,10 @@
 #include <sycamoremoor/wire/caller_codec.h>
 
 #include "enum_name.h"
-#include "json_text.h"
 #include "strict_object.h"
 
+#include <sycamoremoor/wire/json_parse_func.h>
+
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
@@ -39,7 +40,7 @@
         error = DecodeError{ErrorKind::MalformedBody, "the body nests too deep"};
         return {};
     }
-    auto json = nlohmann::json::parse(body, nullptr, false);
+    auto json = parseJson(body);
     if (json.is_discarded()) {
         error = DecodeError{ErrorKind::MalformedBody, "the body is no JSON"};
     }
--- a/wire/src/config_codec.cpp
+++ b/wire/src/config_codec.cpp
@@ -4,6 +4,7 @@
 #include "config_schema_v1.h"
 
 #include <sycamoremoor/core/table/config_table.h>
+#include <sycamoremoor/wire/json_parse_func.h>
 
 #include <nlohmann/json.hpp>
 
@@ -239,7 +240,7 @@
 Error decodeWith(std::string_view text, Read read)
 {
     try {
-        return read(Json::parse(text));
+        return isBoundedJson(text) ? read(Json::parse(text)) : malformed("the text is too long or nests too deep");
     } catch (const Json::exception &exception) {
         return malformed(exception.what());
     }
--- a/wire/src/json_reader.h
+++ b/wire/src/json_reader.h
@@ -168,6 +168,10 @@
     {
         Value representation{};
         read(json, representation);
+        if (std::cmp_less(representation, -MaxAmount) || std::cmp_greater(representation, MaxAmount)) {
+            failField("is out of range", ErrorKind::InvalidValue);
+            return;
+        }
         value = StrongAmount<Tag, Value>(representation);
     }
 
@@ -207,7 +211,8 @@
     {
         std::string text;
         read(json, text);
-        readText(text.empty() ? Endpoint{} : endpointFromString(text), value);
+        const auto endpoint = text.empty() ? Endpoint{} : endpointFromString(text);
+        readText(endpoint && !text.empty() && endpoint->port == 0 ? std::nullopt : endpoint, value);
     }
 
     template<typename T>
@@ -266,6 +271,7 @@
     }
 
     static constexpr Duration::rep MaxMicroseconds = Duration::rep{1} << 53U; ///< some 285 years, so that sums cannot overflow
+    static constexpr std::int64_t MaxAmount = std::int64_t{1} << 53U;         ///< so that sums cannot overflow
 
     Json &m_object;
     const std::string &m_path;
--- a/wire/src/json_text.cpp
+++ b/wire/src/json_text.cpp
@@ -1,4 +1,4 @@
-// Lexical helpers for JSON text: string literals and nesting.
+// JSON string literals.
 #include "json_text.h"
 
 #include <nlohmann/json.hpp>
@@ -78,29 +78,4 @@
     out += '"';
 }
 
-bool nestsWithin(std::string_view json, std::size_t depth)
-{
-    std::size_t level = 0;
-    bool inString = false;
-    for (std::size_t position = 0; position < json.size(); ++position) {
-        const char character = json[position];
-        if (inString) {
-            if (character == '\\') {
-                ++position;
-            } else if (character == '"') {
-                inString = false;
-            }
-        } else if (character == '"') {
-            inString = true;
-        } else if (character == '{' || character == '[') {
-            if (++level > depth) {
-                return false;
-            }
-        } else if ((character == '}' || character == ']') && level > 0) {
-            --level;
-        }
-    }
-    return true;
-}
-
 } // namespace Sycamoremoor
--- a/wire/src/message_codec.cpp
+++ b/wire/src/message_codec.cpp
@@ -2,10 +2,9 @@
 #include <sycamoremoor/wire/message_codec.h>
 
 #include "json_reader.h"
-#include "json_text.h"
 #include "json_writer.h"
 
-#include <nlohmann/json.hpp>
+#include <sycamoremoor/wire/json_parse_func.h>
 
 namespace Sycamoremoor
 {
@@ -21,12 +20,9 @@
 template<typename Message>
 std::optional<DecodeError> decode(std::string_view json, Message &message)
 {
-    if (!nestsWithin(json, MaxJsonDepth)) {
-        return DecodeError{ErrorKind::MalformedBody, "the JSON nests too deep"};
-    }
-    auto tree = nlohmann::json::parse(json, nullptr, false);
+    auto tree = parseJson(json);
     if (tree.is_discarded()) {
-        return DecodeError{ErrorKind::MalformedBody, "the text is no JSON"};
+        return DecodeError{ErrorKind::MalformedBody, "the text is no JSON, is too long or nests too deep"};
     }
     std::optional<DecodeError> error;
     JsonReader::readObject(tree, message, "message", error);
--- a/wire/src/upstream_codec.cpp
+++ b/wire/src/upstream_codec.cpp
@@ -3,6 +3,7 @@
 
 #include "json_text.h"
 
+#include <sycamoremoor/wire/json_parse_func.h>
 #include <sycamoremoor/wire/text_codec.h>
 
 #include <nlohmann/json.hpp>
@@ -22,10 +23,7 @@
 /** Returns the object that @p json is, or null. */
 Json parseObject(std::string_view json)
 {
-    if (!nestsWithin(json, MaxJsonDepth)) {
-        return nullptr;
-    }
-    auto tree = Json::parse(json, nullptr, false);
+    auto tree = parseJson(json);
     return tree.is_object() ? tree : Json(nullptr);
 }
 
--- a/wire/tests/message_codec_test.cpp
+++ b/wire/tests/message_codec_test.cpp
@@ -5,6 +5,8 @@
 #include "json_text.h"
 #include "random_message.h"
 
+#include <sycamoremoor/wire/json_parse_func.h>
+
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 #include <rapidcheck/gtest.h>
@@ -182,6 +184,19 @@
     }
 }
 
+TEST(MessageCodecTest, RefusesAmountsWhoseSumsWouldOverflow)
+{
+    for (const auto cores : {std::numeric_limits<std::int64_t>::max(), std::numeric_limits<std::int64_t>::min()}) {
+        CapacityReport report;
+        report.free.cores = MilliCores(cores);
+        CapacityReport back;
+        const auto error = decode(encode(report), back);
+        ASSERT_TRUE(error.has_value());
+        EXPECT_EQ(error->kind, ErrorKind::InvalidValue);
+        EXPECT_EQ(error->detail, "message.free.cores is out of range");
+    }
+}
+
 TEST(MessageCodecTest, RefusesDeepNestingWithoutRecursion)
 {
     const std::string deep(1'000'000, '[');
