Fix: [net] A record of the directory counts only under the key of the name that it claims

One odd record could stand in for another guard: the first key that claimed a name won, so all schedulers would have sent that guard's batches elsewhere. Records with port 0, an empty or a very long name were taken, too. Each version of an odd record is logged once, with key, fault and beginning.

--- a/net/include/sycamoremoor/net/agent_directory.h
+++ b/net/include/sycamoremoor/net/agent_directory.h
@@ -7,6 +7,7 @@
 #include <sigc++/signal.h>
 
 #include <map>
+#include <string>
 
 namespace Sycamoremoor
 {
@@ -25,8 +26,12 @@
     void start();
 
 private:
+    /** Logs a record that names no worker, once for each version of it. */
+    void logOddRecord(const StoreItem &item, const std::string &fault);
+
     PrefixWatcher m_watcher;
     sigc::signal<void(const Agents &)> m_changed;
+    std::map<std::string, StoreVersion> m_loggedVersions; ///< of records that were logged, by key
 };
 
 /** Keeps the record of one guard published: writes it again whenever the store lacks it. */
--- a/net/src/agent_directory.cpp
+++ b/net/src/agent_directory.cpp
@@ -16,6 +16,25 @@
 constexpr PrefixWatchTimes DirectoryTimes{std::chrono::seconds(3), std::chrono::seconds(10)}; ///< a new worker may be idle for seconds
 constexpr PrefixWatchTimes PublisherTimes{std::chrono::seconds(2), std::chrono::seconds(10)}; ///< a lost record is back within two seconds
 
+constexpr std::size_t MaxNameBytes = 200;       ///< of a worker
+constexpr std::size_t MaxLoggedRecords = 1'000; ///< records that are remembered as logged
+
+/** Reads a record. @return what is wrong with it, empty if it names a worker */
+std::string faultOf(const StoreItem &item, AgentRecord &record)
+{
+    if (const auto error = decode(item.value, record)) {
+        return error->detail;
+    }
+    if (record.agent.value().empty() || record.agent.value().size() > MaxNameBytes) {
+        return "agent must have 1 to " + std::to_string(MaxNameBytes) + " bytes";
+    }
+    // Each guard writes the key of its own name: a record under another key may not stand in for it.
+    if (item.key != std::string(AgentPrefix) + record.agent.value()) {
+        return "agent is not the name in the key: " + excerptOf(record.agent.value());
+    }
+    return record.endpoint.port == 0 ? "endpoint is missing" : "";
+}
+
 } // namespace
 
 AgentDirectory::AgentDirectory(EventLoop &loop, StoreHooks store)
@@ -25,16 +44,29 @@
         Agents agents;
         for (const auto &[key, item] : items) {
             AgentRecord record;
-            if (const auto error = decode(item.value, record)) {
-                writeLog({Severity::Warning, "directory", "The record " + key + " names no worker: " + error->detail + "."});
-                continue;
+            if (const auto fault = faultOf(item, record); !fault.empty()) {
+                logOddRecord(item, fault);
+            } else {
+                agents.emplace(record.agent, record);
             }
-            agents.emplace(record.agent, record);
         }
         m_changed.emit(agents);
     });
 }
 
+void AgentDirectory::logOddRecord(const StoreItem &item, const std::string &fault)
+{
+    if (m_loggedVersions.size() >= MaxLoggedRecords) {
+        m_loggedVersions.clear();
+    }
+    if (auto &logged = m_loggedVersions[item.key]; std::exchange(logged, item.version) != item.version) {
+        writeLog({Severity::Warning,
+                  "directory",
+                  "A record names no worker and is passed over.",
+                  {{"key", excerptOf(item.key)}, {"fault", fault}, {"record", excerptOf(item.value)}}});
+    }
+}
+
 sigc::signal<void(const AgentDirectory::Agents &)> &AgentDirectory::signalChanged()
 {
     return m_changed;
