Fix: [core] An announcement of another writer does not replace an upstream that answers

A guard took any announcement of another name for a restart of its runner: all runs were reported as lost although they went on, so their tasks could start a second time elsewhere, and the guard followed the other upstream until the next announcement of its own. It now passes over another name while the known upstream answers, and a start in the future, which would have made all later announcements look old. AnAnnouncementOfAnotherWriterDoesNotReplaceAnUpstreamThatAnswers failed before.

--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -52,6 +52,7 @@
         UpstreamAnnounced announced;
         Duration clockOffset{};                        ///< its clock minus the clock of this guard, from the last message
         MonotonicTime leaseUntil;                      ///< latest end of any lease sent to it, by the clock of this guard
+        bool hasAnswered = false;                      ///< it has answered a renewal
         MonotonicTime lastReceivedAt;                  ///< when the last answer to a renewal, or the first announcement, was received
         std::uint64_t acknowledged = 0;                ///< ends up to this number were received
         std::set<RenewalNumber> longPolls;             ///< renewals in flight that wait for ended runs
@@ -71,6 +72,8 @@
 
     /** Returns whether an announcement was delayed since before the known boot: it says nothing about the runs there. */
     [[nodiscard]] bool isOfEarlierBoot(const UpstreamIncarnation &incarnation) const;
+    /** Returns whether an announcement is not of the upstream beside this guard: the known one answers, or its start is in the future. */
+    [[nodiscard]] bool isOfAnotherWriter(const GuardStep &step, const UpstreamIncarnation &incarnation) const;
     void beginIncarnation(GuardStep &step, const UpstreamAnnounced &announced);
     /** Reports all runs: waiting ones as not started, the others as lapsed. @param crash the crash that ended them, or null */
     void reportAllLost(GuardStep &step, const CrashNotice *crash = nullptr);
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -21,11 +21,13 @@
 constexpr std::uint32_t UnansweredRenewalLimit = 3; ///< bad networks lose one answer in twenty; three lost in a row are rare
 constexpr FencingToken TokenIncrement{60'000};      ///< in milliseconds: exceeds any step of the clock from which the first token was taken
 constexpr FencingToken LapseIncrement{1};           ///< in milliseconds: below the first token of the next incarnation of the guard
-constexpr Duration ProbeInterval = std::chrono::milliseconds(5); ///< between probes: a process that restarts at once may listen again
-constexpr std::uint32_t RefusalsOfCrash = 2;                     ///< consecutive probes that nothing listens to, in a crash
-constexpr Duration CrashRetention = std::chrono::seconds(15);    ///< longer than a job is open, with a submission to another scheduler
-constexpr std::size_t MaxRunsInLine = 8;                         ///< limit on the runs that one log line names
-constexpr std::size_t BackfillLimit = 32;                        ///< limit on the waiting runs that are tried for capacity per input
+constexpr Duration ClockTolerance = std::chrono::hours(1);          ///< by which the wall clocks of two machines differ at most
+constexpr Duration AnswerInterval = std::chrono::milliseconds(400); ///< an upstream that is well answers a renewal at least so often
+constexpr Duration ProbeInterval = std::chrono::milliseconds(5);    ///< between probes: a process that restarts at once may listen again
+constexpr std::uint32_t RefusalsOfCrash = 2;                        ///< consecutive probes that nothing listens to, in a crash
+constexpr Duration CrashRetention = std::chrono::seconds(15);       ///< longer than a job is open, with a submission to another scheduler
+constexpr std::size_t MaxRunsInLine = 8;                            ///< limit on the runs that one log line names
+constexpr std::size_t BackfillLimit = 32;                           ///< limit on the waiting runs that are tried for capacity per input
 
 Duration millisecondsOf(UpstreamTime time)
 {
@@ -114,6 +116,14 @@
                   {"known_start_ms", std::to_string(m_upstream->announced.incarnation.startTimeMs)}});
         return;
     }
+    if (isOfAnotherWriter(step, input.incarnation)) {
+        step.log(Severity::Warning,
+                 "An announcement is passed over: it is of another upstream although the known one answers, or from the future.",
+                 {{"name", input.incarnation.name},
+                  {"start_ms", std::to_string(input.incarnation.startTimeMs)},
+                  {"known_name", m_upstream ? m_upstream->announced.incarnation.name : ""}});
+        return;
+    }
     if (!m_upstream || m_upstream->announced.incarnation != input.incarnation) {
         beginIncarnation(step, input);
     } else if (input.sequence <= m_upstream->announced.sequence) {
@@ -134,6 +144,16 @@
     return m_upstream->unansweredRenewals < UnansweredRenewalLimit || !m_runTable.runs().empty();
 }
 
+bool GuardMachine::Private::isOfAnotherWriter(const GuardStep &step, const UpstreamIncarnation &incarnation) const
+{
+    if (std::chrono::milliseconds(incarnation.startTimeMs) > step.context.wall.time_since_epoch() + ClockTolerance) {
+        return true;
+    }
+    const bool isAnswering = m_upstream && m_upstream->hasAnswered && m_upstream->unansweredRenewals == 0 && !m_upstream->announced.leaving
+        && step.now() < m_upstream->lastReceivedAt + AnswerInterval;
+    return isAnswering && m_upstream->announced.incarnation.name != incarnation.name;
+}
+
 void GuardMachine::Private::beginIncarnation(GuardStep &step, const UpstreamAnnounced &announced)
 {
     if (m_upstream) {
@@ -531,6 +551,7 @@
     upstream.probeDue.reset();
     upstream.crashed = false;
     upstream.lapsedRuns.clear();
+    upstream.hasAnswered = true;
     upstream.lastReceivedAt = step.now();
     upstream.clockOffset = millisecondsOf(input.clock) - step.now().time_since_epoch();
     handleEndedRuns(step, input);
--- a/core/tests/guard_machine_test.cpp
+++ b/core/tests/guard_machine_test.cpp
@@ -81,6 +81,34 @@
     EXPECT_EQ(driver.all<ReportRun>().size(), 1U);
 }
 
+TEST(GuardMachineTest, AnAnnouncementOfAnotherWriterDoesNotReplaceAnUpstreamThatAnswers)
+{
+    GuardDriver guard;
+    guard.order(1, 0, 1'000);
+    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+    for (const auto &other :
+         {UpstreamIncarnation{"other", 9}, UpstreamIncarnation{"other", 0}, UpstreamIncarnation{"runner", std::int64_t{1} << 43U}}) {
+        guard.announce(other);
+        EXPECT_TRUE(guard.all<ReportRun>().empty()) << other.name << ' ' << other.startTimeMs;
+    }
+    guard.order(2, 1, 1'000);
+    ASSERT_EQ(guard.all<StartRun>().size(), 1U);
+    EXPECT_EQ(guard.all<StartRun>()[0].incarnation, GuardDriver::incarnation());
+    guard.leaveRenewalUnanswered();
+    guard.announce({"other", 9});
+    EXPECT_EQ(guard.all<ReportRun>().size(), 2U) << "the known upstream does not answer any more";
+}
+
+TEST(GuardMachineTest, AnUpstreamThatNeverAnsweredIsReplacedByTheNextThatAnnouncesItself)
+{
+    GuardDriver guard;
+    guard.leaveRenewalUnanswered();
+    guard.announce({"odd", 9});
+    guard.announce({"good", 10});
+    ASSERT_EQ(guard.all<RenewLease>().size(), 2U);
+    EXPECT_EQ(guard.all<RenewLease>()[0].incarnation.name, "good");
+}
+
 TEST(GuardMachineTest, AnAbandonedBatchStopsItsRuns)
 {
     GuardDriver driver;
