--- a/core/tests/pool_simulation.cpp
+++ b/core/tests/pool_simulation.cpp
@@ -1,6 +1,7 @@
 // Simulation of a worker pool: schedulers, guards and runners in simulated time, with faults.
 #include "pool_simulation.h"
 
+#include <sycamoremoor/core/guard_subset.h>
 #include <sycamoremoor/core/task_size_func.h>
 
 #include <algorithm>
@@ -70,6 +71,7 @@
     std::set<BatchNumber> recalls;             ///< batches whose recall is repeated if its exchange is interrupted
     std::vector<SchedulerInput> unread;        ///< that arrived while it was busy
     bool busy = false;
+    SchedulerUsage usage;
     Duration outputCost{}; ///< processor time of the last outputs, if it has been busy since then
 };
 
@@ -91,6 +93,7 @@
     std::vector<std::function<void()>> inputs;           ///< that arrived while it was frozen
     std::map<std::uint32_t, BatchNumber> highestBatches; ///< highest batch received, by scheduler
     std::map<RunId, TaskSize> sizes;                     ///< size of every run that the guard was sent
+    std::map<RunId, MonotonicTime> receivedAt;           ///< when the guard was sent a run that it has not started yet
     std::map<std::uint32_t, ReportPace> paces;           ///< reports of capacity, by scheduler
     std::map<std::uint32_t, Duration> reportIntervals;   ///< as the schedulers asked
     PoolRunner runner;
@@ -135,7 +138,10 @@
     for (std::uint32_t index = 0; index < m_settings.workers; ++index) {
         m_guards.push_back(std::make_unique<GuardNode>());
         m_guards[index]->runner.restart(m_now);
-        m_guards[index]->capacity = m_guards[index]->capacityLimit = m_settings.capacity;
+        auto capacity = m_settings.capacity;
+        const auto factor = m_settings.capacityFactor ? m_settings.capacityFactor(index) : 1;
+        capacity.cores = MilliCores(std::llround(static_cast<double>(capacity.cores.value()) * factor));
+        m_guards[index]->capacity = m_guards[index]->capacityLimit = capacity;
         startGuard(index);
         announce(index);
     }
@@ -215,6 +221,30 @@
     });
 }
 
+ZoneName PoolSimulation::zoneOf(std::uint32_t index) const
+{
+    return ZoneName("zone-" + std::to_string(index % m_settings.zones));
+}
+
+bool PoolSimulation::isFollowed(std::uint32_t worker, std::uint32_t scheduler)
+{
+    if (m_settings.followedWorkers >= m_settings.workers) {
+        return true;
+    }
+    if (m_followed.empty()) {
+        GuardSubset::Guards guards;
+        for (std::uint32_t index = 0; index < m_settings.workers; ++index) {
+            const AgentName agent("W" + std::to_string(index));
+            guards[agent] = {agent, {}, zoneOf(index)};
+        }
+        for (std::uint32_t index = 0; index < m_settings.schedulers; ++index) {
+            const GuardSubset subset(EntryName("S" + std::to_string(index)), zoneOf(index), m_settings.followedWorkers);
+            m_followed.push_back(subset.choose(guards, {}));
+        }
+    }
+    return m_followed[scheduler].contains(AgentName("W" + std::to_string(worker)));
+}
+
 void PoolSimulation::startScheduler(std::uint32_t index)
 {
     auto &node = *m_schedulers[index];
@@ -285,6 +315,7 @@
         return;
     }
     if (m_settings.schedulerCosts.batch > Duration::zero()) {
+        node.usage.reports += std::holds_alternative<CapacityReported>(input) ? 1 : 0;
         node.unread.push_back(std::move(input));
         if (!node.busy) {
             workScheduler(index);
@@ -318,14 +349,18 @@
     }
     std::ranges::reverse(*inputs);
     node.unread.clear();
+    const auto factor = m_settings.costFactor ? m_settings.costFactor(index) : 1;
     Duration cost{};
     for (const auto &input : *inputs) {
-        cost += costOf(m_settings.schedulerCosts, input);
+        cost += scaled(costOf(m_settings.schedulerCosts, input), factor);
+        node.usage.decoded += std::holds_alternative<CapacityReported>(input) ? 1 : 0;
+        node.usage.runReports += std::holds_alternative<RunReported>(input) ? 1 : 0;
     }
+    node.usage.busy += cost;
     const auto isSame = [this, index, incarnation = node.incarnation] {
         return m_schedulers[index]->incarnation == incarnation;
     };
-    at(m_now - m_start + cost, [this, index, inputs, isSame, lag = cost + node.outputCost] {
+    at(m_now - m_start + cost, [this, index, inputs, isSame, factor, lag = cost + node.outputCost] {
         if (!isSame()) {
             return;
         }
@@ -336,13 +371,16 @@
         worked.machine->step(stepped, *inputs, outputs);
         worked.outputCost = Duration::zero();
         for (const auto &output : outputs) {
-            worked.outputCost += costOf(m_settings.schedulerCosts, output);
+            worked.outputCost += scaled(costOf(m_settings.schedulerCosts, output), factor);
+            worked.usage.batches += std::holds_alternative<SendBatch>(output) ? 1 : 0;
+            worked.usage.renewals += std::holds_alternative<RenewBatches>(output) || std::holds_alternative<RecallBatch>(output) ? 1 : 0;
             at(m_now - m_start + worked.outputCost, [this, index, output, isSame] {
                 if (isSame()) {
                     applySchedulerOutput(index, output);
                 }
             });
         }
+        worked.usage.busy += worked.outputCost;
         at(m_now - m_start + worked.outputCost, [this, index, isSame] {
             if (isSame()) {
                 workScheduler(index);
@@ -439,6 +477,7 @@
         guard.reportIntervals[scheduler] = batch.reportInterval;
         for (const auto &order : batch.orders) {
             guard.sizes[order.run] = order.size;
+            guard.receivedAt[order.run] = m_now;
         }
         stepGuard(worker, BatchReceived{ConnectionId(number), batch});
     });
@@ -571,6 +610,10 @@
 {
     auto &node = *m_guards[worker];
     if (const auto *start = std::get_if<StartRun>(&output)) {
+        if (const auto received = node.receivedAt.find(start->run); received != node.receivedAt.end()) {
+            m_guardWaits.push_back(m_now - received->second);
+            node.receivedAt.erase(received);
+        }
         // The runner executes the order and answers it at different times; there is an answer only if it was executed before.
         auto answer = std::make_shared<std::optional<StartAnswer>>();
         sendOrder(worker, [this, worker, order = *start, answer](OrderEvent orderEvent) {
@@ -696,6 +739,9 @@
 
 void PoolSimulation::reportCrash(std::uint32_t worker, std::uint32_t scheduler, const CrashNotice &notice)
 {
+    if (!isFollowed(worker, scheduler)) {
+        return;
+    }
     deliver(scheduler, worker, m_now + randomDelay(), [this, worker, scheduler, notice](bool /*wasHeldUp*/) {
         stepScheduler(scheduler, CrashReported{AgentName("W" + std::to_string(worker)), notice});
     });
@@ -738,7 +784,7 @@
 void PoolSimulation::reportCapacity(std::uint32_t worker, std::uint32_t scheduler)
 {
     auto &guard = *m_guards[worker];
-    if (!guard.up || scheduler >= m_schedulers.size()) {
+    if (!guard.up || scheduler >= m_schedulers.size() || !isFollowed(worker, scheduler)) {
         return;
     }
     if (guard.frozen) {
@@ -754,7 +800,7 @@
     // A constant delay, so that the reports of one guard stay in order.
     deliver(scheduler, worker, m_now + Duration(1'200), [this, worker, scheduler, incarnation, report](bool /*wasHeldUp*/) {
         if (m_schedulers[scheduler]->incarnation == incarnation) {
-            stepScheduler(scheduler, CapacityReported{AgentName("W" + std::to_string(worker)), ZoneName("zone"), report});
+            stepScheduler(scheduler, CapacityReported{AgentName("W" + std::to_string(worker)), zoneOf(worker), report});
         }
     });
 }
@@ -867,7 +913,8 @@
     spec->payload = std::to_string(runTime.count());
     QueueJobStep step;
     step.count = tasks;
-    step.size = {load.cores, Megabytes(64), Accelerators(0)};
+    const auto coresFactor = load.coresDeviation > 0 ? std::exp(load.coresDeviation * logarithm(m_loadRandom) / load.logDeviation) : 1;
+    step.size = {MilliCores(std::llround(static_cast<double>(load.cores.value()) * coresFactor)), Megabytes(64), Accelerators(0)};
     const auto error = load.estimateError * std::uniform_real_distribution<double>(-1, 1)(m_loadRandom);
     step.declaredRunTime = scaled(runTime, 1 + error);
     spec->steps.push_back(step);
@@ -1203,6 +1250,16 @@
     return m_crashCounts;
 }
 
+const SchedulerUsage &PoolSimulation::usage(std::uint32_t scheduler) const
+{
+    return m_schedulers[scheduler]->usage;
+}
+
+const std::vector<Duration> &PoolSimulation::guardWaits() const
+{
+    return m_guardWaits;
+}
+
 std::uint32_t PoolSimulation::runCount(std::uint32_t worker) const
 {
     return static_cast<std::uint32_t>(m_guards[worker]->runner.running().size());
--- a/core/tests/pool_simulation.h
+++ b/core/tests/pool_simulation.h
@@ -39,8 +39,14 @@
     double lostAnswers = 0;            ///< share of orders to runners that are executed, but whose answer is lost
     bool runnersCheckCapacity = false; ///< runners refuse runs that exceed their capacity
     Duration runnerReturnTime = std::chrono::milliseconds(900); ///< from the crash of a runner to its next incarnation
-    bool callersResubmit = false; ///< callers whose connection broke send their job to another scheduler 1.3 s later
+    bool callersResubmit = false;              ///< callers whose connection broke send their job to another scheduler 1.3 s later
+    std::uint32_t followedWorkers = 1'000'000; ///< workers whose capacity a scheduler follows, if there are as many
+    std::uint32_t zones = 1;                   ///< workers and schedulers are in them by turns
     SchedulerCosts schedulerCosts;
+    /** Returns the factor on the costs of a scheduler, by its index. If empty, all have the same. */
+    std::function<double(std::uint32_t)> costFactor;
+    /** Returns the factor on the capacity of a worker, by its index. If empty, all have the same. */
+    std::function<double(std::uint32_t)> capacityFactor;
     /** Called for each order to start; sets outcome and end time of the run. If empty, runs succeed after 50 ms. */
     std::function<void(const RunnerStart &, RunnerRun &)> customizeRun;
 };
@@ -52,8 +58,9 @@
     MilliCores cores{3'100};
     Duration runTime = std::chrono::milliseconds(60); ///< of a task, the median if logDeviation is not zero
     double jobsPerSecond = 10;
-    double estimateError = 0; ///< largest error of the declared run time, as a share of the real one
-    double logDeviation = 0;  ///< standard deviation, between jobs, of the logarithms of their number of tasks and of their run time
+    double estimateError = 0;  ///< largest error of the declared run time, as a share of the real one
+    double coresDeviation = 0; ///< standard deviation, between jobs, of the logarithm of their cores
+    double logDeviation = 0;   ///< standard deviation, between jobs, of the logarithms of their number of tasks and of their run time
 };
 
 /** Number of jobs of a queue by result. */
@@ -75,6 +82,16 @@
     }
 };
 
+/** Messages that a scheduler has read or sent, and the processor time that they took. */
+struct SchedulerUsage {
+    std::uint64_t reports = 0;  ///< capacity reports that arrived
+    std::uint64_t decoded = 0;  ///< of these, those that were decoded
+    std::uint64_t batches = 0;  ///< batches that were sent
+    std::uint64_t renewals = 0; ///< renewals and recalls that were sent
+    std::uint64_t runReports = 0;
+    Duration busy{};
+};
+
 /** Runs scheduler and guard machines against simulated runners and callers and records every violated invariant. */
 class PoolSimulation
 {
@@ -154,6 +171,10 @@
     [[nodiscard]] std::uint32_t openCallerCount() const;
     /** Returns the number of runners that a task has crashed, by task. */
     [[nodiscard]] const std::map<QueueTaskId, std::uint32_t> &crashCounts() const;
+    /** Returns what a scheduler did since the start. */
+    [[nodiscard]] const SchedulerUsage &usage(std::uint32_t scheduler) const;
+    /** Returns how long tasks waited from the arrival of their batch at a guard until their start, in order of their starts. */
+    [[nodiscard]] const std::vector<Duration> &guardWaits() const;
     [[nodiscard]] std::uint32_t runCount(std::uint32_t worker) const;
     [[nodiscard]] std::vector<ConnectionId> openCallers() const;
 
@@ -165,6 +186,9 @@
     struct Caller;
 
     void startScheduler(std::uint32_t index);
+    /** Returns whether a scheduler follows the capacity of a worker. */
+    [[nodiscard]] bool isFollowed(std::uint32_t worker, std::uint32_t scheduler);
+    [[nodiscard]] ZoneName zoneOf(std::uint32_t index) const;
     void startGuard(std::uint32_t index);
     void announce(std::uint32_t worker);
     void stepScheduler(std::uint32_t index, SchedulerInput input);
@@ -244,6 +268,7 @@
     std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
     std::vector<std::unique_ptr<SchedulerNode>> m_schedulers;
     std::vector<std::unique_ptr<GuardNode>> m_guards;
+    std::vector<std::set<AgentName>> m_followed; ///< workers that each scheduler follows
     std::map<std::uint64_t, Exchange> m_exchanges;
     std::uint64_t m_lastExchange = 0;
     std::map<ConnectionId, Caller> m_callers;
@@ -256,6 +281,7 @@
     std::map<QueueJobId, std::set<QueueTaskId>> m_completedTasks;
     std::set<QueueJobId> m_refusedJobs;
     std::map<QueueName, PoolJobCounts> m_jobCounts;
+    std::vector<Duration> m_guardWaits;
     std::map<QueueTaskId, std::uint32_t> m_crashCounts;
     std::map<QueueTaskId, std::uint32_t> m_startsAfterCrashes; ///< starts of a task after it has crashed CrashLimit runners
     std::vector<std::string> m_violations;
