Change: [core] Workers are chosen at random by their free share, a task that meets another's waits one millisecond, and ordinary jobs leave room for an urgent one

Cause: schedulers with reports of one age all chose the freest workers, and what met there waited up to 80 ms.

--- a/core/include/sycamoremoor/core/scheduler_input_type.h
+++ b/core/include/sycamoremoor/core/scheduler_input_type.h
@@ -44,6 +44,11 @@
     AgentName agent;
 };
 
+/** The scheduler no longer follows the capacity of a worker. */
+struct WorkerUnfollowed {
+    AgentName agent;
+};
+
 /** A guard reported the end of a run of a batch. */
 struct RunReported {
     BatchNumber batch;
@@ -63,6 +68,7 @@
                                     CapacityReported,
                                     CrashReported,
                                     WorkerUnreachable,
+                                    WorkerUnfollowed,
                                     RunReported,
                                     BatchInterrupted,
                                     DrainRequested>;
--- a/core/include/sycamoremoor/core/scheduler_machine.h
+++ b/core/include/sycamoremoor/core/scheduler_machine.h
@@ -44,6 +44,9 @@
     /** Returns the shortest time between two reports of a guard to this scheduler. */
     [[nodiscard]] Duration reportInterval() const;
 
+    /** Returns whether tasks of this scheduler are on a worker. */
+    [[nodiscard]] bool isUsing(const AgentName &agent) const;
+
     /** Returns the configuration in force, or null. */
     [[nodiscard]] const QueueSetPointer &queues() const;
 
--- a/core/src/scheduler/crash_record.cpp
+++ b/core/src/scheduler/crash_record.cpp
@@ -10,8 +10,8 @@
 {
 
 constexpr Duration Retention = std::chrono::seconds(30); ///< longer than a job is open, and than guards report a crash
-constexpr std::uint32_t CrashesToIsolate = 2; ///< without being a suspect: long runs often meet the crashes of others
-constexpr std::uint32_t CrashesToGiveUp = 2;  ///< if no other run may have caused one of them
+constexpr std::uint32_t CrashesToIsolate = 2;            ///< without being a suspect: long runs often meet the crashes of others
+constexpr std::uint32_t CrashesToGiveUp = 2;             ///< if no other run may have caused one of them
 constexpr std::uint32_t SuspicionsToGiveUp = 3;
 constexpr std::uint32_t MostCrashes = 5; ///< a task that crashes its upstreams late is never among the suspects
 
--- a/core/src/scheduler/crash_record.h
+++ b/core/src/scheduler/crash_record.h
@@ -26,8 +26,8 @@
 
 /** What crashes say about one task. */
 struct TaskCrashes {
-    std::uint32_t all = 0;         ///< upstreams that crashed while a run of the task was open
-    std::uint32_t asSuspect = 0;   ///< of these, those that the run may have caused
+    std::uint32_t all = 0;          ///< upstreams that crashed while a run of the task was open
+    std::uint32_t asSuspect = 0;    ///< of these, those that the run may have caused
     std::uint32_t asTheOnlyOne = 0; ///< of these, those that no other run may have caused
 
     /** Returns whether a run of the task is to have a worker to itself, so that it harms no other, and its next crash convicts no other. */
--- a/core/src/scheduler/scheduled_job.h
+++ b/core/src/scheduler/scheduled_job.h
@@ -33,6 +33,7 @@
     std::uint32_t failures = 0;     ///< number of runs that failed
     bool mayHaveRun = false;        ///< a run was reported as started, or its state is unknown
     bool isIsolated = false;        ///< it may have crashed an upstream: its next run has a worker to itself
+    bool queuesAtGuard = false;     ///< its last run may wait at the guard for capacity
     bool wasSentIsolated = false;   ///< its last run had a worker to itself
     MonotonicTime readyAt;          ///< earliest time to send it; for the stages Waiting and Recalled
     std::vector<AgentName> avoided; ///< workers that refused the task, lost a run of it, or on which it failed
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -7,6 +7,7 @@
 #include "crash_record.h"
 #include "job_order.h"
 #include "lag_meter.h"
+#include "placement.h"
 #include "scheduled_job.h"
 #include "worker_table.h"
 
@@ -35,6 +36,7 @@
     void handle(SchedulerStep &step, const CapacityReported &input);
     void handle(SchedulerStep &step, const CrashReported &input);
     void handle(SchedulerStep &step, const WorkerUnreachable &input);
+    void handle(SchedulerStep &step, const WorkerUnfollowed &input);
     void handle(SchedulerStep &step, const RunReported &input);
     void handle(SchedulerStep &step, const BatchInterrupted &input);
     void handle(SchedulerStep &step, const DrainRequested &input);
@@ -45,6 +47,7 @@
     [[nodiscard]] const QueueSetPointer &queues() const;
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] Duration reportInterval() const;
+    [[nodiscard]] bool isUsing(const AgentName &agent) const;
 
     /** Records how long the inputs of this step have waited, and logs when the scheduler falls behind and when it is on time again. */
     void recordLag(SchedulerStep &step);
@@ -61,13 +64,6 @@
         bool recalled = false;
     };
 
-    /** A task with the worker that was chosen for it and the batch in which it will be sent. */
-    struct PlacedTask {
-        std::size_t task = 0;
-        AgentName agent;
-        BatchNumber batch;
-    };
-
     /** Tasks of one job that were placed on one worker during one input. */
     struct PlacedBatch {
         BatchNumber number;
@@ -110,14 +106,11 @@
     /** Places jobs of one order. @return whether it stopped at a limit before all jobs or all capacity were used */
     bool place(SchedulerStep &step, const JobOrder &order);
     void placeIsolated(SchedulerStep &step);
+    /** Places the waiting tasks of a job. @return whether none is left that could be placed */
     bool placeJob(SchedulerStep &step, ScheduledJob &job);
+    [[nodiscard]] PlacementContext contextOf(SchedulerStep &step, const ScheduledJob &job) const;
     /** Sends placed tasks in a batch for each worker. */
     void sendPlaced(SchedulerStep &step, ScheduledJob &job, const std::vector<PlacedTask> &placed);
-    /** Returns what a task reserves on a worker: all of it if it is isolated. */
-    [[nodiscard]] TaskSize sizeOf(const ScheduledJob &job, const ScheduledTask &task, const AgentName &agent) const;
-    bool placeTask(SchedulerStep &step, ScheduledJob &job, std::size_t index, std::vector<PlacedTask> &placed);
-    [[nodiscard]] bool mayStartInPart(const ScheduledJob &job) const;
-    [[nodiscard]] TaskNeed needOf(SchedulerStep &step, const ScheduledJob &job, const ScheduledTask &task) const;
     void send(SchedulerStep &step, ScheduledJob &job, const AgentName &agent, const PlacedBatch &batch);
     [[nodiscard]] CoreTime waitingCoreTime(const ScheduledJob &job) const;
     void setTimer(SchedulerStep &step);
@@ -125,13 +118,14 @@
     SchedulerSettings m_settings;
     QueueSetPointer m_queues;
     WorkerTable m_workers;
+    Placement m_placement;
     RunTimeEstimator m_runTimes;
     std::map<JobNumber, ScheduledJob> m_jobs;
     std::unordered_map<ConnectionId, JobNumber> m_callers;
     std::map<QueueJobId, JobNumber> m_byId;
     std::map<BatchNumber, OpenBatch> m_batches;
-    MonotonicTime m_renewAt;      ///< when the leases of a group of guards are renewed next
-    std::size_t m_renewGroup = 0; ///< the group that is renewed next
+    MonotonicTime m_renewAt;             ///< when the leases of a group of guards are renewed next
+    std::size_t m_renewGroup = 0;        ///< the group that is renewed next
     JobOrder m_order;                    ///< jobs of queues that are not confined
     JobOrder m_confinedOrder;            ///< jobs of confined queues
     std::set<JobNumber> m_isolatingJobs; ///< jobs with isolated tasks that wait
@@ -144,7 +138,6 @@
     std::size_t m_placedInStep = 0;                         ///< tasks that were sent
     bool m_placesMore = false;                              ///< the limit of a step was reached before all jobs or all capacity were used
     std::uint64_t m_lastJob = 0;
-    std::uint64_t m_lastBatch = 0;
     std::optional<MonotonicTime> m_drainSince;
     bool m_stopped = false;
 };
--- a/core/src/scheduler/worker_table.cpp
+++ b/core/src/scheduler/worker_table.cpp
@@ -19,13 +19,11 @@
 constexpr Duration FirstEjectionTime = std::chrono::milliseconds(1000); ///< an upstream on which all runs fail does so for some seconds
 constexpr std::uint32_t MaxEjectionDoublings = 3;                       ///< limit of the exponential increase of the ejection time
 constexpr double DataLocalityBonus = 1.5; ///< factor by which a run takes longer on another rack than that of its data
-constexpr double UrgentQueueShare = 0.3;  ///< of a worker's cores: urgent tasks that may wait at its guard beyond its free capacity
-constexpr double UrgentReserve = 0.03;    ///< of a worker's cores: free capacity that ordinary tasks do not use
-constexpr double ScoreJitter = 0.2; ///< random part of a score, so that schedulers with the same reports do not all choose the same worker
+constexpr double ScorePower = 4;          ///< of the free share in the weight of a worker: most of the choices are among the freest
 
 constexpr std::int64_t ClockDriftDivisor = 50; ///< two clocks drift apart by at most 2%
 
-/** Returns a number from 0 to 1 that depends on @p entropy and @p index. */
+/** Returns a number above 0 and up to 1 that depends on @p entropy and @p index. */
 double fractionOf(std::uint64_t entropy, std::uint64_t index)
 {
     constexpr std::uint64_t Multiplier = 0x9E3779B97F4A7C15ULL;
@@ -34,7 +32,7 @@
     auto bits = (entropy ^ (index * Multiplier)) * Multiplier;
     bits ^= bits >> 32U;
     bits *= Multiplier;
-    return static_cast<double>(bits >> Surplus) / Range;
+    return static_cast<double>((bits >> Surplus) + 1) / Range;
 }
 
 double currentSlowness(MonotonicTime now, const WorkerHealth &health)
@@ -49,18 +47,11 @@
     return health.ejections > 0;
 }
 
-/**
- * Returns the total size of the tasks that may be sent to a worker now.
- *
- * Ordinary tasks are sent only where they start at once, and leave a reserve for urgent jobs, which need capacity for many
- * tasks at the same time. Urgent tasks may wait in a short queue at the guard, which starts them before the ordinary tasks of
- * all schedulers.
- */
-TaskSize offeredCapacity(const ScheduledWorker &worker, bool isOrdinary)
+/** Returns the total size of the tasks that may be sent to a worker now. @param queueShare of its cores that may be used beyond what is free */
+TaskSize offeredCapacity(const ScheduledWorker &worker, double queueShare)
 {
-    const auto share = isOrdinary ? -UrgentReserve : UrgentQueueShare;
     auto offered = worker.report.free - worker.uncountedSize;
-    offered.cores += MilliCores(static_cast<std::int64_t>(static_cast<double>(worker.report.capacity.cores.value()) * share));
+    offered.cores += MilliCores(static_cast<std::int64_t>(static_cast<double>(worker.report.capacity.cores.value()) * queueShare));
     return offered;
 }
 
@@ -142,7 +133,8 @@
 
 bool WorkerTable::hasWorker(const ServiceName &service, bool isConfined) const
 {
-    return std::ranges::any_of(m_workers, [&](const auto &item) { return serves(item.second, service) && item.second.isForConfined == isConfined; });
+    return std::ranges::any_of(m_workers,
+                               [&](const auto &item) { return serves(item.second, service) && item.second.isForConfined == isConfined; });
 }
 
 TaskSize WorkerTable::capacity(const AgentName &agent) const
@@ -153,7 +145,7 @@
 double WorkerTable::score(MonotonicTime now, const ScheduledWorker &worker, const TaskNeed &need) const
 {
     const auto &health = worker.health;
-    const auto offered = offeredCapacity(worker, need.isOrdinary);
+    const auto offered = offeredCapacity(worker, need.queueShare);
     if (!serves(worker, need.service) || worker.isForConfined != need.isConfined || !fits(need.size, offered)) {
         return 0;
     }
@@ -180,7 +172,7 @@
     MonotonicTime now, const TaskNeed &need, const std::vector<AgentName> &avoided, const Counts &ofStep, std::uint64_t entropy) const
 {
     const AgentName *best = nullptr;
-    double bestScore = 0;
+    double bestTime = 0;
     std::uint64_t index = 0;
     for (const auto &[agent, worker] : m_workers) {
         ++index;
@@ -189,10 +181,15 @@
         if (isFull || std::ranges::find(avoided, agent) != avoided.end()) {
             continue;
         }
-        const auto value = score(now, worker, need) * (1 + ScoreJitter * fractionOf(entropy, index));
-        if (value > bestScore) {
+        const auto weight = std::pow(score(now, worker, need), ScorePower);
+        if (weight <= 0) {
+            continue;
+        }
+        // The least of exponential variables with these rates is the one of a worker with a probability in proportion to its weight.
+        const auto time = -std::log(fractionOf(entropy, index)) / weight;
+        if (best == nullptr || time < bestTime) {
             best = &agent;
-            bestScore = value;
+            bestTime = time;
         }
     }
     return best;
@@ -268,6 +265,12 @@
     return !anyReporting;
 }
 
+bool WorkerTable::hasTasks(const AgentName &agent) const
+{
+    const auto found = m_workers.find(agent);
+    return found != m_workers.end() && found->second.running > 0;
+}
+
 std::size_t WorkerTable::reportingCount() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(m_workers, [](const auto &item) { return item.second.isReporting; }));
@@ -289,6 +292,25 @@
     return sum;
 }
 
+MilliCores WorkerTable::usableCores(const ServiceName &service, bool isConfined, MilliCores taskCores) const
+{
+    const auto unit = std::max<std::int64_t>(1, taskCores.value());
+    MilliCores sum{0};
+    for (const auto &[agent, worker] : m_workers) {
+        const auto free = (worker.report.free.cores - worker.uncountedSize.cores).value();
+        if (free >= unit && serves(worker, service) && worker.isForConfined == isConfined) {
+            sum += MilliCores(free / unit * unit);
+        }
+    }
+    return sum;
+}
+
+double WorkerTable::meanCores(const ServiceName &service) const
+{
+    const auto count = std::ranges::count_if(m_workers, [&service](const auto &item) { return serves(item.second, service); });
+    return count == 0 ? 1 : static_cast<double>(cores(service).value()) / static_cast<double>(count);
+}
+
 std::optional<MonotonicTime> WorkerTable::nextReadmission(MonotonicTime now) const
 {
     std::optional<MonotonicTime> next;
--- a/core/src/scheduler/worker_table.h
+++ b/core/src/scheduler/worker_table.h
@@ -40,11 +40,11 @@
 struct TaskNeed {
     ServiceName service;
     TaskSize size;
-    bool isOrdinary = true;          ///< false for tasks of a queue of priority 0, which are placed before others
     std::string label;               ///< label that the worker must have, empty if any will do
     std::string rack;                ///< preferred rack, empty for none
     std::uint32_t mostPerWorker = 0; ///< most tasks of the step on one worker, zero for no limit
     double slowestAllowed = 0;       ///< highest WorkerHealth::slowness with which the task can end in time
+    double queueShare = 0;           ///< of a worker's cores that the task may take beyond what is free, and wait for at the guard
     bool isConfined = false;         ///< only the share of the workers that is kept for confined queues may be used, else only the others
     bool isIsolated = false;         ///< the worker must have no other tasks
 };
@@ -77,10 +77,10 @@
     void markUnreachable(const AgentName &agent);
 
     /**
-     * Chooses the worker for a task.
+     * Chooses the worker for a task, at random: the more of a worker is free, the more likely it is chosen.
      * @param avoided workers that are not to be used
      * @param ofStep number of tasks of the same step, by worker
-     * @param entropy random number that varies the choice between workers of similar score
+     * @param entropy random number that decides the choice
      * @return null if no worker is suitable and has enough free capacity
      */
     [[nodiscard]] const AgentName *choose(
@@ -104,6 +104,9 @@
     /** Returns whether @p size fits the total capacity of a worker of @p service; true also if no such worker is known. */
     [[nodiscard]] bool mayEverFit(const ServiceName &service, const TaskSize &size) const;
 
+    /** Returns whether tasks of this scheduler are on a worker. */
+    [[nodiscard]] bool hasTasks(const AgentName &agent) const;
+
     /** Returns the number of workers whose guards report. */
     [[nodiscard]] std::size_t reportingCount() const;
 
@@ -113,6 +116,15 @@
     /** Returns the sum of the cores of all workers of @p service that accept work. */
     [[nodiscard]] MilliCores cores(const ServiceName &service) const;
 
+    /**
+     * Returns how much of the free cores of the workers that accept work of @p service tasks of @p taskCores could use.
+     * @param isConfined of the workers for confined queues, else of the others
+     */
+    [[nodiscard]] MilliCores usableCores(const ServiceName &service, bool isConfined, MilliCores taskCores) const;
+
+    /** Returns the mean of the thousandths of cores of the workers that accept work of @p service; 1 if there is none. */
+    [[nodiscard]] double meanCores(const ServiceName &service) const;
+
     /** Returns when the next ejected worker is readmitted, if any is ejected. */
     [[nodiscard]] std::optional<MonotonicTime> nextReadmission(MonotonicTime now) const;
 
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -24,9 +24,12 @@
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(500); ///< a job submitted again earlier would arrive within the same burst
 constexpr Duration ConfinedRetryAfter = std::chrono::seconds(3);   ///< usual time until a crashed upstream is back
 constexpr Duration MaxGuardWait = std::chrono::milliseconds(80);   ///< a run that waits longer at its guard would start sooner elsewhere
-constexpr double PartialStartShare = 0.25;  ///< of all cores: a job that needs more may start in parts, as so much is never free at once
-constexpr double MinExpectedSeconds = 1e-3; ///< lower bound, since callers may declare a run time of zero
+constexpr Duration ShortGuardWait
+    = std::chrono::milliseconds(1);        ///< of a run for which capacity should be free: if it is not, another worker has some sooner
+constexpr std::uint32_t MaxShortWaits = 4; ///< runs of a task that were refused so; then it waits for its turn at a guard
+constexpr std::size_t MaxBackfill = 4;     ///< jobs that are tried after the first one that does not fit
 constexpr std::size_t MaxJobsTriedPerStep = 24;                        ///< limit on the jobs that are tried for placement per step
+constexpr std::uint64_t EntropyStride = 1'000;                         ///< more than the tasks of most jobs
 constexpr std::size_t MaxIsolatedJobsPerStep = 8;                      ///< limit on the jobs with isolated tasks that are tried per step
 constexpr std::size_t MaxTasksPlacedPerStep = 32;                      ///< limit on the tasks that are sent before further inputs are read
 constexpr Duration MinReportInterval = std::chrono::milliseconds(4);   ///< a job's tasks end and begin in groups
@@ -82,6 +85,11 @@
     return d->reportInterval();
 }
 
+bool SchedulerMachine::isUsing(const AgentName &agent) const
+{
+    return d->isUsing(agent);
+}
+
 const QueueSetPointer &SchedulerMachine::queues() const
 {
     return d->queues();
@@ -94,6 +102,7 @@
 
 SchedulerMachine::Private::Private(SchedulerSettings settings)
     : m_settings(std::move(settings))
+    , m_placement(m_workers)
 {
 }
 
@@ -162,6 +171,7 @@
     auto &stored = m_jobs.emplace(job.number, std::move(job)).first->second;
     scheduleCheck(stored, latestPlacement(stored));
     unblockSteps(step, stored);
+    m_placement.recordArrival(step.now(), stored);
     enqueue(stored);
     m_arrivals.push_back(stored.number);
 }
@@ -492,6 +502,11 @@
     m_workers.markUnreachable(input.agent);
 }
 
+void SchedulerMachine::Private::handle(SchedulerStep & /*step*/, const WorkerUnfollowed &input)
+{
+    m_workers.markUnreachable(input.agent);
+}
+
 void SchedulerMachine::Private::handle(SchedulerStep &step, const RunReported &input)
 {
     const auto found = m_batches.find(input.batch);
@@ -524,6 +539,7 @@
     case RunOutcome::Done: {
         const auto declared = job.spec->steps[task.step].declaredRunTime;
         m_workers.recordSuccess(step.now(), agent, job.expected[task.step], report.runTime);
+        m_placement.recordRun(report.runTime);
         m_runTimes.learn(job.queue.service, TaskKind(job.queue.name.value()), declared, report.runTime);
         task.stage = ScheduledStage::Done;
         if (--job.openTasks[task.step] == 0) {
@@ -769,89 +785,57 @@
 
 bool SchedulerMachine::Private::place(SchedulerStep &step, const JobOrder &order)
 {
-    // The first job without capacity ends the loop: in a burst, every input would otherwise try all jobs on every worker.
-    bool hasCapacity = true;
+    // In a burst, every input would otherwise try all jobs on every worker.
     std::size_t tried = 0;
+    std::size_t withoutCapacity = 0;
     const auto isLimited = [&] {
         return tried >= MaxJobsTriedPerStep || m_placedInStep >= MaxTasksPlacedPerStep;
     };
-    while (hasCapacity && !isLimited() && !order.jobs().empty()) {
+    auto position = order.jobs().begin();
+    while (position != order.jobs().end() && withoutCapacity <= MaxBackfill && !isLimited()) {
         ++tried;
-        hasCapacity = placeJob(step, m_jobs.at(order.jobs().begin()->first.job));
+        const auto key = position->first;
+        withoutCapacity += placeJob(step, m_jobs.at(key.job)) ? 0 : 1;
+        position = order.jobs().upper_bound(key); // a job that is placed in part has another key from then on
     }
-    return hasCapacity && !order.jobs().empty();
+    return withoutCapacity == 0 && !order.jobs().empty();
 }
 
-void SchedulerMachine::Private::placeIsolated(SchedulerStep &step)
+bool SchedulerMachine::Private::placeJob(SchedulerStep &step, ScheduledJob &job)
 {
-    std::size_t tried = 0;
-    const auto jobs = m_isolatingJobs;
-    for (const auto number : jobs) {
-        if (++tried > MaxIsolatedJobsPerStep) {
-            return;
-        }
-        auto &job = m_jobs.at(number);
-        std::vector<PlacedTask> placed;
-        for (std::size_t index = 0; index < job.tasks.size(); ++index) {
-            if (job.tasks[index].isIsolated && job.tasks[index].stage == ScheduledStage::Waiting) {
-                placeTask(step, job, index, placed);
-            }
-        }
-        sendPlaced(step, job, placed);
+    const auto placed = m_placement.place(contextOf(step, job), job);
+    if (placed) {
+        sendPlaced(step, job, *placed);
     }
+    return placed && job.waiting == 0;
 }
 
-TaskNeed SchedulerMachine::Private::needOf(SchedulerStep &step, const ScheduledJob &job, const ScheduledTask &task) const
+PlacementContext SchedulerMachine::Private::contextOf(SchedulerStep &step, const ScheduledJob &job) const
 {
-    const auto &jobStep = job.spec->steps[task.step];
-    TaskNeed need;
-    need.service = job.queue.service;
-    need.size = jobStep.size;
-    need.isOrdinary = job.queue.priority > 0;
-    need.isConfined = m_bulkhead.isConfined(job.queue.name);
-    need.isIsolated = task.isIsolated;
-    need.label = jobStep.requiredLabel;
-    need.rack = jobStep.dataRack;
-    need.mostPerWorker = jobStep.mostPerWorker;
-    // A new job is placed only where it can meet its objective: on a slower worker it would end late or not at all, while its
-    // caller can submit it again after a refusal.
-    const auto expected = std::max(toSeconds(job.expected[task.step]), MinExpectedSeconds);
-    const auto left = toSeconds((job.started ? job.expiresAt : job.arrivedAt + job.objective) - step.now());
-    need.slowestAllowed = std::max(1.0, left / expected);
-    return need;
+    return {step.now(), step.context.entropy + job.number.value() * EntropyStride, m_bulkhead.isConfined(job.queue.name)};
 }
 
-bool SchedulerMachine::Private::placeJob(SchedulerStep &step, ScheduledJob &job)
+void SchedulerMachine::Private::placeIsolated(SchedulerStep &step)
 {
-    std::vector<PlacedTask> placed;
-    bool allPlaced = true;
-    bool mayStart = true;
-    for (std::size_t index = 0; index < job.tasks.size() && mayStart; ++index) {
-        const auto &task = job.tasks[index];
-        if (task.stage == ScheduledStage::Waiting && !task.isIsolated && !placeTask(step, job, index, placed)) {
-            allPlaced = false;
-            mayStart = mayStartInPart(job);
-        }
-    }
-    if (!mayStart) {
-        for (const auto &[task, agent, batch] : placed) {
-            --job.placed[job.tasks[task].step][agent];
-            m_workers.forgetBatch(agent, batch);
-            m_workers.removeTasks(agent, 1);
+    std::size_t tried = 0;
+    const auto jobs = m_isolatingJobs;
+    for (const auto number : jobs) {
+        if (++tried > MaxIsolatedJobsPerStep) {
+            return;
         }
-        return false;
+        auto &job = m_jobs.at(number);
+        sendPlaced(step, job, m_placement.placeIsolated(contextOf(step, job), job));
     }
-    sendPlaced(step, job, placed);
-    return allPlaced;
 }
 
 void SchedulerMachine::Private::sendPlaced(SchedulerStep &step, ScheduledJob &job, const std::vector<PlacedTask> &placed)
 {
     std::map<AgentName, PlacedBatch> batches;
-    for (const auto &[task, agent, batch] : placed) {
+    for (const auto &[task, agent, batch, queuesAtGuard] : placed) {
         auto &content = batches[agent];
         content.number = batch;
         content.tasks.push_back(task);
+        job.tasks[task].queuesAtGuard = queuesAtGuard;
     }
     for (const auto &[agent, batch] : batches) {
         send(step, job, agent, batch);
@@ -859,41 +843,6 @@
     enqueue(job);
 }
 
-bool SchedulerMachine::Private::mayStartInPart(const ScheduledJob &job) const
-{
-    MilliCores need{0};
-    for (const auto &task : job.tasks) {
-        need += task.stage == ScheduledStage::Waiting ? job.spec->steps[task.step].size.cores : MilliCores(0);
-    }
-    const auto all = static_cast<double>(m_workers.cores(job.queue.service).value());
-    return job.started || static_cast<double>(need.value()) > all * PartialStartShare;
-}
-
-bool SchedulerMachine::Private::placeTask(SchedulerStep &step, ScheduledJob &job, std::size_t index, std::vector<PlacedTask> &placed)
-{
-    const auto &task = job.tasks[index];
-    auto &ofStep = job.placed[task.step];
-    const auto need = needOf(step, job, task);
-    const auto *agent = m_workers.choose(step.now(), need, task.avoided, ofStep, step.context.entropy + index);
-    if (agent == nullptr && !task.avoided.empty()) {
-        agent = m_workers.choose(step.now(), need, {}, ofStep, step.context.entropy + index);
-    }
-    if (agent == nullptr) {
-        return false;
-    }
-    const auto same = std::ranges::find(placed, *agent, &PlacedTask::agent);
-    const auto batch = same == placed.end() ? BatchNumber(++m_lastBatch) : same->batch;
-    ++ofStep[*agent];
-    m_workers.addBatch(*agent, batch, sizeOf(job, task, *agent), 1);
-    placed.push_back({index, *agent, batch});
-    return true;
-}
-
-TaskSize SchedulerMachine::Private::sizeOf(const ScheduledJob &job, const ScheduledTask &task, const AgentName &agent) const
-{
-    return task.isIsolated ? m_workers.capacity(agent) : job.spec->steps[task.step].size;
-}
-
 void SchedulerMachine::Private::send(SchedulerStep &step, ScheduledJob &job, const AgentName &agent, const PlacedBatch &batch)
 {
     SendBatch output;
@@ -926,9 +875,11 @@
         m_order.recordSent(step.now(), CoreTime(job.spec->steps[task.step].size.cores.value() * job.expected[task.step].count()));
         RunOrder order;
         order.run = {{job.spec->id, task.step, task.index}, task.runs};
-        order.size = sizeOf(job, task, agent);
+        order.size = m_placement.sizeOn(agent, job, task);
         order.urgency = {job.queue.priority > 0, job.latestStart - step.now()};
-        order.startWithin = std::clamp(job.expiresAt - job.expected[task.step] - step.now(), Duration::zero(), MaxGuardWait);
+        const bool waitsShortly = !task.queuesAtGuard && task.runs <= MaxShortWaits;
+        order.startWithin = std::clamp(
+            job.expiresAt - job.expected[task.step] - step.now(), Duration::zero(), waitsShortly ? ShortGuardWait : MaxGuardWait);
         order.runLimit = scaled(job.expected[task.step], RunLimitFactor) + RunLimitSlack;
         output.batch.orders.push_back(std::move(order));
     }
@@ -964,6 +915,11 @@
     }
 }
 
+bool SchedulerMachine::Private::isUsing(const AgentName &agent) const
+{
+    return m_workers.hasTasks(agent);
+}
+
 const QueueSetPointer &SchedulerMachine::Private::queues() const
 {
     return m_queues;
