--- a/bench/scheduler_load.cpp
+++ b/bench/scheduler_load.cpp
@@ -108,7 +108,14 @@
     LoadedScheduler(EventLoop &loop, const std::map<AgentName, AgentRecord> &guards)
         : m_callers(loop, Endpoint{"127.0.0.1", 0}, {}, [this](const HttpExchangePointer &exchange) { take(exchange); })
         , m_client(loop)
-        , m_rooms(loop, m_client, EntryName("scheduler"), [this] { return m_driver.machine().reportInterval(); })
+        , m_rooms(loop,
+                  m_client,
+                  EntryName("scheduler"),
+                  GuardSubset(EntryName("scheduler"), ZoneName("zone"), guards.size()),
+                  {[this] { return m_driver.machine().reportInterval(); },
+                   [this](const AgentName &agent) {
+                       return m_driver.machine().isUsing(agent);
+                   }})
         , m_batches(loop, m_client, m_metrics, [this](const AgentName &agent) { return m_rooms.endpoint(agent); })
         , m_driver(
               loop,
--- a/daemon/src/daemon.cpp
+++ b/daemon/src/daemon.cpp
@@ -88,6 +88,7 @@
     task.callers = settings.callers;
     task.readiness = settings.readiness;
     task.store = settings.platform.front();
+    task.followedWorkers = settings.followedWorkers;
     return task;
 }
 
--- a/daemon/src/daemon_settings_type.h
+++ b/daemon/src/daemon_settings_type.h
@@ -4,6 +4,7 @@
 #include <sycamoremoor/core/agent_settings_type.h>
 #include <sycamoremoor/core/entry_settings_type.h>
 #include <sycamoremoor/core/guard_machine.h>
+#include <sycamoremoor/core/guard_subset.h>
 #include <sycamoremoor/core/scheduler_machine.h>
 #include <sycamoremoor/net/log_func.h>
 
@@ -46,10 +47,11 @@
     Endpoint announcements; ///< where a guard's upstream announces itself
     std::vector<Endpoint> platform;
     std::vector<Endpoint> entries;
-    EntrySettings entry;         ///< timing only
-    AgentSettings agent;         ///< timing, upstream, service and capacity only
-    GuardSettings guard;         ///< timing only
-    SchedulerSettings scheduler; ///< timing only
+    EntrySettings entry;                                    ///< timing only
+    AgentSettings agent;                                    ///< timing, upstream, service and capacity only
+    GuardSettings guard;                                    ///< timing only
+    std::size_t followedWorkers = GuardSubset::DefaultSize; ///< workers whose capacity a scheduler follows, if there are as many
+    SchedulerSettings scheduler;                            ///< timing only
     Severity logLevel = Severity::Info;
     LogFormat logFormat = LogFormat::Text;
     bool checkOnly = false;
--- a/daemon/src/option_value_func.cpp
+++ b/daemon/src/option_value_func.cpp
@@ -77,6 +77,15 @@
     return milliseconds.has_value();
 }
 
+bool readCount(const std::string &text, std::int64_t least, std::int64_t most, std::size_t &count)
+{
+    const auto value = readWhole(text, least, most);
+    if (value) {
+        count = static_cast<std::size_t>(*value);
+    }
+    return value.has_value();
+}
+
 bool readCores(const std::string &text, MilliCores &cores)
 {
     const auto count = readWhole(text, 1, MaxCores);
--- a/daemon/src/option_value_func.h
+++ b/daemon/src/option_value_func.h
@@ -26,6 +26,7 @@
 bool readEndpoint(const std::string &text, Endpoint &endpoint);
 bool readEndpoints(const std::string &text, std::vector<Endpoint> &endpoints);
 bool readDuration(const std::string &text, Duration &duration);
+bool readCount(const std::string &text, std::int64_t least, std::int64_t most, std::size_t &count);
 bool readCores(const std::string &text, MilliCores &cores);
 
 /** Returns the whole number @p text if it is one from @p least to @p most. */
--- a/daemon/src/scheduler_task.cpp
+++ b/daemon/src/scheduler_task.cpp
@@ -33,7 +33,14 @@
     , m_frontDoor(m_metrics, [this] { return m_driver.machine().queues(); })
     , m_config(loop, makeStoreHooks(m_client, settings.store), ConfigKey, ConfigTimes)
     , m_directory(loop, makeStoreHooks(m_client, settings.store))
-    , m_rooms(loop, m_client, settings.machine.name, [this] { return m_driver.machine().reportInterval(); })
+    , m_rooms(loop,
+              m_client,
+              settings.machine.name,
+              GuardSubset(settings.machine.name, settings.machine.zone, settings.followedWorkers),
+              {[this] { return m_driver.machine().reportInterval(); },
+               [this](const AgentName &agent) {
+                   return m_driver.machine().isUsing(agent);
+               }})
     , m_batches(loop, m_client, m_metrics, [this](const AgentName &agent) { return m_rooms.endpoint(agent); })
     , m_stopWatcher(loop, m_callers)
     , m_driver(
--- a/daemon/src/scheduler_task.h
+++ b/daemon/src/scheduler_task.h
@@ -28,6 +28,7 @@
     Endpoint callers;   ///< where jobs arrive
     Endpoint readiness; ///< where the balancer asks
     Endpoint store;
+    std::size_t followedWorkers = GuardSubset::DefaultSize; ///< workers whose capacity it follows, if there are as many
 };
 
 /** Drives a SchedulerMachine. Belongs to the loop's thread; others talk to it by EventLoop::post(). */
--- a/daemon/src/table/option_table.h
+++ b/daemon/src/table/option_table.h
@@ -49,6 +49,8 @@
               [](const std::string &text, Settings &to) { return readEndpoint(text, to.callers); }, EndpointAllowed},
     OptionRow{"readiness", "IP:PORT", "where it tells the balancer whether it takes new callers", SchedulerRole, true,
               [](const std::string &text, Settings &to) { return readEndpoint(text, to.readiness); }, EndpointAllowed},
+    OptionRow{"followed-workers", "COUNT", "workers whose capacity it follows, of more", SchedulerRole, false,
+              [](const std::string &text, Settings &to) { return readCount(text, 1, 100'000, to.followedWorkers); }, "a whole number from 1 to 100000"},
     OptionRow{"announcements", "IP:PORT", "where its upstream announces itself", GuardRole, true,
               [](const std::string &text, Settings &to) { return readEndpoint(text, to.announcements); }, EndpointAllowed},
     OptionRow{"entries", "IP:PORT,..", "entries to ask first for the roster", EntryRole | AgentRole, false,
--- a/daemon/tests/option_reader_test.cpp
+++ b/daemon/tests/option_reader_test.cpp
@@ -79,6 +79,9 @@
     WrongSetting{"NameWithBlank", "--name=a b", "--name: \"a b\" is not allowed"},
     WrongSetting{"HostName", "--listen=localhost:80", "--listen: \"localhost:80\" is not allowed; it must be IP:PORT"},
     WrongSetting{"EmptyEntry", "--entries=127.0.0.1:1,", "--entries: \"127.0.0.1:1,\" is not allowed"},
+    WrongSetting{
+        "FollowedZero", "--followed-workers=0", "--followed-workers: \"0\" is not allowed; it must be a whole number from 1 to 100000."},
+    WrongSetting{"FollowedNegative", "--followed-workers=-1", "--followed-workers: \"-1\" is not allowed"},
     WrongSetting{"SlotsZero", "--slots=0", "--slots: \"0\" is not allowed; it must be a whole number from 1 to 100000."},
     WrongSetting{"SlotsText", "--slots=8x", "--slots: \"8x\" is not allowed"},
     WrongSetting{"CoresHuge", "--cores=99999999999999999999", "is not allowed; it must be a whole number from 1 to 4096."},
--- a/net/include/sycamoremoor/net/room_watcher.h
+++ b/net/include/sycamoremoor/net/room_watcher.h
@@ -1,7 +1,9 @@
 // Keeps a scheduler informed of the room of every worker in the directory.
 #pragma once
 
+#include <sycamoremoor/core/guard_subset.h>
 #include <sycamoremoor/core/scheduler_input_type.h>
+#include <sycamoremoor/net/timer.h>
 
 #include <sigc++/signal.h>
 
@@ -17,14 +19,17 @@
 class EventLoop;
 class HttpClient;
 
-/** Holds one streamed exchange with each guard, and opens it anew when it breaks or falls silent. */
+/** What a RoomWatcher asks its scheduler. */
+struct RoomWatcherHooks {
+    std::function<Duration()> reportInterval;            ///< shortest time between two reports of a guard
+    std::function<bool(const AgentName &agent)> isUsing; ///< whether tasks of the scheduler are on a worker
+};
+
+/** Holds one streamed exchange with each guard that the scheduler follows, and opens it anew when it breaks or falls silent. */
 class RoomWatcher
 {
 public:
-    using ReportInterval = std::function<Duration()>;
-
-    /** @param reportInterval tells the shortest time between two reports of a guard */
-    RoomWatcher(EventLoop &loop, HttpClient &client, EntryName scheduler, ReportInterval reportInterval);
+    RoomWatcher(EventLoop &loop, HttpClient &client, EntryName scheduler, GuardSubset subset, RoomWatcherHooks hooks);
     ~RoomWatcher();
 
     RoomWatcher(const RoomWatcher &) = delete;
@@ -33,8 +38,8 @@
     /** Emitted for reports and silences. */
     sigc::signal<void(SchedulerInput)> &signalInput();
 
-    /** Watches these guards, and those from before that still answer. */
-    void setGuards(const std::map<AgentName, AgentRecord> &guards);
+    /** Watches the subset of these guards, and of those from before that still answer. */
+    void setGuards(const GuardSubset::Guards &guards);
 
     /** Returns where a guard listens. */
     [[nodiscard]] std::optional<Endpoint> endpoint(const AgentName &agent) const;
@@ -42,6 +47,9 @@
 private:
     struct Watch;
 
+    /** Watches the guards that are chosen now, and ends watches of others that the scheduler does not use. */
+    void follow();
+    void watch(const AgentRecord &record);
     void open(Watch &watch);
     void received(Watch &watch, std::string_view part);
     void takeCrash(const Watch &watch, std::string_view line);
@@ -52,7 +60,10 @@
     EventLoop &m_loop;
     HttpClient &m_client;
     EntryName m_scheduler;
-    ReportInterval m_reportInterval;
+    GuardSubset m_subset;
+    RoomWatcherHooks m_hooks;
+    GuardSubset::Guards m_listed; ///< in the directory
+    Timer m_followTimer;
     sigc::signal<void(SchedulerInput)> m_input;
     std::map<AgentName, std::unique_ptr<Watch>> m_watches;
 };
--- a/net/src/room_watcher.cpp
+++ b/net/src/room_watcher.cpp
@@ -1,6 +1,7 @@
 // Keeps a scheduler informed of the room of every worker in the directory.
 #include <sycamoremoor/net/room_watcher.h>
 
+#include <sycamoremoor/net/clock_func.h>
 #include <sycamoremoor/net/event_loop.h>
 #include <sycamoremoor/net/http_client.h>
 #include <sycamoremoor/net/line_reader.h>
@@ -9,6 +10,7 @@
 #include <sycamoremoor/net/timer.h>
 #include <sycamoremoor/wire/message_codec.h>
 
+#include <set>
 #include <string>
 #include <utility>
 
@@ -23,15 +25,19 @@
 constexpr Duration ReopenDelay = std::chrono::milliseconds(150);
 constexpr Duration LongestReopenDelay = std::chrono::milliseconds(1000);
 constexpr std::string_view CrashNoticeStart = R"({"crashed_guard":)"; ///< tells a notice of a crash from a report of room
-constexpr Duration WatchLimit = std::chrono::hours(24); ///< a watch has no end of its own
+constexpr Duration FollowInterval = std::chrono::milliseconds(500);   ///< between choices of the guards to follow
+constexpr Duration SilentTime = std::chrono::seconds(1);              ///< without a report, until another guard is followed instead
+constexpr Duration LingerTime = std::chrono::seconds(10);             ///< for which a guard is followed after it was in the subset
+constexpr Duration WatchLimit = std::chrono::hours(24);               ///< a watch has no end of its own
 
 } // namespace
 
 /** The exchange with one guard. */
 struct RoomWatcher::Watch {
     AgentRecord record;
-    bool listed = true; ///< in the directory
-    bool heard = false; ///< since the exchange was opened
+    bool heard = false;                         ///< since the exchange was opened
+    MonotonicTime silentSince;                  ///< when nothing was heard any more, unless heard
+    std::optional<MonotonicTime> unchosenSince; ///< when the guard was no longer in the subset, if it is not
     CallNumber call = 0;
     Duration reopenDelay = ReopenDelay;
     LineReader lines;
@@ -40,12 +46,15 @@
     std::unique_ptr<Timer> reopen;
 };
 
-RoomWatcher::RoomWatcher(EventLoop &loop, HttpClient &client, EntryName scheduler, ReportInterval reportInterval)
+RoomWatcher::RoomWatcher(EventLoop &loop, HttpClient &client, EntryName scheduler, GuardSubset subset, RoomWatcherHooks hooks)
     : m_loop(loop)
     , m_client(client)
     , m_scheduler(std::move(scheduler))
-    , m_reportInterval(std::move(reportInterval))
+    , m_subset(std::move(subset))
+    , m_hooks(std::move(hooks))
+    , m_followTimer(loop, [this] { follow(); })
 {
+    m_followTimer.start(FollowInterval);
 }
 
 RoomWatcher::~RoomWatcher() = default;
@@ -55,39 +64,74 @@
     return m_input;
 }
 
-void RoomWatcher::setGuards(const std::map<AgentName, AgentRecord> &guards)
+void RoomWatcher::setGuards(const GuardSubset::Guards &guards)
 {
-    for (const auto &[agent, record] : guards) {
-        auto &watch = m_watches[agent];
-        if (watch && watch->record == record) {
-            watch->listed = true;
-            continue;
-        }
-        if (watch) {
-            m_client.cancel(watch->record.endpoint, watch->call);
+    m_listed = guards;
+    follow();
+}
+
+void RoomWatcher::follow()
+{
+    m_followTimer.start(FollowInterval);
+    const auto now = monotonicNow();
+    auto candidates = m_listed;
+    std::set<AgentName> silent;
+    for (const auto &[agent, watch] : m_watches) {
+        if (watch->heard) {
+            candidates.emplace(agent, watch->record); // records can be lost while the store is away: a guard that answers is there
+        } else if (watch->silentSince + SilentTime <= now) {
+            silent.insert(agent);
         }
-        watch = std::make_unique<Watch>();
-        watch->record = record;
-        auto *opened = watch.get();
-        watch->silence = std::make_unique<Timer>(m_loop, [this, opened] { broken(*opened); });
-        watch->reopen = std::make_unique<Timer>(m_loop, [this, opened] { open(*opened); });
-        watch->reopen->start(Duration::zero());
+    }
+    const auto chosen = m_subset.choose(candidates, silent);
+    for (const auto &agent : chosen) {
+        watch(candidates.at(agent));
     }
     std::erase_if(m_watches, [&](const auto &item) {
         const auto &[agent, watch] = item;
-        watch->listed = guards.contains(agent);
-        if (watch->listed || watch->heard) {
-            return false; // records can be lost while the store is away: a guard that answers is there
+        if (chosen.contains(agent)) {
+            watch->unchosenSince.reset();
+            return false;
+        }
+        const bool isListed = m_listed.contains(agent);
+        const auto since = watch->unchosenSince.value_or(now);
+        watch->unchosenSince = since;
+        if (isListed && (since + LingerTime > now || m_hooks.isUsing(agent))) {
+            return false; // the choice may soon be as it was, and the guard's clock is needed to renew the leases of batches
         }
         m_client.cancel(watch->record.endpoint, watch->call);
+        if (watch->heard) {
+            m_input.emit(WorkerUnfollowed{agent});
+        }
         return true;
     });
 }
 
+void RoomWatcher::watch(const AgentRecord &record)
+{
+    auto &watch = m_watches[record.agent];
+    if (watch && watch->record == record) {
+        return;
+    }
+    if (watch) {
+        m_client.cancel(watch->record.endpoint, watch->call);
+    }
+    watch = std::make_unique<Watch>();
+    watch->record = record;
+    watch->silentSince = monotonicNow();
+    auto *opened = watch.get();
+    watch->silence = std::make_unique<Timer>(m_loop, [this, opened] { broken(*opened); });
+    watch->reopen = std::make_unique<Timer>(m_loop, [this, opened] { open(*opened); });
+    watch->reopen->start(Duration::zero());
+}
+
 std::optional<Endpoint> RoomWatcher::endpoint(const AgentName &agent) const
 {
-    const auto found = m_watches.find(agent);
-    return found == m_watches.end() ? std::nullopt : std::optional(found->second->record.endpoint);
+    if (const auto found = m_watches.find(agent); found != m_watches.end()) {
+        return found->second->record.endpoint;
+    }
+    const auto found = m_listed.find(agent);
+    return found == m_listed.end() ? std::nullopt : std::optional(found->second.endpoint);
 }
 
 void RoomWatcher::open(Watch &watch)
@@ -97,8 +141,8 @@
     ClientCall call;
     call.endpoint = watch.record.endpoint;
     call.method = RequestMethod::Get;
-    call.path
-        = std::string(Path::WatchRoom) + "?scheduler=" + m_scheduler.value() + "&interval_us=" + std::to_string(m_reportInterval().count());
+    call.path = std::string(Path::WatchRoom) + "?scheduler=" + m_scheduler.value()
+        + "&interval_us=" + std::to_string(m_hooks.reportInterval().count());
     call.connectLimit = ConnectLimit;
     call.timeLimit = WatchLimit;
     call.newConnection = true;
@@ -167,10 +211,11 @@
     watch.silence->stop();
     const auto agent = watch.record.agent;
     if (std::exchange(watch.heard, false)) {
+        watch.silentSince = monotonicNow();
         m_input.emit(WorkerUnreachable{agent});
     }
-    if (!watch.listed) {
-        // The timer that calls this belongs to the watch: it is forgotten with the next change of the directory.
+    if (!m_listed.contains(agent)) {
+        // The timer that calls this belongs to the watch: it is forgotten when the subset is chosen next.
         return;
     }
     watch.reopen->start(watch.reopenDelay);
--- a/net/tests/room_watcher_test.cpp
+++ b/net/tests/room_watcher_test.cpp
@@ -10,6 +10,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+#include <string>
 #include <vector>
 
 namespace Sycamoremoor
@@ -29,6 +31,19 @@
     return report;
 }
 
+GuardSubset allGuards()
+{
+    return {EntryName("S"), ZoneName("z"), GuardSubset::DefaultSize};
+}
+
+RoomWatcherHooks hooks(bool isUsing = false)
+{
+    return {[] { return Duration(milliseconds(40)); },
+            [isUsing](const AgentName & /*agent*/) {
+                return isUsing;
+            }};
+}
+
 } // namespace
 
 TEST(RoomWatcherTest, OfReportsThatAreReadTogetherOnlyTheNewestIsHandedOn)
@@ -37,7 +52,7 @@
     std::vector<HttpExchangePointer> streams;
     HttpServer guard(loop, {"127.0.0.1", 0}, {}, [&streams](const HttpExchangePointer &exchange) { streams.push_back(exchange); });
     HttpClient client(loop);
-    RoomWatcher rooms(loop, client, EntryName("S"), [] { return Duration(milliseconds(40)); });
+    RoomWatcher rooms(loop, client, EntryName("S"), allGuards(), hooks());
     std::vector<std::int64_t> freeCores;
     rooms.signalInput().connect([&freeCores](const SchedulerInput &input) {
         if (const auto *reported = std::get_if<CapacityReported>(&input)) {
@@ -58,13 +73,75 @@
     EXPECT_EQ(freeCores, (std::vector<std::int64_t>{3, 4}));
 }
 
+TEST(RoomWatcherTest, OnlyASubsetIsWatchedAndTheEndpointsOfAllAreKnown)
+{
+    constexpr std::size_t Size = 3;
+    EventLoop loop;
+    std::vector<HttpExchangePointer> streams;
+    HttpServer guard(loop, {"127.0.0.1", 0}, {}, [&streams](const HttpExchangePointer &exchange) {
+        streams.push_back(exchange);
+        exchange->stream(encode(reportOf(1)) + "\n");
+    });
+    HttpClient client(loop);
+    RoomWatcher rooms(loop, client, EntryName("S"), GuardSubset(EntryName("S"), ZoneName("z"), Size), hooks());
+    std::set<AgentName> reported;
+    rooms.signalInput().connect([&reported](const SchedulerInput &input) {
+        if (const auto *report = std::get_if<CapacityReported>(&input)) {
+            reported.insert(report->agent);
+        }
+    });
+    GuardSubset::Guards guards;
+    for (int index = 0; index < 10; ++index) {
+        const AgentName agent("W" + std::to_string(index));
+        guards[agent] = {agent, guard.endpoint(), ZoneName("z")};
+    }
+    rooms.setGuards(guards);
+    ASSERT_TRUE(runUntil(loop, [&reported] { return reported.size() == Size; }));
+    runFor(loop, milliseconds(700));
+    EXPECT_EQ(reported.size(), Size);
+    for (const auto &[agent, record] : guards) {
+        EXPECT_EQ(rooms.endpoint(agent), record.endpoint) << agent.value();
+    }
+}
+
+TEST(RoomWatcherTest, AnotherGuardIsFollowedInsteadOfASilentOne)
+{
+    constexpr std::size_t Size = 2;
+    EventLoop loop;
+    HttpServer guard(loop, {"127.0.0.1", 0}, {}, [](const HttpExchangePointer &exchange) { exchange->stream(encode(reportOf(1)) + "\n"); });
+    HttpServer silent(loop, {"127.0.0.1", 0}, {}, [](const HttpExchangePointer & /*exchange*/) {});
+    HttpClient client(loop);
+    const GuardSubset subset(EntryName("S"), ZoneName("z"), Size);
+    RoomWatcher rooms(loop, client, EntryName("S"), subset, hooks());
+    std::set<AgentName> reported;
+    rooms.signalInput().connect([&reported](const SchedulerInput &input) {
+        if (const auto *report = std::get_if<CapacityReported>(&input)) {
+            reported.insert(report->agent);
+        }
+    });
+    GuardSubset::Guards guards;
+    for (int index = 0; index < 6; ++index) {
+        const AgentName agent("W" + std::to_string(index));
+        guards[agent] = {agent, guard.endpoint(), ZoneName("z")};
+    }
+    const auto chosen = subset.choose(guards, {});
+    for (const auto &agent : chosen) {
+        guards[agent].endpoint = silent.endpoint();
+    }
+    rooms.setGuards(guards);
+    EXPECT_TRUE(runUntil(loop, [&reported] { return reported.size() == Size; }));
+    for (const auto &agent : chosen) {
+        EXPECT_FALSE(reported.contains(agent));
+    }
+}
+
 TEST(RoomWatcherTest, NoticesOfCrashesAreHandedOnAlthoughNewerReportsWereReadWithThem)
 {
     EventLoop loop;
     std::vector<HttpExchangePointer> streams;
     HttpServer guard(loop, {"127.0.0.1", 0}, {}, [&streams](const HttpExchangePointer &exchange) { streams.push_back(exchange); });
     HttpClient client(loop);
-    RoomWatcher rooms(loop, client, EntryName("S"), [] { return Duration(milliseconds(40)); });
+    RoomWatcher rooms(loop, client, EntryName("S"), allGuards(), hooks());
     std::vector<std::uint64_t> crashes;
     bool isReported = false;
     rooms.signalInput().connect([&](const SchedulerInput &input) {
