--- a/core/include/sycamoremoor/core/guard_message_type.h
+++ b/core/include/sycamoremoor/core/guard_message_type.h
@@ -31,6 +31,7 @@
     TaskSize size;
     Urgency urgency;        ///< when the batch was sent
     Duration startWithin{}; ///< from receipt by the guard; the run is not started later, nor after StartBatch::expiresAt
+    Duration expected{};    ///< run time that the scheduler expects, zero if not stated
     Duration runLimit{};    ///< from its start; a run that has not ended by then is considered hung and is stopped
 
     friend bool operator==(const RunOrder &, const RunOrder &) = default;
--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -6,6 +6,7 @@
 #include "crash_log.h"
 #include "recent_runs.h"
 #include "run_table.h"
+#include "stall_detector.h"
 
 #include <sycamoremoor/core/guard_machine.h>
 
@@ -67,7 +68,8 @@
         bool crashed = false;                          ///< its process has ended, as far as is known
         std::vector<OpenRun> lapsedRuns;               ///< runs that were taken for ended while it did not answer
         std::map<RunId, MonotonicTime> unknownRuns;    ///< runs of an earlier incarnation of this guard, and when to repeat their stop
-        RecentRuns endedRuns{ListRetention};           ///< runs that it listed as ended recently
+        StallDetector stall;
+        RecentRuns endedRuns{ListRetention}; ///< runs that it listed as ended recently
     };
 
     /** Returns whether an announcement was delayed since before the known boot: it says nothing about the runs there. */
@@ -100,6 +102,10 @@
     void stop(GuardStep &step, const RunId &run, GuardedRun &record);
     void sendStop(GuardStep &step, const RunId &run);
     void stopDueRuns(GuardStep &step);
+    /** Stops all runs if they stand still. */
+    void detectStall(GuardStep &step);
+    /** Returns the capacity that runs may use: less than that of the upstream while it may still stall. */
+    [[nodiscard]] TaskSize usableCapacity() const;
     void renew(GuardStep &step);
     RenewalNumber sendRenewal(GuardStep &step, Duration wait);
     void renewalEnded(RenewalNumber number);
--- a/core/src/guard/run_table.h
+++ b/core/src/guard/run_table.h
@@ -46,6 +46,7 @@
     bool isOrdinary = true;                       ///< false for runs of a queue of priority 0, which are started before all others
     MonotonicTime latestStart;                    ///< latest start time that meets the objective
     MonotonicTime startBy;                        ///< the run is not started later
+    Duration expected{};                          ///< expected run time, zero if not known
     Duration runLimit{};                          ///< the run is stopped when it has run this long
     MonotonicTime leaseUntil;                     ///< the run is stopped then, however short it has run; its scheduler extends it
     MonotonicTime expiresAt;                      ///< the run is stopped then, however short it has run
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -27,7 +27,10 @@
 constexpr std::uint32_t RefusalsOfCrash = 2;                        ///< consecutive probes that nothing listens to, in a crash
 constexpr Duration CrashRetention = std::chrono::seconds(15);       ///< longer than a job is open, with a submission to another scheduler
 constexpr std::size_t MaxRunsInLine = 8;                            ///< limit on the runs that one log line names
-constexpr std::size_t BackfillLimit = 32;                           ///< limit on the waiting runs that are tried for capacity per input
+constexpr int OverdueFactor = 2; ///< of the expected run time: declared and estimated times are off by less
+constexpr Duration OverdueSlack = std::chrono::milliseconds(100); ///< added to the scaled run time
+constexpr std::int64_t TrialDivisor = 2;                          ///< of the capacity, for an upstream that may still stall
+constexpr std::size_t BackfillLimit = 32;                         ///< limit on the waiting runs that are tried for capacity per input
 
 Duration millisecondsOf(UpstreamTime time)
 {
@@ -174,6 +177,7 @@
     m_upstream = Upstream{};
     m_upstream->announced = announced;
     m_upstream->announced.leaving = false;
+    m_upstream->stall.restart(step.now());
     m_upstream->lastReceivedAt = step.now();
     m_upstream->clockOffset = millisecondsOf(announced.clock) - step.now().time_since_epoch();
 }
@@ -304,6 +308,7 @@
         record.isOrdinary = order.urgency.isOrdinary;
         record.latestStart = step.now() + order.urgency.slack;
         record.startBy = std::min(step.now() + order.startWithin, expiresAt);
+        record.expected = order.expected;
         record.runLimit = order.runLimit;
         record.leaseUntil = toMonotonicTime(batch.leaseUntil);
         record.expiresAt = expiresAt;
@@ -569,6 +574,9 @@
         }
         upstream.acknowledged = number;
         upstream.endedRuns.add(step.now(), run);
+        if (outcome == RunOutcome::Done || outcome == RunOutcome::Failed) {
+            upstream.stall.runEnded(step.now());
+        }
         // The upstream answers all waiting renewals when a run ends, so answers that are still missing may be lost.
         upstream.longPolls.clear();
         if (const auto *record = m_runTable.find(run); record != nullptr) {
@@ -721,6 +729,7 @@
             m_upstream->lapsedRuns = openRuns();
             reportAllLost(step);
         }
+        detectStall(step);
         dropExpired(step);
         startWaiting(step);
         stopDueRuns(step);
@@ -754,7 +763,7 @@
         return;
     }
     std::vector<RunId> startable;
-    auto free = m_upstream->announced.capacity - m_runTable.reserved();
+    auto free = usableCapacity() - m_runTable.reserved();
     std::size_t tried = 0;
     for (const auto &[rank, size] : m_runTable.waiting()) {
         if (++tried > BackfillLimit) {
@@ -801,6 +810,35 @@
     }
 }
 
+void GuardMachine::Private::detectStall(GuardStep &step)
+{
+    std::size_t all = 0;
+    std::size_t overdue = 0;
+    for (const auto &[run, record] : m_runTable.runs()) {
+        if (record.stage == RunStage::Running && record.expected > Duration::zero()) {
+            ++all;
+            overdue += record.startedAt + record.expected * OverdueFactor + OverdueSlack < step.now() ? 1 : 0;
+        }
+    }
+    const auto before = m_upstream->stall.phase();
+    const bool begins = m_upstream->stall.update(step.now(), overdue, all);
+    if (const auto phase = m_upstream->stall.phase(); phase != before) {
+        step.log(
+            Severity::Warning,
+            begins ? "Runs stand still at the upstream; they are stopped, and it gets no new work." : "The upstream is tried again.",
+            {{"upstream", m_upstream->announced.incarnation.name}, {"overdue", std::to_string(overdue)}, {"runs", std::to_string(all)}});
+    }
+    if (!begins) {
+        return;
+    }
+    for (auto &[run, record] : m_runTable.runs()) {
+        if (record.stage == RunStage::Running) {
+            record.stopReason = ErrorKind::UpstreamLost;
+            stop(step, run, record);
+        }
+    }
+}
+
 void GuardMachine::Private::renewalEnded(RenewalNumber number)
 {
     m_upstream->longPolls.erase(number);
@@ -847,12 +885,21 @@
 bool GuardMachine::Private::isAccepting() const
 {
     return m_upstream && !m_drainUntil && m_upstream->reconciled && !m_upstream->announced.leaving
-        && m_upstream->unansweredRenewals < UnansweredRenewalLimit;
+        && m_upstream->unansweredRenewals < UnansweredRenewalLimit && m_upstream->stall.phase() != StallDetector::Phase::Stalled;
+}
+
+TaskSize GuardMachine::Private::usableCapacity() const
+{
+    auto capacity = m_upstream->announced.capacity;
+    if (m_upstream->stall.phase() == StallDetector::Phase::Trial) {
+        capacity.cores = MilliCores(capacity.cores.value() / TrialDivisor);
+    }
+    return capacity;
 }
 
 TaskSize GuardMachine::Private::freeCapacity() const
 {
-    return m_upstream->announced.capacity - m_runTable.reserved() - m_runTable.requested();
+    return usableCapacity() - m_runTable.reserved() - m_runTable.requested();
 }
 
 UpstreamTime GuardMachine::Private::leaseEnd(MonotonicTime now) const
@@ -898,6 +945,9 @@
     if (m_upstream && m_upstream->longPolls.size() < m_settings.parallelLongPolls) {
         wake = std::min(wake, m_upstream->lastReceivedAt + RenewalPause * m_upstream->unansweredRenewals);
     }
+    if (m_upstream) {
+        wake = std::min(wake, m_upstream->stall.nextUpdate());
+    }
     if (m_upstream && m_upstream->probeDue && !m_upstream->isProbing) {
         wake = std::min(wake, *m_upstream->probeDue);
     }
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -880,6 +880,7 @@
         const bool waitsShortly = !task.queuesAtGuard && task.runs <= MaxShortWaits;
         order.startWithin = std::clamp(
             job.expiresAt - job.expected[task.step] - step.now(), Duration::zero(), waitsShortly ? ShortGuardWait : MaxGuardWait);
+        order.expected = job.expected[task.step];
         order.runLimit = scaled(job.expected[task.step], RunLimitFactor) + RunLimitSlack;
         output.batch.orders.push_back(std::move(order));
     }
--- a/core/tests/pool_load_test.cpp
+++ b/core/tests/pool_load_test.cpp
@@ -18,7 +18,9 @@
 
 constexpr double RunTimeVariation = 0.15; ///< largest deviation of a run time from that of its job, as a share
 constexpr double SlowFactor = 5;
+constexpr Duration HangTime = seconds(60);
 constexpr std::uint64_t Seeds = 2;
+constexpr double MaxLostShare = 0.01; ///< of the jobs of all kinds that may end without a result
 constexpr Duration LoadFrom = seconds(2);
 constexpr Duration BurstFrom = seconds(6);
 constexpr Duration BurstUntil = seconds(10);
@@ -46,6 +48,7 @@
     double burst;                                        ///< factor on the usual load during the burst of four seconds
     std::uint32_t slow;                                  ///< number of workers whose run times are five times as long during the burst
     std::uint32_t failing;                               ///< number of workers that fail every task during the burst
+    std::uint32_t hanging;                               ///< number of workers on which every task stands still during the burst
     double lostOrders;                                   ///< share of orders to runners that get no answer and are executed late or never
     double lostAnswers;                                  ///< share of orders to runners that are executed, but whose answer is lost
     std::array<double, JobKinds.size()> minOnTimeShares; ///< lowest share of jobs on time, by kind, over the whole scenario
@@ -69,13 +72,14 @@
 }
 
 constexpr std::array LoadScenarios{
-    LoadScenario{"Usual", 13, 1, 0, 0, 0, 0, {0.95, 0.95, 0.95}},
-    LoadScenario{"Burst", 11, 1.3, 0, 0, 0, 0, {0.7, 0.7, 0.7}},
-    LoadScenario{"BurstOfTwice", 13, 1.8, 0, 0, 0, 0, {0.6, 0.6, 0.6}},
-    LoadScenario{"Slow", 13, 1, 2, 0, 0, 0, {0.8, 0.8, 0.8}},
-    LoadScenario{"Failing", 13, 1, 0, 2, 0, 0, {0.8, 0.8, 0.8}},
-    LoadScenario{"LostOrders", 13, 1, 0, 0, 0.05, 0, {0.8, 0.8, 0.8}},
-    LoadScenario{"LostAnswers", 13, 1, 0, 0, 0, 0.2, {0.9, 0.9, 0.9}},
+    LoadScenario{"Usual", 13, 1, 0, 0, 0, 0, 0, {0.95, 0.95, 0.95}},
+    LoadScenario{"Burst", 11, 1.3, 0, 0, 0, 0, 0, {0.7, 0.7, 0.7}},
+    LoadScenario{"BurstOfTwice", 13, 1.8, 0, 0, 0, 0, 0, {0.6, 0.6, 0.6}},
+    LoadScenario{"Slow", 13, 1, 2, 0, 0, 0, 0, {0.8, 0.8, 0.8}},
+    LoadScenario{"Failing", 13, 1, 0, 2, 0, 0, 0, {0.8, 0.8, 0.8}},
+    LoadScenario{"Hanging", 13, 1, 0, 0, 2, 0, 0, {0.9, 0.9, 0.9}},
+    LoadScenario{"LostOrders", 13, 1, 0, 0, 0, 0.05, 0, {0.8, 0.8, 0.8}},
+    LoadScenario{"LostAnswers", 13, 1, 0, 0, 0, 0, 0.2, {0.9, 0.9, 0.9}},
 };
 
 /** Adds the counts of another simulation. */
@@ -106,6 +110,9 @@
         auto factor = std::uniform_real_distribution<double>(1 - RunTimeVariation, 1 + RunTimeVariation)(runTimes);
         factor *= burst && start.worker < scenario.slow ? SlowFactor : 1;
         run.endsAt += Duration(static_cast<std::int64_t>(std::stod(start.payload) * factor));
+        if (burst && start.worker < scenario.hanging) {
+            run.endsAt += HangTime;
+        }
         run.outcome = burst && start.worker < scenario.failing ? RunOutcome::Failed : RunOutcome::Done;
     };
     PoolSimulation simulation(settings);
@@ -134,6 +141,8 @@
     for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
         simulate(GetParam(), seed, countsByKind);
     }
+    std::uint32_t sent = 0;
+    std::uint32_t lost = 0;
     for (std::size_t kind = 0; kind < JobKinds.size(); ++kind) {
         const auto &counts = countsByKind.at(kind);
         std::printf("%-14s %-7s sent %4u on time %.3f late %3u refused %3u failed %u lost %u\n",
@@ -146,7 +155,10 @@
                     counts.failed,
                     counts.lost);
         EXPECT_GE(counts.onTimeShare(), GetParam().minOnTimeShares.at(kind)) << JobKinds.at(kind).name;
+        sent += counts.sent;
+        lost += counts.lost;
     }
+    EXPECT_LE(static_cast<double>(lost), MaxLostShare * static_cast<double>(sent));
 }
 
 INSTANTIATE_TEST_SUITE_P(Scenarios, PoolLoadTest, testing::ValuesIn(LoadScenarios), [](const auto &test) { return test.param.name; });
--- a/wire/src/describe_func.h
+++ b/wire/src/describe_func.h
@@ -496,6 +496,7 @@
     archive("size", order.size);
     archive("urgency", order.urgency);
     archive("start_within", order.startWithin);
+    archive.optional("expected", order.expected);
     archive("run_limit", order.runLimit);
 }
 
