--- a/core/include/sycamoremoor/core/guard_output_type.h
+++ b/core/include/sycamoremoor/core/guard_output_type.h
@@ -73,20 +73,19 @@
     MonotonicTime expiresAt; ///< from then on no scheduler has use for it
 };
 
-using GuardOutput
-    = std::variant<StartRun,
-                   StopRun,
-                   RenewLease,
-                   ProbeListener,
-                   ReportRun,
-                   EndBatch,
-                   CapacityChanged,
-                   UpstreamCrashed,
-                   SetTimer,
-                   LogLine,
-                   Observation,
-                   Count,
-                   Stopped>;
+using GuardOutput = std::variant<StartRun,
+                                 StopRun,
+                                 RenewLease,
+                                 ProbeListener,
+                                 ReportRun,
+                                 EndBatch,
+                                 CapacityChanged,
+                                 UpstreamCrashed,
+                                 SetTimer,
+                                 LogLine,
+                                 Observation,
+                                 Count,
+                                 Stopped>;
 
 using GuardOutputs = std::vector<GuardOutput>;
 
--- a/net/include/sycamoremoor/net/guard_server.h
+++ b/net/include/sycamoremoor/net/guard_server.h
@@ -74,7 +74,7 @@
     std::uint64_t m_lastConnection = 0;
     std::uint64_t m_lastWatcher = 0;
     CapacityReport m_room;
-    std::deque<UpstreamCrashed> m_crashes; ///< that have not expired
+    std::deque<UpstreamCrashed> m_crashes;               ///< that have not expired
     std::map<std::uint64_t, OpenExchange> m_watchers;    ///< streams of room
     std::map<EntryName, BatchNumber> m_seen;             ///< highest batch by scheduler
     std::map<ConnectionId, OpenExchange> m_batches;      ///< batches and recalls
