Fix: [core] A scheduler that is being stopped accepts what certainly ends before its end

Cause: during a planned stop jobs were refused as draining from 2.5 s on, though the process stayed for 5 s.

Change: a job is accepted if twice its expected run time and half a second end before the stop does. A long job that comes late is refused earlier than before.

SchedulerDrainTest: ShortJobLate failed before (refused after 4 s), all four rows pass.

--- a/core/include/sycamoremoor/core/scheduler_machine.h
+++ b/core/include/sycamoremoor/core/scheduler_machine.h
@@ -17,7 +17,7 @@
     /** Of a batch at its guard without renewal: with the time for a stop, below the delay after which callers submit a job again. */
     Duration batchLease = std::chrono::milliseconds(1100);
     Duration drainTimeout = std::chrono::milliseconds(5000); ///< longest duration of a planned stop
-    /** How long a stopping scheduler accepts jobs: the load balancer still sends connections for two of its checks. */
+    /** How long a stopping scheduler waits for jobs at least: the load balancer still sends connections for two of its checks. */
     Duration drainGrace = std::chrono::milliseconds(2500);
 };
 
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -73,6 +73,8 @@
     ScheduledJob makeJob(SchedulerStep &step, const QueueJobSubmitted &input);
     void setTimes(ScheduledJob &job) const;
     [[nodiscard]] ErrorKind refusalOf(SchedulerStep &step, const ScheduledJob &job, Duration &retryAfter) const;
+    /** Returns whether a job that arrives during a planned stop certainly ends before its end. */
+    [[nodiscard]] bool endsBeforeStop(MonotonicTime now, const ScheduledJob &job) const;
     /** Refuses those of the jobs that arrived in this step which got no capacity and are expected to wait for too long. */
     void refuseArrivals(SchedulerStep &step);
     /** Returns when a job has to be placed to end within its objective, given the lag of this process. */
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -35,8 +35,10 @@
 constexpr Duration MinReportInterval = std::chrono::milliseconds(4);   ///< a job's tasks end and begin in groups
 constexpr Duration MaxReportInterval = std::chrono::milliseconds(250); ///< guards report as often without a change
 constexpr std::int64_t MaxReportsPerSecond = 15'000;                   ///< of all guards: some 25 us each
-constexpr int ReportLagFactor = 8; ///< reports take the time that is left, and less of it the later the scheduler is
-constexpr Duration BehindLag = std::chrono::milliseconds(50); ///< most of the slack of the shortest jobs
+constexpr int ReportLagFactor = 8;    ///< reports take the time that is left, and less of it the later the scheduler is
+constexpr int DrainRunTimeFactor = 2; ///< of a job's expected run time, which it has to end before this process stops
+constexpr Duration DrainSlack = std::chrono::milliseconds(500); ///< added to the scaled run time
+constexpr Duration BehindLag = std::chrono::milliseconds(50);   ///< most of the slack of the shortest jobs
 constexpr Duration OnTimeLag = std::chrono::milliseconds(20);
 
 Duration scaled(Duration duration, double factor)
@@ -226,7 +228,7 @@
 
 ErrorKind SchedulerMachine::Private::refusalOf(SchedulerStep &step, const ScheduledJob &job, Duration &retryAfter) const
 {
-    if (m_drainSince && step.now() >= *m_drainSince + m_settings.drainGrace) {
+    if (m_drainSince && !endsBeforeStop(step.now(), job)) {
         return ErrorKind::Draining;
     }
     for (const auto &jobStep : job.spec->steps) {
@@ -245,6 +247,12 @@
     return ErrorKind::QueueFull;
 }
 
+bool SchedulerMachine::Private::endsBeforeStop(MonotonicTime now, const ScheduledJob &job) const
+{
+    const auto runTime = job.arrivedAt + job.objective - job.latestStart;
+    return now + runTime * DrainRunTimeFactor + DrainSlack <= *m_drainSince + m_settings.drainTimeout;
+}
+
 void SchedulerMachine::Private::refuseArrivals(SchedulerStep &step)
 {
     for (const auto number : std::exchange(m_arrivals, {})) {
--- a/core/tests/scheduler_machine_test.cpp
+++ b/core/tests/scheduler_machine_test.cpp
@@ -205,4 +205,44 @@
 
 INSTANTIATE_TEST_SUITE_P(Runs, SchedulerReturnTest, testing::ValuesIn(ReturnCases), [](const auto &row) { return row.param.name; });
 
+namespace
+{
+
+/** A job that arrives some time after the beginning of a planned stop, which ends after five seconds at the latest. */
+struct DrainCase {
+    const char *name;
+    Duration after;
+    Duration runTime;
+    bool isAccepted;
+};
+
+constexpr std::array DrainCases{
+    DrainCase{"ShortJobLate", milliseconds(4'000), milliseconds(60), true},
+    DrainCase{"ShortJobTooLate", milliseconds(4'700), milliseconds(60), false},
+    DrainCase{"LongJobEarly", milliseconds(1'000), milliseconds(900), true},
+    DrainCase{"LongJobTooLate", milliseconds(3'000), milliseconds(900), false},
+};
+
+} // namespace
+
+class SchedulerDrainTest : public testing::TestWithParam<DrainCase>
+{
+};
+
+TEST_P(SchedulerDrainTest, AcceptsWhatEndsBeforeItStops)
+{
+    SchedulerDriver scheduler;
+    scheduler.feed(DrainRequested{});
+    scheduler.advance(GetParam().after);
+    auto submission = scheduler.submission("job");
+    auto spec = *submission.spec;
+    spec.steps[0].declaredRunTime = GetParam().runTime;
+    submission.spec = std::make_shared<const QueueJobSpec>(spec);
+    scheduler.feed(submission);
+    EXPECT_EQ(scheduler.count<SendBatch>(), GetParam().isAccepted ? 1U : 0U);
+    EXPECT_EQ(scheduler.count<AnswerQueueJob>(), GetParam().isAccepted ? 0U : 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Jobs, SchedulerDrainTest, testing::ValuesIn(DrainCases), [](const auto &test) { return test.param.name; });
+
 } // namespace Sycamoremoor
