--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -47,6 +47,11 @@
 private:
     /** Exceeds the time in which the answer to a renewal may arrive: its wait plus the time limit of an order. */
     static constexpr Duration ListRetention = std::chrono::seconds(1);
+    static constexpr Duration StopRepeat
+        = std::chrono::milliseconds(150); ///< from an unanswered stop to the next: three times the upstream's limit
+    static constexpr Duration RenewalPause
+        = std::chrono::milliseconds(50);                       ///< per unanswered renewal; also its wait while unknown runs are stopped
+    static constexpr std::uint32_t UnansweredRenewalLimit = 3; ///< bad networks lose one answer in twenty; three lost in a row are rare
 
     /** State of the current incarnation of the upstream. */
     struct Upstream {
--- /dev/null
+++ b/core/src/guard/guard_upstream.cpp
@@ -0,0 +1,381 @@
+// What a guard knows of its upstream: boots, crashes, renewals of the lease, and the runs that it lists.
+#include "guard_private.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Sycamoremoor
+{
+
+namespace
+{
+
+constexpr FencingToken LapseIncrement{1};                  ///< in milliseconds: below the first token of the next incarnation of the guard
+constexpr Duration ClockTolerance = std::chrono::hours(1); ///< by which the wall clocks of two machines differ at most
+constexpr Duration AnswerInterval = std::chrono::milliseconds(400); ///< an upstream that is well answers a renewal at least so often
+constexpr Duration ProbeInterval = std::chrono::milliseconds(5);    ///< between probes: a process that restarts at once may listen again
+constexpr std::uint32_t RefusalsOfCrash = 2;                        ///< consecutive probes that nothing listens to, in a crash
+constexpr Duration CrashRetention = std::chrono::seconds(15);       ///< longer than a job is open, with a submission to another scheduler
+constexpr std::size_t MaxRunsInLine = 8;                            ///< limit on the runs that one log line names
+
+Duration millisecondsOf(UpstreamTime time)
+{
+    return std::chrono::milliseconds(time.value());
+}
+
+/** Returns the tasks of the runs and their ages, the youngest first, for logs. */
+std::string describeRuns(std::vector<OpenRun> runs, MonotonicTime now)
+{
+    std::ranges::sort(runs, std::ranges::greater(), &OpenRun::startedAt);
+    runs.resize(std::min(runs.size(), MaxRunsInLine));
+    std::string text;
+    for (const auto &run : runs) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - run.startedAt);
+        text.append(text.empty() ? "" : " ").append(queueTaskIdToString(run.task)).append(":").append(std::to_string(age.count()));
+    }
+    return text;
+}
+
+} // namespace
+
+void GuardMachine::Private::handle(GuardStep &step, const UpstreamAnnounced &input)
+{
+    if (isOfEarlierBoot(input.incarnation)) {
+        step.log(Severity::Info,
+                 "An announcement of an earlier boot of the upstream is passed over.",
+                 {{"name", input.incarnation.name},
+                  {"start_ms", std::to_string(input.incarnation.startTimeMs)},
+                  {"known_start_ms", std::to_string(m_upstream->announced.incarnation.startTimeMs)}});
+        return;
+    }
+    if (isOfAnotherWriter(step, input.incarnation)) {
+        step.log(Severity::Warning,
+                 "An announcement is passed over: it is of another upstream although the known one answers, or from the future.",
+                 {{"name", input.incarnation.name},
+                  {"start_ms", std::to_string(input.incarnation.startTimeMs)},
+                  {"known_name", m_upstream ? m_upstream->announced.incarnation.name : ""}});
+        return;
+    }
+    if (!m_upstream || m_upstream->announced.incarnation != input.incarnation) {
+        beginIncarnation(step, input);
+    } else if (input.sequence <= m_upstream->announced.sequence) {
+        return; // it was overtaken by a later announcement
+    }
+    if (input.leaving && !m_upstream->announced.leaving) {
+        step.log(Severity::Info, "The upstream " + input.incarnation.name + " is leaving; it gets no new work.");
+    }
+    m_upstream->announced = input;
+}
+
+bool GuardMachine::Private::isOfEarlierBoot(const UpstreamIncarnation &incarnation) const
+{
+    if (!m_upstream || incarnation.startTimeMs == 0 || incarnation.startTimeMs >= m_upstream->announced.incarnation.startTimeMs) {
+        return false;
+    }
+    // The clock may have been set back before a restart. Once the known boot is silent and has no runs, nothing can be lost.
+    return m_upstream->unansweredRenewals < UnansweredRenewalLimit || !m_runTable.runs().empty();
+}
+
+bool GuardMachine::Private::isOfAnotherWriter(const GuardStep &step, const UpstreamIncarnation &incarnation) const
+{
+    if (std::chrono::milliseconds(incarnation.startTimeMs) > step.context.wall.time_since_epoch() + ClockTolerance) {
+        return true;
+    }
+    const bool isAnswering = m_upstream && m_upstream->hasAnswered && m_upstream->unansweredRenewals == 0 && !m_upstream->announced.leaving
+        && step.now() < m_upstream->lastReceivedAt + AnswerInterval;
+    return isAnswering && m_upstream->announced.incarnation.name != incarnation.name;
+}
+
+void GuardMachine::Private::beginIncarnation(GuardStep &step, const UpstreamAnnounced &announced)
+{
+    if (m_upstream) {
+        step.log(Severity::Warning,
+                 "The upstream restarted as " + announced.incarnation.name + "; the runs of its previous incarnation are lost.");
+        if (!m_upstream->lapsedRuns.empty()) {
+            recordCrash(step, m_upstream->lapsedRuns);
+        }
+        if (m_runTable.runs().empty()) {
+            m_token += LapseIncrement; // an order that is still on its way would be executed by the new incarnation
+        } else {
+            upstreamCrashed(step);
+        }
+    } else {
+        step.log(Severity::Info, "The upstream " + announced.incarnation.name + " announced itself.");
+    }
+    m_crashes.upstreamRestarted(step.now());
+    m_upstream = Upstream{};
+    m_upstream->announced = announced;
+    m_upstream->announced.leaving = false;
+    m_upstream->stall.restart(step.now());
+    m_upstream->lastReceivedAt = step.now();
+    m_upstream->clockOffset = millisecondsOf(announced.clock) - step.now().time_since_epoch();
+}
+
+void GuardMachine::Private::handle(GuardStep &step, const UpstreamLeft &input)
+{
+    if (m_upstream && m_upstream->announced.incarnation.name == input.name) {
+        step.log(Severity::Info, "The upstream " + input.name + " shut down.");
+        reportAllLost(step);
+        m_upstream.reset();
+    }
+}
+
+void GuardMachine::Private::reportAllLost(GuardStep &step, const CrashNotice *crash)
+{
+    m_token += LapseIncrement; // an order that is still on its way would be executed under the next lease
+    while (!m_runTable.runs().empty()) {
+        const auto &[run, record] = *m_runTable.runs().begin();
+        const bool waiting = record.stage == RunStage::Waiting;
+        report(step,
+               RunId(run),
+               waiting ? RunOutcome::NotStarted : RunOutcome::Lapsed,
+               waiting ? ErrorKind::UpstreamLost : ErrorKind::None,
+               waiting ? nullptr : crash);
+    }
+}
+
+std::vector<OpenRun> GuardMachine::Private::openRuns() const
+{
+    std::vector<OpenRun> open;
+    for (const auto &[run, record] : m_runTable.runs()) {
+        if (record.stage != RunStage::Waiting) {
+            open.push_back({run.task, record.startSentAt});
+        }
+    }
+    return open;
+}
+
+CrashNotice GuardMachine::Private::recordCrash(GuardStep &step, const std::vector<OpenRun> &runs)
+{
+    // What it was doing later says nothing about the cause.
+    const auto at = m_upstream->unansweredRenewals > 0 ? m_upstream->silentSince : step.now();
+    auto notice = m_crashes.recordCrash(at, runs);
+    std::string evidence;
+    for (const auto &[queue, ratio, hadRuns] : notice.queues) {
+        evidence.append(evidence.empty() ? "" : " ").append(queue.value()).append(":").append(std::to_string(ratio.value()));
+    }
+    step.log(Severity::Warning,
+             "The upstream crashed under its runs.",
+             {{"upstream", m_upstream->announced.incarnation.name},
+              {"crash", std::to_string(notice.number.value())},
+              {"runs", std::to_string(runs.size())},
+              {"suspects", std::to_string(std::ranges::count(notice.runs, true, &CrashedRun::isSuspect))},
+              {"noticed_after_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(step.now() - at).count())},
+              {"youngest_ms", describeRuns(runs, at)},
+              {"queues", evidence}});
+    step.emit(UpstreamCrashed{notice, step.now() + CrashRetention});
+    return notice;
+}
+
+void GuardMachine::Private::upstreamCrashed(GuardStep &step)
+{
+    auto &upstream = *m_upstream;
+    upstream.crashed = true;
+    upstream.probeDue.reset();
+    upstream.unansweredRenewals = std::max(upstream.unansweredRenewals, UnansweredRenewalLimit);
+    const auto runs = openRuns();
+    const bool endedAsPlanned = upstream.announced.leaving; // it ends after a while, with or without an acknowledged goodbye
+    if (runs.empty() || endedAsPlanned) {
+        reportAllLost(step);
+        return;
+    }
+    const auto notice = recordCrash(step, runs);
+    reportAllLost(step, &notice);
+}
+
+void GuardMachine::Private::handle(GuardStep &step, const ListenerProbed &input)
+{
+    if (!m_upstream || !std::exchange(m_upstream->isProbing, false)) {
+        return;
+    }
+    auto &upstream = *m_upstream;
+    upstream.refusedProbes = input.refused ? upstream.refusedProbes + 1 : 0;
+    if (upstream.refusedProbes >= RefusalsOfCrash && !upstream.crashed) {
+        upstreamCrashed(step);
+    } else if (input.refused && !upstream.crashed) {
+        upstream.probeDue = step.now() + ProbeInterval;
+    }
+}
+
+void GuardMachine::Private::probe(GuardStep &step)
+{
+    auto &upstream = *m_upstream;
+    if (!upstream.probeDue || *upstream.probeDue > step.now() || upstream.isProbing || upstream.crashed) {
+        return;
+    }
+    upstream.probeDue.reset();
+    upstream.isProbing = true;
+    step.emit(ProbeListener{upstream.announced.endpoint});
+}
+
+void GuardMachine::Private::handle(GuardStep &step, const UpstreamListed &input)
+{
+    if (!m_upstream) {
+        return;
+    }
+    auto &upstream = *m_upstream;
+    renewalEnded(input.renewal);
+    if (input.incarnation.startTimeMs != upstream.announced.incarnation.startTimeMs) {
+        // No new runs are accepted until the new incarnation announces itself.
+        upstream.unansweredRenewals = std::max(upstream.unansweredRenewals, UnansweredRenewalLimit);
+        return;
+    }
+    if (upstream.unansweredRenewals >= UnansweredRenewalLimit) {
+        step.log(Severity::Info, "The upstream answers again.");
+    }
+    upstream.unansweredRenewals = 0;
+    upstream.refusedProbes = 0;
+    upstream.probeDue.reset();
+    upstream.crashed = false;
+    upstream.lapsedRuns.clear();
+    upstream.hasAnswered = true;
+    upstream.lastReceivedAt = step.now();
+    upstream.clockOffset = millisecondsOf(input.clock) - step.now().time_since_epoch();
+    handleEndedRuns(step, input);
+    handleStartedRuns(step, input);
+    handleMissingRuns(step, input);
+    stopUnknownRuns(step, input);
+}
+
+void GuardMachine::Private::handleEndedRuns(GuardStep &step, const UpstreamListed &listed)
+{
+    auto &upstream = *m_upstream;
+    for (const auto &[number, run, outcome] : listed.ended) {
+        if (number <= upstream.acknowledged) {
+            continue;
+        }
+        upstream.acknowledged = number;
+        upstream.endedRuns.add(step.now(), run);
+        if (outcome == RunOutcome::Done || outcome == RunOutcome::Failed) {
+            upstream.stall.runEnded(step.now());
+        }
+        // The upstream answers all waiting renewals when a run ends, so answers that are still missing may be lost.
+        upstream.longPolls.clear();
+        if (const auto *record = m_runTable.find(run); record != nullptr) {
+            report(step, run, outcome, outcome == RunOutcome::Stopped ? record->stopReason : ErrorKind::None);
+        }
+    }
+}
+
+void GuardMachine::Private::handleStartedRuns(GuardStep &step, const UpstreamListed &listed)
+{
+    for (const auto &run : listed.running) {
+        if (auto *record = m_runTable.find(run); record != nullptr && record->stage == RunStage::Starting) {
+            confirmStart(step, *record);
+        }
+    }
+    for (auto &[run, record] : m_runTable.runs()) {
+        if (record.stage == RunStage::Starting && record.unansweredAfter && *record.unansweredAfter < listed.renewal) {
+            step.log(Severity::Info, "A run without an answer to its start is not listed; it is stopped.", fieldsOf(run, record));
+            stop(step, run, record); // a confirmed stop also prevents a later start
+        }
+    }
+}
+
+void GuardMachine::Private::handleMissingRuns(GuardStep &step, const UpstreamListed &listed)
+{
+    const std::set<RunId> running(listed.running.begin(), listed.running.end());
+    std::vector<RunId> missing;
+    for (const auto &[run, record] : m_runTable.runs()) {
+        const bool confirmed = record.confirmedAfter && *record.confirmedAfter < listed.renewal;
+        if (confirmed && !running.contains(run)) {
+            missing.push_back(run);
+        }
+    }
+    for (const auto &run : missing) {
+        const auto &record = *m_runTable.find(run);
+        const bool neverRan = !record.started && record.stage == RunStage::Stopping;
+        report(step, run, neverRan ? RunOutcome::NotStarted : RunOutcome::Lapsed, neverRan ? record.stopReason : ErrorKind::None);
+    }
+}
+
+void GuardMachine::Private::stopUnknownRuns(GuardStep &step, const UpstreamListed &listed)
+{
+    auto &upstream = *m_upstream;
+    std::map<RunId, MonotonicTime> unknownRuns;
+    for (const auto &run : listed.running) {
+        if (m_runTable.find(run) != nullptr || upstream.endedRuns.contains(run)) {
+            continue; // a run of this incarnation, or one whose end arrived in a newer list before this one
+        }
+        const auto known = upstream.unknownRuns.find(run);
+        auto due = known == upstream.unknownRuns.end() ? step.now() : known->second;
+        if (due <= step.now()) {
+            step.log(Severity::Info,
+                     "A run of an earlier incarnation of this guard is stopped.",
+                     {{"task", queueTaskIdToString(run.task)}, {"run", std::to_string(run.number)}});
+            sendStop(step, run);
+            due = step.now() + StopRepeat;
+        }
+        unknownRuns.emplace(run, due);
+    }
+    upstream.unknownRuns = std::move(unknownRuns);
+    upstream.reconciled = upstream.unknownRuns.empty();
+}
+
+void GuardMachine::Private::handle(GuardStep &step, const RenewalUnanswered &input)
+{
+    if (!m_upstream) {
+        return;
+    }
+    renewalEnded(input.renewal);
+    if (m_upstream->unansweredRenewals == 0) {
+        m_upstream->silentSince = step.now();
+    }
+    if (++m_upstream->unansweredRenewals == UnansweredRenewalLimit) {
+        step.log(Severity::Warning, "The upstream does not answer; it gets no new work.");
+    }
+    if (!m_upstream->crashed && !m_upstream->probeDue) {
+        m_upstream->probeDue = step.now();
+    }
+}
+
+void GuardMachine::Private::renewalEnded(RenewalNumber number)
+{
+    m_upstream->longPolls.erase(number);
+    if (m_upstream->immediateRenewal == number) {
+        m_upstream->immediateRenewal.reset();
+    }
+}
+
+void GuardMachine::Private::renew(GuardStep &step)
+{
+    auto &upstream = *m_upstream;
+    if (upstream.immediateRenewalWanted && !upstream.immediateRenewal) {
+        upstream.immediateRenewalWanted = false;
+        upstream.immediateRenewal = sendRenewal(step, Duration::zero());
+    }
+    const bool pausing
+        = upstream.unansweredRenewals > 0 && step.now() < upstream.lastReceivedAt + RenewalPause * upstream.unansweredRenewals;
+    while (!pausing && upstream.longPolls.size() < m_settings.parallelLongPolls) {
+        const auto wait = upstream.reconciled ? m_settings.renewWait : RenewalPause;
+        upstream.longPolls.insert(sendRenewal(step, wait));
+    }
+}
+
+RenewalNumber GuardMachine::Private::sendRenewal(GuardStep &step, Duration wait)
+{
+    auto &upstream = *m_upstream;
+    RenewLease renewal;
+    renewal.number = RenewalNumber(++m_lastRenewal);
+    renewal.upstream = upstream.announced.endpoint;
+    renewal.incarnation = upstream.announced.incarnation;
+    renewal.token = m_token;
+    renewal.acknowledged = upstream.acknowledged;
+    // The leases of an unresponsive upstream are not renewed, so that its runs have certainly ended soon.
+    if (!m_runTable.runs().empty() && upstream.unansweredRenewals < UnansweredRenewalLimit) {
+        upstream.leaseUntil = step.now() + m_settings.leaseTerm;
+        renewal.leaseUntil = leaseEnd(step.now());
+    }
+    renewal.wait = wait;
+    const auto number = renewal.number;
+    step.emit(std::move(renewal));
+    return number;
+}
+
+UpstreamTime GuardMachine::Private::leaseEnd(MonotonicTime now) const
+{
+    const auto end = now.time_since_epoch() + m_upstream->clockOffset + m_settings.leaseTerm;
+    return UpstreamTime(std::chrono::duration_cast<std::chrono::milliseconds>(end).count());
+}
+
+} // namespace Sycamoremoor
--- a/core/src/guard/run_table.cpp
+++ b/core/src/guard/run_table.cpp
@@ -23,6 +23,19 @@
     return StageNames.at(static_cast<std::size_t>(stage));
 }
 
+MonotonicTime stopTimeOf(const GuardedRun &record)
+{
+    return std::min({record.startedAt + record.runLimit, record.leaseUntil, record.expiresAt});
+}
+
+std::vector<LogField> fieldsOf(const RunId &run, const GuardedRun &record)
+{
+    return {{"task", queueTaskIdToString(run.task)},
+            {"run", std::to_string(run.number)},
+            {"connection", std::to_string(record.connection.value())},
+            {"stage", std::string(runStageName(record.stage))}};
+}
+
 GuardedRun &RunTable::add(const RunId &run, const GuardedRun &record)
 {
     m_waiting.emplace(rankOf(run, record), record.size);
--- a/core/src/guard/run_table.h
+++ b/core/src/guard/run_table.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace Sycamoremoor
 {
@@ -60,6 +61,12 @@
     std::optional<RenewalNumber> confirmedAfter;  ///< last renewal sent before the upstream confirmed its start or its stop
 };
 
+/** Returns when a run that has started has to be stopped. */
+[[nodiscard]] MonotonicTime stopTimeOf(const GuardedRun &record);
+
+/** Returns what identifies a run in logs, and its stage. */
+[[nodiscard]] std::vector<LogField> fieldsOf(const RunId &run, const GuardedRun &record);
+
 /** The runs of one upstream, with sums and orderings that always agree with the runs. */
 class RunTable
 {
--- a/core/src/scheduler/scheduled_job.h
+++ b/core/src/scheduler/scheduled_job.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace Sycamoremoor
@@ -61,4 +62,10 @@
     std::map<std::uint32_t, std::map<AgentName, std::uint32_t>> placed; ///< number of tasks sent and not ended, by step and worker
 };
 
+/** Returns the name of a task for logs. */
+[[nodiscard]] inline std::string nameOf(const ScheduledJob &job, const ScheduledTask &task)
+{
+    return queueTaskIdToString({job.spec->id, task.step, task.index});
+}
+
 } // namespace Sycamoremoor
--- /dev/null
+++ b/core/src/scheduler/scheduler_admission.cpp
@@ -0,0 +1,172 @@
+// Which jobs a scheduler accepts, and what it tells the callers of those that it refuses.
+#include "duration_func.h"
+#include "scheduler_private.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Sycamoremoor
+{
+
+namespace
+{
+
+constexpr Duration TransitAllowance = std::chrono::milliseconds(15); ///< network and processing time of sending a run and its report
+constexpr double ExpiryFactor = 3;                                   ///< a job expires at this multiple of its objective
+constexpr Duration ConfinedRetryAfter = std::chrono::seconds(3);     ///< usual time until a crashed upstream is back
+constexpr int DrainRunTimeFactor = 2; ///< of a job's expected run time, which it has to end before this process stops
+constexpr Duration DrainSlack = std::chrono::milliseconds(500); ///< added to the scaled run time
+
+} // namespace
+
+void SchedulerMachine::Private::handle(SchedulerStep &step, const QueueJobSubmitted &input)
+{
+    if (const auto same = m_byId.find(input.spec->id); same != m_byId.end() && *m_jobs.at(same->second).spec == *input.spec) {
+        step.emit(Count{CounterMetric::JobsResubmitted, 1});
+        m_jobs.at(same->second).connections.push_back(input.connection);
+        m_callers[input.connection] = same->second;
+        return;
+    }
+    auto job = makeJob(step, input);
+    Duration retryAfter{};
+    if (const auto error = refusalOf(step, job, retryAfter); error != ErrorKind::None) {
+        refuse(step, job, error, retryAfter);
+        return;
+    }
+    step.emit(Count{CounterMetric::JobsAccepted, 1});
+    if (hasGivenUpTask(job)) {
+        step.log(Severity::Info,
+                 "A job has a task that was given up before: the upstreams that start it crash.",
+                 {{"job", job.spec->id.value()}});
+        step.emit(AnswerQueueJob{input.connection, QueueJobResult::Failed, ErrorKind::CrashesUpstreams, MinRetryAfter});
+        return;
+    }
+    m_callers[input.connection] = job.number;
+    m_byId[job.spec->id] = job.number;
+    auto &stored = m_jobs.emplace(job.number, std::move(job)).first->second;
+    scheduleCheck(stored, latestPlacement(stored));
+    unblockSteps(step, stored);
+    m_placement.recordArrival(step.now(), stored);
+    enqueue(stored);
+    m_arrivals.push_back(stored.number);
+}
+
+bool SchedulerMachine::Private::hasGivenUpTask(const ScheduledJob &job) const
+{
+    return std::ranges::any_of(job.tasks, [&](const ScheduledTask &task) {
+        return m_crashes.of({job.spec->id, task.step, task.index}).isGivenUp();
+    });
+}
+
+ScheduledJob SchedulerMachine::Private::makeJob(SchedulerStep &step, const QueueJobSubmitted &input)
+{
+    ScheduledJob job;
+    job.number = JobNumber(++m_lastJob);
+    job.connections.push_back(input.connection);
+    job.queue = input.queue;
+    job.spec = input.spec;
+    job.arrivedAt = step.now() - step.context.lag;
+    const auto &steps = input.spec->steps;
+    for (std::uint32_t index = 0; index < steps.size(); ++index) {
+        job.expected.push_back(m_runTimes.expected(input.queue.service, TaskKind(input.queue.name.value()), steps[index].declaredRunTime));
+        job.openTasks.push_back(steps[index].count);
+        for (std::uint32_t task = 0; task < steps[index].count; ++task) {
+            job.tasks.push_back({.step = index, .index = task});
+            job.tasks.back().isIsolated = m_crashes.of({job.spec->id, index, task}).needsIsolation();
+        }
+    }
+    setTimes(job);
+    if (input.callerTimeout > Duration::zero()) {
+        job.expiresAt = std::min(job.expiresAt, job.arrivedAt + input.callerTimeout);
+    }
+    return job;
+}
+
+void SchedulerMachine::Private::setTimes(ScheduledJob &job) const
+{
+    const auto &steps = job.spec->steps;
+    std::vector<Duration> chains(steps.size());
+    Duration longest{};
+    for (std::size_t index = 0; index < steps.size(); ++index) {
+        for (const auto before : steps[index].after) {
+            chains[index] = std::max(chains[index], chains[before]);
+        }
+        chains[index] += job.expected[index];
+        longest = std::max(longest, chains[index]);
+    }
+    job.objective = scaled(longest, job.queue.stretch) + job.queue.latencyAllowance;
+    job.latestStart = job.arrivedAt + job.objective - longest - TransitAllowance;
+    job.expiresAt = job.arrivedAt + scaled(job.objective, ExpiryFactor);
+}
+
+ErrorKind SchedulerMachine::Private::refusalOf(SchedulerStep &step, const ScheduledJob &job, Duration &retryAfter) const
+{
+    if (m_drainSince && !endsBeforeStop(step.now(), job)) {
+        return ErrorKind::Draining;
+    }
+    for (const auto &jobStep : job.spec->steps) {
+        if (!m_workers.mayEverFit(job.queue.service, jobStep.size)) {
+            return ErrorKind::NeverFits;
+        }
+    }
+    if (m_bulkhead.isConfined(job.queue.name) && !m_workers.hasWorker(job.queue.service, true)) {
+        retryAfter = ConfinedRetryAfter;
+        return ErrorKind::QueueFull;
+    }
+    if (step.now() <= latestPlacement(job)) {
+        return ErrorKind::None;
+    }
+    retryAfter = m_lag.expectedLag();
+    return ErrorKind::QueueFull;
+}
+
+bool SchedulerMachine::Private::endsBeforeStop(MonotonicTime now, const ScheduledJob &job) const
+{
+    const auto runTime = job.arrivedAt + job.objective - job.latestStart;
+    return now + runTime * DrainRunTimeFactor + DrainSlack <= *m_drainSince + m_settings.drainTimeout;
+}
+
+void SchedulerMachine::Private::refuseArrivals(SchedulerStep &step)
+{
+    for (const auto number : std::exchange(m_arrivals, {})) {
+        const auto found = m_jobs.find(number);
+        if (found == m_jobs.end() || found->second.started) {
+            continue;
+        }
+        auto &job = found->second;
+        const auto wait = orderOf(job).expectedWait(step.now(), JobOrder::keyOf(job));
+        if (step.now() + wait > latestPlacement(job)) {
+            refuse(step, job, ErrorKind::QueueFull, wait + m_lag.expectedLag());
+            erase(job);
+        }
+    }
+}
+
+MonotonicTime SchedulerMachine::Private::latestPlacement(const ScheduledJob &job) const
+{
+    constexpr int Waits = 2; // its batches and the reports of its runs wait in this process
+    return job.latestStart - m_lag.expectedLag() * Waits;
+}
+
+void SchedulerMachine::Private::refuse(SchedulerStep &step, const ScheduledJob &job, ErrorKind error, Duration retryAfter)
+{
+    step.emit(Count{CounterMetric::JobsRefused, 1});
+    step.log(Severity::Info,
+             "A job is refused.",
+             {{"job", job.spec->id.value()},
+              {"queue", job.queue.name.value()},
+              {"outcome", std::string(errorRow(error).code)},
+              {"config", std::to_string(m_queues->version.value())},
+              {"held_ms", inMilliseconds(step.now() - job.arrivedAt)},
+              {"slack_ms", inMilliseconds(job.latestStart - job.arrivedAt)},
+              {"expected_wait_ms", inMilliseconds(retryAfter)},
+              {"lag_ms", inMilliseconds(m_lag.expectedLag())},
+              {"jobs_waiting", std::to_string(waitingCount())},
+              {"confined", m_bulkhead.isConfined(job.queue.name) ? "yes" : "no"},
+              {"worker_millicores", std::to_string(m_workers.cores(job.queue.service).value())}});
+    for (const auto connection : job.connections) {
+        step.emit(AnswerQueueJob{connection, QueueJobResult::Refused, error, std::max(MinRetryAfter, retryAfter)});
+    }
+}
+
+} // namespace Sycamoremoor
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -53,6 +53,9 @@
     void recordLag(SchedulerStep &step);
 
 private:
+    static constexpr Duration MinRetryAfter
+        = std::chrono::milliseconds(500); ///< a job submitted again earlier would arrive within the same burst
+
     /** A batch of which not all runs were reported. */
     struct OpenBatch {
         JobNumber job;
