--- a/ctl/src/command_table.cpp
+++ b/ctl/src/command_table.cpp
@@ -162,6 +162,13 @@
           {"start-logs", OptionKind::Text, "", "folder of the runners' logs, to check the promises against"},
           {"report", OptionKind::Text, "", "file for the report as JSON"}},
          loadCommand},
+        {"losses",
+         "LOG...",
+         1,
+         10'000,
+         "tell how the jobs of schedulers ended, by cause, from their logs; - for the standard input",
+         {},
+         lossesCommand},
     };
     return rows;
 }
--- a/ctl/src/commands.h
+++ b/ctl/src/commands.h
@@ -25,6 +25,7 @@
 ExitCode configShowCommand(const Options &options);
 ExitCode configWatchCommand(const Options &options);
 ExitCode loadCommand(const Options &options);
+ExitCode lossesCommand(const Options &options);
 
 /** Returns the table of all commands. */
 const std::vector<CommandRow> &commandTable();
