Fix: [core, net, daemon] A scheduler that follows too few workers for a kind of job follows more of them

Cause, found by reading the subset as a newcomer: it is chosen by name and zone alone. Where several services or sizes share more than 40 workers, a scheduler may follow few workers that can hold a job, or none. Then it was refused as never_fits, which may be untrue, or for want of capacity that others had, for good.

Change: the machine is told whether it follows all workers. Sites with one service and alike workers choose as before.

SchedulerChoiceTest, GuardSubsetTest.AWiderChoiceContainsTheOneBefore, RoomWatcherTest.MoreGuardsAreWatchedWhileTheSchedulerMissesWorkers are new and need the new input, so they could not be run on the code before.

--- a/core/include/sycamoremoor/core/guard_subset.h
+++ b/core/include/sycamoremoor/core/guard_subset.h
@@ -29,6 +29,9 @@
     /** @param size number of guards to follow, if there are as many */
     GuardSubset(EntryName scheduler, ZoneName zone, std::size_t size);
 
+    /** Doubles the size: jobs need workers of which there are few among those that are followed. */
+    void widen();
+
     /**
      * Chooses among @p guards.
      * @param silent guards that have not been heard of for a while: they are chosen as before, but others are in their stead
--- a/core/include/sycamoremoor/core/scheduler_input_type.h
+++ b/core/include/sycamoremoor/core/scheduler_input_type.h
@@ -49,6 +49,11 @@
     AgentName agent;
 };
 
+/** The workers that the scheduler follows were chosen anew, in number. */
+struct WorkersChosen {
+    bool isAll = true; ///< there are no others
+};
+
 /** A guard reported the end of a run of a batch. */
 struct RunReported {
     BatchNumber batch;
@@ -69,6 +74,7 @@
                                     CrashReported,
                                     WorkerUnreachable,
                                     WorkerUnfollowed,
+                                    WorkersChosen,
                                     RunReported,
                                     BatchInterrupted,
                                     DrainRequested>;
--- a/core/include/sycamoremoor/core/scheduler_machine.h
+++ b/core/include/sycamoremoor/core/scheduler_machine.h
@@ -47,6 +47,9 @@
     /** Returns whether tasks of this scheduler are on a worker. */
     [[nodiscard]] bool isUsing(const AgentName &agent) const;
 
+    /** Returns whether jobs were refused since the last WorkersChosen of which few of the followed workers can hold the tasks. */
+    [[nodiscard]] bool missesWorkers() const;
+
     /** Returns the configuration in force, or null. */
     [[nodiscard]] const QueueSetPointer &queues() const;
 
--- a/core/src/guard_subset.cpp
+++ b/core/src/guard_subset.cpp
@@ -24,6 +24,11 @@
 {
 }
 
+void GuardSubset::widen()
+{
+    m_size *= 2;
+}
+
 double GuardSubset::rankOf(const AgentRecord &guard) const
 {
     const auto seed = XXH3_64bits(m_scheduler.value().data(), m_scheduler.value().size());
--- a/core/src/scheduler/scheduler_admission.cpp
+++ b/core/src/scheduler/scheduler_admission.cpp
@@ -2,6 +2,8 @@
 #include "duration_func.h"
 #include "scheduler_private.h"
 
+#include <sycamoremoor/core/guard_subset.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -14,6 +16,7 @@
 constexpr Duration TransitAllowance = std::chrono::milliseconds(15); ///< network and processing time of sending a run and its report
 constexpr double ExpiryFactor = 3;                                   ///< a job expires at this multiple of its objective
 constexpr Duration ConfinedRetryAfter = std::chrono::seconds(3);     ///< usual time until a crashed upstream is back
+constexpr std::size_t FewWorkers = GuardSubset::DefaultSize / 2; ///< that can hold a task: with more, others would hardly add to the choice
 constexpr int DrainRunTimeFactor = 2; ///< of a job's expected run time, which it has to end before this process stops
 constexpr Duration DrainSlack = std::chrono::milliseconds(500); ///< added to the scaled run time
 
@@ -106,7 +109,7 @@
     }
     for (const auto &jobStep : job.spec->steps) {
         if (!m_workers.mayEverFit(job.queue.service, jobStep.size)) {
-            return ErrorKind::NeverFits;
+            return m_followsAllWorkers ? ErrorKind::NeverFits : ErrorKind::QueueFull; // a worker that is not followed may hold it
         }
     }
     if (m_bulkhead.isConfined(job.queue.name) && !m_workers.hasWorker(job.queue.service, true)) {
@@ -120,6 +123,13 @@
     return ErrorKind::QueueFull;
 }
 
+bool SchedulerMachine::Private::needsOtherWorkers(const ScheduledJob &job) const
+{
+    return !m_followsAllWorkers && std::ranges::any_of(job.spec->steps, [&](const auto &jobStep) {
+        return m_workers.fittingCount(job.queue.service, jobStep.size, jobStep.requiredLabel) < FewWorkers;
+    });
+}
+
 bool SchedulerMachine::Private::endsBeforeStop(MonotonicTime now, const ScheduledJob &job) const
 {
     const auto runTime = job.arrivedAt + job.objective - job.latestStart;
@@ -150,6 +160,7 @@
 
 void SchedulerMachine::Private::refuse(SchedulerStep &step, const ScheduledJob &job, ErrorKind error, Duration retryAfter)
 {
+    m_missesWorkers = m_missesWorkers || needsOtherWorkers(job);
     step.emit(Count{CounterMetric::JobsRefused, 1});
     step.log(Severity::Info,
              "A job is refused.",
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -37,6 +37,7 @@
     void handle(SchedulerStep &step, const CrashReported &input);
     void handle(SchedulerStep &step, const WorkerUnreachable &input);
     void handle(SchedulerStep &step, const WorkerUnfollowed &input);
+    void handle(SchedulerStep &step, const WorkersChosen &input);
     void handle(SchedulerStep &step, const RunReported &input);
     void handle(SchedulerStep &step, const BatchInterrupted &input);
     void handle(SchedulerStep &step, const DrainRequested &input);
@@ -48,6 +49,7 @@
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] Duration reportInterval() const;
     [[nodiscard]] bool isUsing(const AgentName &agent) const;
+    [[nodiscard]] bool missesWorkers() const;
 
     /** Records how long the inputs of this step have waited, and logs when the scheduler falls behind and when it is on time again. */
     void recordLag(SchedulerStep &step);
@@ -76,6 +78,8 @@
     ScheduledJob makeJob(SchedulerStep &step, const QueueJobSubmitted &input);
     void setTimes(ScheduledJob &job) const;
     [[nodiscard]] ErrorKind refusalOf(SchedulerStep &step, const ScheduledJob &job, Duration &retryAfter) const;
+    /** Returns whether few of the followed workers can hold a step of the job, though there are others. */
+    [[nodiscard]] bool needsOtherWorkers(const ScheduledJob &job) const;
     /** Returns whether a job that arrives during a planned stop certainly ends before its end. */
     [[nodiscard]] bool endsBeforeStop(MonotonicTime now, const ScheduledJob &job) const;
     /** Refuses those of the jobs that arrived in this step which got no capacity and are expected to wait for too long. */
@@ -142,6 +146,8 @@
     std::vector<JobNumber> m_arrivals;                      ///< jobs that were accepted in this step
     std::size_t m_placedInStep = 0;                         ///< tasks that were sent
     bool m_placesMore = false;                              ///< the limit of a step was reached before all jobs or all capacity were used
+    bool m_followsAllWorkers = true;
+    bool m_missesWorkers = false; ///< a job was refused that needs other workers than those followed
     std::uint64_t m_lastJob = 0;
     std::optional<MonotonicTime> m_drainSince;
     bool m_stopped = false;
--- a/core/src/scheduler/worker_table.cpp
+++ b/core/src/scheduler/worker_table.cpp
@@ -265,6 +265,14 @@
     return !anyReporting;
 }
 
+std::size_t WorkerTable::fittingCount(const ServiceName &service, const TaskSize &size, const std::string &label) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_workers, [&](const auto &item) {
+        const auto &worker = item.second;
+        return serves(worker, service) && fits(size, worker.report.capacity) && (label.empty() || hasLabel(worker.report, label));
+    }));
+}
+
 bool WorkerTable::hasTasks(const AgentName &agent) const
 {
     const auto found = m_workers.find(agent);
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -58,6 +58,11 @@
     return d->isUsing(agent);
 }
 
+bool SchedulerMachine::missesWorkers() const
+{
+    return d->missesWorkers();
+}
+
 const QueueSetPointer &SchedulerMachine::queues() const
 {
     return d->queues();
@@ -257,6 +262,12 @@
     m_workers.markUnreachable(input.agent);
 }
 
+void SchedulerMachine::Private::handle(SchedulerStep & /*step*/, const WorkersChosen &input)
+{
+    m_followsAllWorkers = input.isAll;
+    m_missesWorkers = false;
+}
+
 void SchedulerMachine::Private::handle(SchedulerStep &step, const DrainRequested & /*input*/)
 {
     if (!m_drainSince) {
@@ -370,6 +381,11 @@
     return m_workers.hasTasks(agent);
 }
 
+bool SchedulerMachine::Private::missesWorkers() const
+{
+    return m_missesWorkers;
+}
+
 const QueueSetPointer &SchedulerMachine::Private::queues() const
 {
     return m_queues;
--- a/core/tests/guard_subset_test.cpp
+++ b/core/tests/guard_subset_test.cpp
@@ -98,6 +98,17 @@
     }
 }
 
+TEST(GuardSubsetTest, AWiderChoiceContainsTheOneBefore)
+{
+    const auto guards = makeGuards(Guards);
+    auto subset = subsetOf(1);
+    const auto before = subset.choose(guards, {});
+    subset.widen();
+    const auto wider = subset.choose(guards, {});
+    EXPECT_EQ(wider.size(), Size * 2);
+    EXPECT_TRUE(std::ranges::includes(wider, before));
+}
+
 TEST(GuardSubsetTest, OthersAreFollowedInsteadOfSilentGuards)
 {
     const auto guards = makeGuards(Guards);
--- a/core/tests/scheduler_driver.h
+++ b/core/tests/scheduler_driver.h
@@ -58,6 +58,11 @@
             std::ranges::count_if(m_outputs, [](const auto &output) { return std::holds_alternative<Output>(output); }));
     }
 
+    [[nodiscard]] bool missesWorkers() const
+    {
+        return m_machine.missesWorkers();
+    }
+
     [[nodiscard]] Duration reportInterval() const
     {
         return m_machine.reportInterval();
--- a/core/tests/scheduler_machine_test.cpp
+++ b/core/tests/scheduler_machine_test.cpp
@@ -245,4 +245,57 @@
 
 INSTANTIATE_TEST_SUITE_P(Jobs, SchedulerDrainTest, testing::ValuesIn(DrainCases), [](const auto &test) { return test.param.name; });
 
+namespace
+{
+
+/** A job that arrives while few or none of the followed workers can hold its task. */
+struct ChoiceCase {
+    const char *name;
+    bool followsAll;
+    const char *service;
+    std::int64_t cores;
+    Duration until;      ///< when it is looked at
+    const char *outcome; ///< error code of its refusal
+    bool missesWorkers;
+};
+
+constexpr std::array ChoiceCases{
+    ChoiceCase{"TooLargeForAll", true, "service", 64'000, milliseconds(0), "never_fits", false},
+    ChoiceCase{"TooLargeForTheFollowed", false, "service", 64'000, milliseconds(0), "queue_full", true},
+    ChoiceCase{"NoWorkerOfTheService", true, "other", 1'000, milliseconds(200), "queue_full", false},
+    ChoiceCase{"NoFollowedWorkerOfTheService", false, "other", 1'000, milliseconds(200), "queue_full", true},
+};
+
+} // namespace
+
+class SchedulerChoiceTest : public testing::TestWithParam<ChoiceCase>
+{
+};
+
+TEST_P(SchedulerChoiceTest, AsksForWorkersThatItDoesNotFollow)
+{
+    SchedulerDriver scheduler;
+    scheduler.feed(WorkersChosen{GetParam().followsAll});
+    auto submission = scheduler.submission("job");
+    submission.queue.service = ServiceName(GetParam().service);
+    auto spec = *submission.spec;
+    spec.steps[0].size.cores = MilliCores(GetParam().cores);
+    submission.spec = std::make_shared<const QueueJobSpec>(spec);
+    EXPECT_FALSE(scheduler.missesWorkers());
+    scheduler.feed(submission);
+    if (GetParam().until > Duration::zero()) {
+        scheduler.advance(GetParam().until);
+        scheduler.feed(Tick{});
+    }
+    const auto answer = scheduler.last<AnswerQueueJob>();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->result, QueueJobResult::Refused);
+    EXPECT_EQ(errorRow(answer->error).code, GetParam().outcome);
+    EXPECT_EQ(scheduler.missesWorkers(), GetParam().missesWorkers);
+    scheduler.feed(WorkersChosen{true});
+    EXPECT_FALSE(scheduler.missesWorkers());
+}
+
+INSTANTIATE_TEST_SUITE_P(Jobs, SchedulerChoiceTest, testing::ValuesIn(ChoiceCases), [](const auto &test) { return test.param.name; });
+
 } // namespace Sycamoremoor
--- a/daemon/src/scheduler_task.cpp
+++ b/daemon/src/scheduler_task.cpp
@@ -38,8 +38,9 @@
               settings.machine.name,
               GuardSubset(settings.machine.name, settings.machine.zone, settings.followedWorkers),
               {[this] { return m_driver.machine().reportInterval(); },
-               [this](const AgentName &agent) {
-                   return m_driver.machine().isUsing(agent);
+               [this](const AgentName &agent) { return m_driver.machine().isUsing(agent); },
+               [this] {
+                   return m_driver.machine().missesWorkers();
                }})
     , m_batches(loop, m_client, m_metrics, [this](const AgentName &agent) { return m_rooms.endpoint(agent); })
     , m_stopWatcher(loop, m_callers)
--- a/net/include/sycamoremoor/net/room_watcher.h
+++ b/net/include/sycamoremoor/net/room_watcher.h
@@ -23,6 +23,7 @@
 struct RoomWatcherHooks {
     std::function<Duration()> reportInterval;            ///< shortest time between two reports of a guard
     std::function<bool(const AgentName &agent)> isUsing; ///< whether tasks of the scheduler are on a worker
+    std::function<bool()> missesWorkers;                 ///< whether the scheduler needs workers of which it follows few
 };
 
 /** Holds one streamed exchange with each guard that the scheduler follows, and opens it anew when it breaks or falls silent. */
@@ -50,6 +51,8 @@
     /** Watches the guards that are chosen now, and ends watches of others that the scheduler does not use. */
     void follow();
     void watch(const AgentRecord &record);
+    /** Tells the scheduler whether it follows all workers, if that has changed or more were asked for. */
+    void tellChoice(std::size_t chosen, std::size_t all, bool isWidened);
     void open(Watch &watch);
     void received(Watch &watch, std::string_view part);
     void takeCrash(const Watch &watch, std::string_view line);
@@ -63,6 +66,7 @@
     GuardSubset m_subset;
     RoomWatcherHooks m_hooks;
     GuardSubset::Guards m_listed; ///< in the directory
+    bool m_choseAll = true;
     Timer m_followTimer;
     sigc::signal<void(SchedulerInput)> m_input;
     std::map<AgentName, std::unique_ptr<Watch>> m_watches;
--- a/net/src/room_watcher.cpp
+++ b/net/src/room_watcher.cpp
@@ -73,6 +73,10 @@
 void RoomWatcher::follow()
 {
     m_followTimer.start(FollowInterval);
+    const bool isWidened = m_hooks.missesWorkers();
+    if (isWidened) {
+        m_subset.widen();
+    }
     const auto now = monotonicNow();
     auto candidates = m_listed;
     std::set<AgentName> silent;
@@ -87,6 +91,7 @@
     for (const auto &agent : chosen) {
         watch(candidates.at(agent));
     }
+    tellChoice(chosen.size(), candidates.size(), isWidened);
     std::erase_if(m_watches, [&](const auto &item) {
         const auto &[agent, watch] = item;
         if (chosen.contains(agent)) {
@@ -107,6 +112,22 @@
     });
 }
 
+void RoomWatcher::tellChoice(std::size_t chosen, std::size_t all, bool isWidened)
+{
+    const bool isAll = chosen == all;
+    if (!isWidened && isAll == m_choseAll) {
+        return;
+    }
+    m_choseAll = isAll;
+    if (isWidened) {
+        writeLog({Severity::Info,
+                  "rooms",
+                  "More workers are followed: jobs were refused that few of them can hold.",
+                  {{"workers", std::to_string(chosen)}, {"of", std::to_string(all)}}});
+    }
+    m_input.emit(WorkersChosen{isAll});
+}
+
 void RoomWatcher::watch(const AgentRecord &record)
 {
     auto &watch = m_watches[record.agent];
--- a/net/tests/room_watcher_test.cpp
+++ b/net/tests/room_watcher_test.cpp
@@ -39,8 +39,9 @@
 RoomWatcherHooks hooks(bool isUsing = false)
 {
     return {[] { return Duration(milliseconds(40)); },
-            [isUsing](const AgentName & /*agent*/) {
-                return isUsing;
+            [isUsing](const AgentName & /*agent*/) { return isUsing; },
+            [] {
+                return false;
             }};
 }
 
@@ -104,6 +105,42 @@
     }
 }
 
+TEST(RoomWatcherTest, MoreGuardsAreWatchedWhileTheSchedulerMissesWorkers)
+{
+    constexpr std::size_t Size = 3;
+    constexpr std::size_t Guards = 10;
+    EventLoop loop;
+    HttpServer guard(loop, {"127.0.0.1", 0}, {}, [](const HttpExchangePointer &exchange) { exchange->stream(encode(reportOf(1)) + "\n"); });
+    HttpClient client(loop);
+    bool missesWorkers = false;
+    auto asked = hooks();
+    asked.missesWorkers = [&missesWorkers] {
+        return missesWorkers;
+    };
+    RoomWatcher rooms(loop, client, EntryName("S"), GuardSubset(EntryName("S"), ZoneName("z"), Size), asked);
+    std::set<AgentName> reported;
+    std::vector<bool> choices;
+    rooms.signalInput().connect([&](const SchedulerInput &input) {
+        if (const auto *report = std::get_if<CapacityReported>(&input)) {
+            reported.insert(report->agent);
+        } else if (const auto *chosen = std::get_if<WorkersChosen>(&input)) {
+            choices.push_back(chosen->isAll);
+        }
+    });
+    GuardSubset::Guards guards;
+    for (std::size_t index = 0; index < Guards; ++index) {
+        const AgentName agent("W" + std::to_string(index));
+        guards[agent] = {agent, guard.endpoint(), ZoneName("z")};
+    }
+    rooms.setGuards(guards);
+    ASSERT_TRUE(runUntil(loop, [&reported] { return reported.size() == Size; }));
+    EXPECT_EQ(choices, std::vector<bool>{false});
+    missesWorkers = true;
+    ASSERT_TRUE(runUntil(loop, [&choices] { return choices.back(); }));
+    missesWorkers = false;
+    ASSERT_TRUE(runUntil(loop, [&reported] { return reported.size() == Guards; }));
+}
+
 TEST(RoomWatcherTest, AnotherGuardIsFollowedInsteadOfASilentOne)
 {
     constexpr std::size_t Size = 2;
