Fix: [core, net] A stopping scheduler refuses what comes after it is done, and ends only when nothing is open

A scheduler got SIGTERM at 3.0 s and had no job left at 6.6 s. A request that it read at 6.683 s was accepted, since its planned stop would have lasted until 8.0 s; the process ended at 6.942 s, without an answer.

Cause, two faults: the machine accepted jobs after it had said that it was done (possible since it accepts what ends before the end of a planned stop), and the watcher that waits for the last answers counted its last three checks although an exchange had opened meanwhile. Change: a job is refused as draining once the machine is done; the watcher ends after four checks in a row without an open exchange.

--- a/core/src/scheduler/scheduler_admission.cpp
+++ b/core/src/scheduler/scheduler_admission.cpp
@@ -104,7 +104,7 @@
 
 ErrorKind SchedulerMachine::Private::refusalOf(SchedulerStep &step, const ScheduledJob &job, Duration &retryAfter) const
 {
-    if (m_drainSince && !endsBeforeStop(step.now(), job)) {
+    if (m_drainSince && (m_stopped || !endsBeforeStop(step.now(), job))) {
         return ErrorKind::Draining;
     }
     for (const auto &jobStep : job.spec->steps) {
--- a/core/tests/scheduler_machine_test.cpp
+++ b/core/tests/scheduler_machine_test.cpp
@@ -243,6 +243,21 @@
     EXPECT_EQ(scheduler.count<AnswerQueueJob>(), GetParam().isAccepted ? 0U : 1U);
 }
 
+TEST(SchedulerStopTest, RefusesJobsOnceItHasSaidThatItIsDone)
+{
+    SchedulerDriver scheduler;
+    scheduler.feed(DrainRequested{});
+    scheduler.advance(milliseconds(2'500));
+    scheduler.feed(Tick{});
+    ASSERT_EQ(scheduler.count<Stopped>(), 1U);
+    scheduler.advance(milliseconds(80));
+    scheduler.feed(scheduler.submission("job"));
+    EXPECT_EQ(scheduler.count<SendBatch>(), 0U);
+    const auto answer = scheduler.last<AnswerQueueJob>();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->error, ErrorKind::Draining);
+}
+
 INSTANTIATE_TEST_SUITE_P(Jobs, SchedulerDrainTest, testing::ValuesIn(DrainCases), [](const auto &test) { return test.param.name; });
 
 namespace
--- a/net/include/sycamoremoor/net/stop_watcher.h
+++ b/net/include/sycamoremoor/net/stop_watcher.h
@@ -32,6 +32,7 @@
     Timer m_timer;
     std::uint32_t m_cutOff = 0;
     std::uint32_t m_checksLeft = 0;
+    std::uint32_t m_quietChecks = 0; ///< consecutive ones without an open exchange
     sigc::signal<void(std::uint32_t)> m_stopped;
 };
 
--- a/net/src/stop_watcher.cpp
+++ b/net/src/stop_watcher.cpp
@@ -25,6 +25,7 @@
 {
     m_cutOff = cutOff;
     m_checksLeft = MostChecks;
+    m_quietChecks = 0;
     m_timer.start(CheckInterval);
 }
 
@@ -36,10 +37,8 @@
 void StopWatcher::check()
 {
     --m_checksLeft;
-    const bool busy = m_server.openExchanges() > 0;
-    if (!busy && m_checksLeft > QuietChecks) {
-        m_checksLeft = QuietChecks;
-    } else if (m_checksLeft == 0) {
+    m_quietChecks = m_server.openExchanges() > 0 ? 0 : m_quietChecks + 1;
+    if (m_quietChecks > QuietChecks || m_checksLeft == 0) {
         m_stopped.emit(m_cutOff);
         return;
     }
