Fix: [net] A stopping guard begins no new streams of capacity

Change: a guard that has ended its streams refuses new ones as draining. GuardServerTest.AStoppingGuardBeginsNoNewStream failed before.

--- a/net/include/sycamoremoor/net/guard_server.h
+++ b/net/include/sycamoremoor/net/guard_server.h
@@ -34,7 +34,7 @@
     /** Returns how much of the streams of room waits for schedulers that do not read. */
     [[nodiscard]] std::size_t unsentBytes() const;
 
-    /** Ends the streams of room: this guard stops. */
+    /** Ends the streams of room and begins no other: this guard stops. */
     void endWatches();
 
 private:
@@ -73,6 +73,7 @@
     sigc::signal<void(GuardInput)> m_input;
     std::uint64_t m_lastConnection = 0;
     std::uint64_t m_lastWatcher = 0;
+    bool m_watchesEnded = false;
     CapacityReport m_room;
     std::deque<UpstreamCrashed> m_crashes;               ///< that have not expired
     std::map<std::uint64_t, OpenExchange> m_watchers;    ///< streams of room
--- a/net/src/guard_server.cpp
+++ b/net/src/guard_server.cpp
@@ -113,6 +113,10 @@
 
 void GuardServer::takeWatch(const RoutedRequest &request)
 {
+    if (m_watchesEnded) {
+        replyError(request, ErrorKind::Draining, "this guard is being stopped");
+        return;
+    }
     const auto &parameters = request.exchange->request().parameters;
     const auto scheduler = parameters.find("scheduler");
     if (scheduler == parameters.end()) {
@@ -305,6 +309,7 @@
 
 void GuardServer::endWatches()
 {
+    m_watchesEnded = true;
     for (const auto &[number, watcher] : std::exchange(m_watchers, {})) {
         watcher.exchange->onGone(nullptr);
         watcher.exchange->endStream();
--- a/net/tests/guard_server_test.cpp
+++ b/net/tests/guard_server_test.cpp
@@ -156,4 +156,31 @@
     EXPECT_TRUE(runUntil(loop, [&] { return told["early"] == all && told["late"] == all; }));
 }
 
+TEST(GuardServerTest, AStoppingGuardBeginsNoNewStream)
+{
+    EventLoop loop;
+    MetricRegistry metrics;
+    Router router(metrics, [] { return std::uint64_t{1}; });
+    HttpServer server(loop, {"127.0.0.1", 0}, {}, [&router](const HttpExchangePointer &exchange) { router.route(exchange); });
+    GuardServer guard(loop, router, metrics);
+    HttpClient client(loop);
+    std::vector<int> statuses;
+    const auto watch = [&] {
+        ClientCall call;
+        call.endpoint = server.endpoint();
+        call.method = RequestMethod::Get;
+        call.newConnection = true;
+        call.path = "/internal/v1/watch-room?scheduler=S";
+        client.send(std::move(call), [&statuses](const ClientResult &result) { statuses.push_back(result.status); });
+    };
+    watch();
+    ASSERT_TRUE(runUntil(loop, [&server] { return server.openExchanges() == 1; }));
+    guard.endWatches();
+    ASSERT_TRUE(runUntil(loop, [&statuses] { return statuses.size() == 1; }));
+    watch();
+    ASSERT_TRUE(runUntil(loop, [&statuses] { return statuses.size() == 2; })) << "its process would never be without an open exchange";
+    EXPECT_EQ(statuses.back(), 503);
+    EXPECT_EQ(server.openExchanges(), 0U);
+}
+
 } // namespace Sycamoremoor
