Fix: [core] A scheduler does not follow more workers because most are silent

Cause, found by reading again: a refusal while few of the followed workers accept tasks, as after a loss of power of all machines, asked for more workers and got them for good, which costs a thin scheduler of a large deployment its processor time. Change: more are asked for only while at least 20 of the followed workers accept tasks and fewer of them can hold the job. The row FewWorkersHaveReported of SchedulerChoiceTest failed before; the other rows now have 20 workers, as the rule needs them.

--- a/core/src/scheduler/scheduler_admission.cpp
+++ b/core/src/scheduler/scheduler_admission.cpp
@@ -125,7 +125,11 @@
 
 bool SchedulerMachine::Private::needsOtherWorkers(const ScheduledJob &job) const
 {
-    return !m_followsAllWorkers && std::ranges::any_of(job.spec->steps, [&](const auto &jobStep) {
+    // While most of the followed workers are silent, as after a loss of power, others would be, too.
+    if (m_followsAllWorkers || m_workers.acceptingCount() < FewWorkers) {
+        return false;
+    }
+    return std::ranges::any_of(job.spec->steps, [&](const auto &jobStep) {
         return m_workers.fittingCount(job.queue.service, jobStep.size, jobStep.requiredLabel) < FewWorkers;
     });
 }
--- a/core/src/scheduler/worker_table.cpp
+++ b/core/src/scheduler/worker_table.cpp
@@ -265,6 +265,12 @@
     return !anyReporting;
 }
 
+std::size_t WorkerTable::acceptingCount() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_workers, [](const auto &item) { return item.second.isReporting && item.second.report.accepting; }));
+}
+
 std::size_t WorkerTable::fittingCount(const ServiceName &service, const TaskSize &size, const std::string &label) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(m_workers, [&](const auto &item) {
--- a/core/src/scheduler/worker_table.h
+++ b/core/src/scheduler/worker_table.h
@@ -104,6 +104,9 @@
     /** Returns whether @p size fits the total capacity of a worker of @p service; true also if no such worker is known. */
     [[nodiscard]] bool mayEverFit(const ServiceName &service, const TaskSize &size) const;
 
+    /** Returns how many workers accept tasks, of any service. */
+    [[nodiscard]] std::size_t acceptingCount() const;
+
     /** Returns how many workers of @p service have @p label, unless it is empty, and a total capacity that @p size fits. */
     [[nodiscard]] std::size_t fittingCount(const ServiceName &service, const TaskSize &size, const std::string &label) const;
 
--- a/core/tests/scheduler_machine_test.cpp
+++ b/core/tests/scheduler_machine_test.cpp
@@ -267,6 +267,7 @@
 struct ChoiceCase {
     const char *name;
     bool followsAll;
+    std::uint32_t reporting; ///< number of workers, all of the service "service"
     const char *service;
     std::int64_t cores;
     Duration until;      ///< when it is looked at
@@ -275,10 +276,11 @@
 };
 
 constexpr std::array ChoiceCases{
-    ChoiceCase{"TooLargeForAll", true, "service", 64'000, milliseconds(0), "never_fits", false},
-    ChoiceCase{"TooLargeForTheFollowed", false, "service", 64'000, milliseconds(0), "queue_full", true},
-    ChoiceCase{"NoWorkerOfTheService", true, "other", 1'000, milliseconds(200), "queue_full", false},
-    ChoiceCase{"NoFollowedWorkerOfTheService", false, "other", 1'000, milliseconds(200), "queue_full", true},
+    ChoiceCase{"TooLargeForAll", true, 20, "service", 64'000, milliseconds(0), "never_fits", false},
+    ChoiceCase{"TooLargeForTheFollowed", false, 20, "service", 64'000, milliseconds(0), "queue_full", true},
+    ChoiceCase{"NoWorkerOfTheService", true, 20, "other", 1'000, milliseconds(200), "queue_full", false},
+    ChoiceCase{"NoFollowedWorkerOfTheService", false, 20, "other", 1'000, milliseconds(200), "queue_full", true},
+    ChoiceCase{"FewWorkersHaveReported", false, 19, "service", 64'000, milliseconds(0), "queue_full", false},
 };
 
 } // namespace
@@ -291,6 +293,9 @@
 {
     SchedulerDriver scheduler;
     scheduler.feed(WorkersChosen{GetParam().followsAll});
+    for (std::uint32_t worker = 1; worker < GetParam().reporting; ++worker) { // one has reported
+        scheduler.reportCapacity(AgentName("W" + std::to_string(worker)));
+    }
     auto submission = scheduler.submission("job");
     submission.queue.service = ServiceName(GetParam().service);
     auto spec = *submission.spec;
