Fix: [core, net, ctl] A small subset widens, too, and logs show why jobs are refused and what a stop leaves open

The rule that asks for more workers counted against 20, so a scheduler that was set to follow fewer never asked; it now counts against half of those it follows, at most 20. The row TooLargeForAFewFollowed of SchedulerChoiceTest failed before. A refusal did not show how many followed workers can hold the job, whether others exist, nor how long a planned stop still lasts: fitting_workers, follows_all, stops_in_ms; sycamorectl losses uses the first. A process that gives up waiting for open exchanges says so.

--- a/core/include/sycamoremoor/core/scheduler_input_type.h
+++ b/core/include/sycamoremoor/core/scheduler_input_type.h
@@ -5,6 +5,7 @@
 #include <sycamoremoor/core/guard_message_type.h>
 #include <sycamoremoor/core/queue_type.h>
 
+#include <cstddef>
 #include <memory>
 #include <variant>
 
@@ -49,8 +50,9 @@
     AgentName agent;
 };
 
-/** The workers that the scheduler follows were chosen anew, in number. */
+/** The number of workers that the scheduler follows has changed, or whether there are others. */
 struct WorkersChosen {
+    std::size_t followed = 0;
     bool isAll = true; ///< there are no others
 };
 
--- a/core/src/scheduler/scheduler_admission.cpp
+++ b/core/src/scheduler/scheduler_admission.cpp
@@ -123,15 +123,20 @@
     return ErrorKind::QueueFull;
 }
 
+std::size_t SchedulerMachine::Private::fittingWorkers(const ScheduledJob &job) const
+{
+    auto fewest = m_workers.acceptingCount();
+    for (const auto &jobStep : job.spec->steps) {
+        fewest = std::min(fewest, m_workers.fittingCount(job.queue.service, jobStep.size, jobStep.requiredLabel));
+    }
+    return fewest;
+}
+
 bool SchedulerMachine::Private::needsOtherWorkers(const ScheduledJob &job) const
 {
+    const auto few = std::min(FewWorkers, (m_followedWorkers + 1) / 2);
     // While most of the followed workers are silent, as after a loss of power, others would be, too.
-    if (m_followsAllWorkers || m_workers.acceptingCount() < FewWorkers) {
-        return false;
-    }
-    return std::ranges::any_of(job.spec->steps, [&](const auto &jobStep) {
-        return m_workers.fittingCount(job.queue.service, jobStep.size, jobStep.requiredLabel) < FewWorkers;
-    });
+    return !m_followsAllWorkers && m_workers.acceptingCount() >= few && fittingWorkers(job) < few;
 }
 
 bool SchedulerMachine::Private::endsBeforeStop(MonotonicTime now, const ScheduledJob &job) const
@@ -178,7 +183,10 @@
               {"lag_ms", inMilliseconds(m_lag.expectedLag())},
               {"jobs_waiting", std::to_string(waitingCount())},
               {"confined", m_bulkhead.isConfined(job.queue.name) ? "yes" : "no"},
-              {"worker_millicores", std::to_string(m_workers.cores(job.queue.service).value())}});
+              {"worker_millicores", std::to_string(m_workers.cores(job.queue.service).value())},
+              {"fitting_workers", std::to_string(fittingWorkers(job))},
+              {"follows_all", m_followsAllWorkers ? "yes" : "no"},
+              {"stops_in_ms", m_drainSince ? inMilliseconds(*m_drainSince + m_settings.drainTimeout - step.now()) : ""}});
     for (const auto connection : job.connections) {
         step.emit(AnswerQueueJob{connection, QueueJobResult::Refused, error, std::max(MinRetryAfter, retryAfter)});
     }
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -78,6 +78,8 @@
     ScheduledJob makeJob(SchedulerStep &step, const QueueJobSubmitted &input);
     void setTimes(ScheduledJob &job) const;
     [[nodiscard]] ErrorKind refusalOf(SchedulerStep &step, const ScheduledJob &job, Duration &retryAfter) const;
+    /** Returns how many of the followed workers can hold the step of the job that the fewest of them can hold. */
+    [[nodiscard]] std::size_t fittingWorkers(const ScheduledJob &job) const;
     /** Returns whether few of the followed workers can hold a step of the job, though there are others. */
     [[nodiscard]] bool needsOtherWorkers(const ScheduledJob &job) const;
     /** Returns whether a job that arrives during a planned stop certainly ends before its end. */
@@ -146,6 +148,7 @@
     std::vector<JobNumber> m_arrivals;                      ///< jobs that were accepted in this step
     std::size_t m_placedInStep = 0;                         ///< tasks that were sent
     bool m_placesMore = false;                              ///< the limit of a step was reached before all jobs or all capacity were used
+    std::size_t m_followedWorkers = 0;                      ///< as last told
     bool m_followsAllWorkers = true;
     bool m_missesWorkers = false; ///< a job was refused that needs other workers than those followed
     std::uint64_t m_lastJob = 0;
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -264,6 +264,7 @@
 
 void SchedulerMachine::Private::handle(SchedulerStep & /*step*/, const WorkersChosen &input)
 {
+    m_followedWorkers = input.followed;
     m_followsAllWorkers = input.isAll;
     m_missesWorkers = false;
 }
--- a/core/tests/scheduler_machine_test.cpp
+++ b/core/tests/scheduler_machine_test.cpp
@@ -267,6 +267,7 @@
 struct ChoiceCase {
     const char *name;
     bool followsAll;
+    std::size_t followed;
     std::uint32_t reporting; ///< number of workers, all of the service "service"
     const char *service;
     std::int64_t cores;
@@ -276,11 +277,13 @@
 };
 
 constexpr std::array ChoiceCases{
-    ChoiceCase{"TooLargeForAll", true, 20, "service", 64'000, milliseconds(0), "never_fits", false},
-    ChoiceCase{"TooLargeForTheFollowed", false, 20, "service", 64'000, milliseconds(0), "queue_full", true},
-    ChoiceCase{"NoWorkerOfTheService", true, 20, "other", 1'000, milliseconds(200), "queue_full", false},
-    ChoiceCase{"NoFollowedWorkerOfTheService", false, 20, "other", 1'000, milliseconds(200), "queue_full", true},
-    ChoiceCase{"FewWorkersHaveReported", false, 19, "service", 64'000, milliseconds(0), "queue_full", false},
+    ChoiceCase{"TooLargeForAll", true, 40, 20, "service", 64'000, milliseconds(0), "never_fits", false},
+    ChoiceCase{"TooLargeForTheFollowed", false, 40, 20, "service", 64'000, milliseconds(0), "queue_full", true},
+    ChoiceCase{"NoWorkerOfTheService", true, 40, 20, "other", 1'000, milliseconds(200), "queue_full", false},
+    ChoiceCase{"NoFollowedWorkerOfTheService", false, 40, 20, "other", 1'000, milliseconds(200), "queue_full", true},
+    ChoiceCase{"TooLargeForAFewFollowed", false, 4, 2, "service", 64'000, milliseconds(0), "queue_full", true},
+    ChoiceCase{"OneOfAFewHasReported", false, 4, 1, "service", 64'000, milliseconds(0), "queue_full", false},
+    ChoiceCase{"FewWorkersHaveReported", false, 40, 19, "service", 64'000, milliseconds(0), "queue_full", false},
 };
 
 } // namespace
@@ -292,7 +295,7 @@
 TEST_P(SchedulerChoiceTest, AsksForWorkersThatItDoesNotFollow)
 {
     SchedulerDriver scheduler;
-    scheduler.feed(WorkersChosen{GetParam().followsAll});
+    scheduler.feed(WorkersChosen{GetParam().followed, GetParam().followsAll});
     for (std::uint32_t worker = 1; worker < GetParam().reporting; ++worker) { // one has reported
         scheduler.reportCapacity(AgentName("W" + std::to_string(worker)));
     }
@@ -312,7 +315,7 @@
     EXPECT_EQ(answer->result, QueueJobResult::Refused);
     EXPECT_EQ(errorRow(answer->error).code, GetParam().outcome);
     EXPECT_EQ(scheduler.missesWorkers(), GetParam().missesWorkers);
-    scheduler.feed(WorkersChosen{true});
+    scheduler.feed(WorkersChosen{GetParam().followed, true});
     EXPECT_FALSE(scheduler.missesWorkers());
 }
 
--- a/ctl/src/loss_count.cpp
+++ b/ctl/src/loss_count.cpp
@@ -21,7 +21,7 @@
     "refused: waited in vain",
     "refused: planned stop",
     "refused: confined, workers down",
-    "refused: no worker known",
+    "refused: no worker for it known",
     "refused: fits no worker",
     "failed",
     "failed: crashes upstreams",
@@ -52,13 +52,13 @@
     if (outcome == "never_fits") {
         return JobFate::RefusedSize;
     }
-    if (numberOf(line, "worker_millicores") == 0) {
+    if (numberOf(line, "worker_millicores") == 0 || textOf(line, "fitting_workers") == "0") {
         return JobFate::RefusedWorkers;
     }
     if (textOf(line, "confined") == "yes") {
         return JobFate::RefusedCrashes;
     }
-    // It counts as behind if less than its slack would be left without the wait for capacity.
+    // Two waits in the scheduler, one for the batch and one for the reports, would have taken all of the slack.
     if (numberOf(line, "lag_ms") > 0 && numberOf(line, "lag_ms") * 2 >= numberOf(line, "slack_ms")) {
         return JobFate::RefusedBehind;
     }
--- a/ctl/src/loss_type.h
+++ b/ctl/src/loss_type.h
@@ -18,7 +18,7 @@
     RefusedHeld,    ///< refused after it had waited for capacity in vain
     RefusedStop,    ///< refused during a planned stop
     RefusedCrashes, ///< refused: its queue crashes upstreams, and those left to it are down
-    RefusedWorkers, ///< refused while no worker of its service was known
+    RefusedWorkers, ///< refused while no worker was known that can hold it
     RefusedSize,    ///< refused: no worker can hold it
     Failed,         ///< a task failed as often as its queue allows
     GivenUp,        ///< a task crashes the upstreams that start it
--- a/ctl/tests/loss_count_test.cpp
+++ b/ctl/tests/loss_count_test.cpp
@@ -47,6 +47,9 @@
     LineCase{"Size", R"({"text":"A job is refused.","queue":"q","outcome":"never_fits","worker_millicores":"8"})", JobFate::RefusedSize},
     LineCase{
         "NoWorker", R"({"text":"A job is refused.","queue":"q","outcome":"queue_full","worker_millicores":"0"})", JobFate::RefusedWorkers},
+    LineCase{"NoWorkerThatFits",
+             R"({"text":"A job is refused.","queue":"q","outcome":"queue_full","worker_millicores":"8","fitting_workers":"0"})",
+             JobFate::RefusedWorkers},
     LineCase{"Confined",
              R"({"text":"A job is refused.","queue":"q","outcome":"queue_full","confined":"yes","worker_millicores":"8"})",
              JobFate::RefusedCrashes},
--- a/net/src/room_watcher.cpp
+++ b/net/src/room_watcher.cpp
@@ -125,7 +125,7 @@
                   "More workers are followed: jobs were refused that few of them can hold.",
                   {{"workers", std::to_string(chosen)}, {"of", std::to_string(all)}}});
     }
-    m_input.emit(WorkersChosen{isAll});
+    m_input.emit(WorkersChosen{chosen, isAll});
 }
 
 void RoomWatcher::watch(const AgentRecord &record)
--- a/net/src/stop_watcher.cpp
+++ b/net/src/stop_watcher.cpp
@@ -2,6 +2,9 @@
 #include <sycamoremoor/net/stop_watcher.h>
 
 #include <sycamoremoor/net/http_server.h>
+#include <sycamoremoor/net/log_func.h>
+
+#include <string>
 
 namespace Sycamoremoor
 {
@@ -37,8 +40,13 @@
 void StopWatcher::check()
 {
     --m_checksLeft;
-    m_quietChecks = m_server.openExchanges() > 0 ? 0 : m_quietChecks + 1;
+    const auto open = m_server.openExchanges();
+    m_quietChecks = open > 0 ? 0 : m_quietChecks + 1;
     if (m_quietChecks > QuietChecks || m_checksLeft == 0) {
+        if (open > 0) {
+            writeLog(
+                {Severity::Warning, "drain", "Exchanges were still open when the wait for them ended.", {{"open", std::to_string(open)}}});
+        }
         m_stopped.emit(m_cutOff);
         return;
     }
