Fix: [core, platform] A goodbye or the announcement of another boot ends no runs until something shows that they have ended

Cause: a goodbye ended all runs of the upstream of that name at its guard, and so did the announcement of a later boot or of one without a start time. Either may be late, of another writer, or, as a goodbye, come before the upstream has ended; the guard then reports runs as lapsed that go on, and their tasks are placed elsewhere. No test fed a goodbye to a guard. Change: both are claims. After a goodbye an upstream with runs counts as leaving. In both cases the guard probes at once and asks for a list. Runs are reported when lists show their end, when the announced boot's list or a 421 shows that another boot answers there, when nothing listens, or when the leases have ended. A list of the known boot that was asked for later refutes the announcement.

--- a/core/include/sycamoremoor/core/guard_input_type.h
+++ b/core/include/sycamoremoor/core/guard_input_type.h
@@ -106,9 +106,17 @@
     std::vector<EndedRun> ended; ///< ends that are not acknowledged yet; the upstream sends a few hundred at most
 };
 
-/** The upstream did not answer a RenewLease. */
+/** Why a RenewLease brought no lists. */
+enum class RenewalFailure {
+    NoAnswer,         ///< unknown: the upstream may have renewed the lease
+    OtherIncarnation, ///< refused: another incarnation of the upstream answered
+    End,
+};
+
+/** A RenewLease brought no lists. */
 struct RenewalUnanswered {
     RenewalNumber renewal;
+    RenewalFailure failure = RenewalFailure::NoAnswer;
 };
 
 /** Result of a ProbeListener. */
--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -56,6 +56,9 @@
     /** State of the current incarnation of the upstream. */
     struct Upstream {
         UpstreamAnnounced announced;
+        std::optional<UpstreamAnnounced> replacement;  ///< another boot that claims to have replaced it
+        RenewalNumber replacementAfter;                ///< last renewal sent before that claim
+        RenewalNumber renewalsBefore;                  ///< last renewal sent to the boot before
         Duration clockOffset{};                        ///< its clock minus the clock of this guard, from the last message
         MonotonicTime leaseUntil;                      ///< latest end of any lease sent to it, by the clock of this guard
         bool hasAnswered = false;                      ///< it has answered a renewal
@@ -82,6 +85,13 @@
     /** Returns whether an announcement is not of the upstream beside this guard: the known one answers, or its start is in the future. */
     [[nodiscard]] bool isOfAnotherWriter(const GuardStep &step, const UpstreamIncarnation &incarnation) const;
     void beginIncarnation(GuardStep &step, const UpstreamAnnounced &announced);
+    void setAnnounced(GuardStep &step, const UpstreamAnnounced &announced);
+    /** Another boot claims to have replaced the known one, which has runs: finds out whether it has. */
+    void expectReplacement(GuardStep &step, const UpstreamAnnounced &announced);
+    /** Asks the upstream for its lists, and whether anything listens there. */
+    void checkLife(const GuardStep &step);
+    /** Follows the boot that has replaced the known one once no runs are left there. */
+    void replaceUpstream(GuardStep &step);
     /** Reports all runs: waiting ones as not started, the others as lapsed. @param crash the crash that ended them, or null */
     void reportAllLost(GuardStep &step, const CrashNotice *crash = nullptr);
     /** Records that the upstream crashed under @p runs, when it fell silent. */
--- a/core/src/guard/guard_upstream.cpp
+++ b/core/src/guard/guard_upstream.cpp
@@ -57,14 +57,57 @@
         return;
     }
     if (!m_upstream || m_upstream->announced.incarnation != input.incarnation) {
+        if (m_upstream && !openRuns().empty()) {
+            expectReplacement(step, input);
+            return;
+        }
         beginIncarnation(step, input);
     } else if (input.sequence <= m_upstream->announced.sequence) {
         return; // it was overtaken by a later announcement
     }
-    if (input.leaving && !m_upstream->announced.leaving) {
-        step.log(Severity::Info, "The upstream " + input.incarnation.name + " is leaving; it gets no new work.");
+    setAnnounced(step, input);
+}
+
+void GuardMachine::Private::setAnnounced(GuardStep &step, const UpstreamAnnounced &announced)
+{
+    if (announced.leaving && !m_upstream->announced.leaving) {
+        step.log(Severity::Info, "The upstream " + announced.incarnation.name + " is leaving; it gets no new work.");
+    }
+    m_upstream->announced = announced;
+}
+
+void GuardMachine::Private::expectReplacement(GuardStep &step, const UpstreamAnnounced &announced)
+{
+    auto &upstream = *m_upstream;
+    if (!upstream.replacement || upstream.replacement->incarnation != announced.incarnation) {
+        step.log(Severity::Info,
+                 "Another boot of the upstream announces itself; it replaces the known one when the runs there have certainly ended.",
+                 {{"name", announced.incarnation.name},
+                  {"start_ms", std::to_string(announced.incarnation.startTimeMs)},
+                  {"known_name", upstream.announced.incarnation.name},
+                  {"known_start_ms", std::to_string(upstream.announced.incarnation.startTimeMs)},
+                  {"runs", std::to_string(openRuns().size())}});
+    }
+    upstream.replacement = announced;
+    upstream.replacementAfter = RenewalNumber(m_lastRenewal);
+    checkLife(step);
+}
+
+void GuardMachine::Private::checkLife(const GuardStep &step)
+{
+    m_upstream->immediateRenewalWanted = true;
+    if (!m_upstream->crashed && !m_upstream->probeDue) {
+        m_upstream->probeDue = step.now();
+    }
+}
+
+void GuardMachine::Private::replaceUpstream(GuardStep &step)
+{
+    if (m_upstream->replacement && openRuns().empty()) {
+        const auto replacement = *m_upstream->replacement;
+        beginIncarnation(step, replacement);
+        setAnnounced(step, replacement);
     }
-    m_upstream->announced = input;
 }
 
 bool GuardMachine::Private::isOfEarlierBoot(const UpstreamIncarnation &incarnation) const
@@ -104,6 +147,7 @@
     }
     m_crashes.upstreamRestarted(step.now());
     m_upstream = Upstream{};
+    m_upstream->renewalsBefore = RenewalNumber(m_lastRenewal);
     m_upstream->announced = announced;
     m_upstream->announced.leaving = false;
     m_upstream->stall.restart(step.now());
@@ -113,11 +157,21 @@
 
 void GuardMachine::Private::handle(GuardStep &step, const UpstreamLeft &input)
 {
-    if (m_upstream && m_upstream->announced.incarnation.name == input.name) {
-        step.log(Severity::Info, "The upstream " + input.name + " shut down.");
+    if (!m_upstream || m_upstream->announced.incarnation.name != input.name) {
+        return;
+    }
+    const auto runs = openRuns().size();
+    step.log(Severity::Info,
+             "The upstream says that it shuts down.",
+             {{"name", input.name}, {"runs", std::to_string(runs)}, {"sequence", std::to_string(m_upstream->announced.sequence)}});
+    if (runs == 0) {
         reportAllLost(step);
         m_upstream.reset();
+        return;
     }
+    // It may be still running them, or the message may be of an earlier boot of the same name.
+    m_upstream->announced.leaving = true;
+    checkLife(step);
 }
 
 void GuardMachine::Private::reportAllLost(GuardStep &step, const CrashNotice *crash)
@@ -216,6 +270,11 @@
     auto &upstream = *m_upstream;
     renewalEnded(input.renewal);
     if (input.incarnation.startTimeMs != upstream.announced.incarnation.startTimeMs) {
+        if (upstream.replacement && input.incarnation.startTimeMs != 0
+            && upstream.replacement->incarnation.startTimeMs == input.incarnation.startTimeMs) {
+            upstreamCrashed(step);
+            return;
+        }
         // No new runs are accepted until the new incarnation announces itself.
         upstream.unansweredRenewals = std::max(upstream.unansweredRenewals, UnansweredRenewalLimit);
         return;
@@ -223,6 +282,15 @@
     if (upstream.unansweredRenewals >= UnansweredRenewalLimit) {
         step.log(Severity::Info, "The upstream answers again.");
     }
+    if (upstream.replacement && input.renewal > upstream.replacementAfter) {
+        step.log(Severity::Warning,
+                 "The announcement of another boot is passed over: the known one answers.",
+                 {{"name", upstream.replacement->incarnation.name},
+                  {"start_ms", std::to_string(upstream.replacement->incarnation.startTimeMs)},
+                  {"known_name", upstream.announced.incarnation.name},
+                  {"known_start_ms", std::to_string(upstream.announced.incarnation.startTimeMs)}});
+        upstream.replacement.reset();
+    }
     upstream.unansweredRenewals = 0;
     upstream.refusedProbes = 0;
     upstream.probeDue.reset();
@@ -314,7 +382,7 @@
 
 void GuardMachine::Private::handle(GuardStep &step, const RenewalUnanswered &input)
 {
-    if (!m_upstream) {
+    if (!m_upstream || input.renewal <= m_upstream->renewalsBefore) {
         return;
     }
     renewalEnded(input.renewal);
@@ -324,7 +392,11 @@
     if (++m_upstream->unansweredRenewals == UnansweredRenewalLimit) {
         step.log(Severity::Warning, "The upstream does not answer; it gets no new work.");
     }
-    if (!m_upstream->crashed && !m_upstream->probeDue) {
+    if (input.failure == RenewalFailure::OtherIncarnation) {
+        if (!m_upstream->crashed) {
+            upstreamCrashed(step);
+        }
+    } else if (!m_upstream->crashed && !m_upstream->probeDue) {
         m_upstream->probeDue = step.now();
     }
 }
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -168,6 +168,7 @@
             m_upstream->lapsedRuns = openRuns();
             reportAllLost(step);
         }
+        replaceUpstream(step);
         detectStall(step);
         dropExpired(step);
         startWaiting(step);
--- a/core/tests/guard_driver.h
+++ b/core/tests/guard_driver.h
@@ -68,6 +68,12 @@
         feed(RenewalUnanswered{m_renewal});
     }
 
+    /** The renewal that was sent last is refused. */
+    void failRenewal(RenewalFailure failure)
+    {
+        feed(RenewalUnanswered{m_renewal, failure});
+    }
+
     void advance(Duration time)
     {
         m_now += time;
--- /dev/null
+++ b/core/tests/guard_evidence_test.cpp
@@ -0,0 +1,178 @@
+// What shows a guard that the runs of an upstream have ended: a goodbye and the announcement of another boot are claims, which it checks.
+#include "guard_driver.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <string>
+#include <tuple>
+
+namespace Sycamoremoor
+{
+
+using std::chrono::milliseconds;
+
+namespace
+{
+
+const UpstreamIncarnation LaterBoot{"runner", GuardDriver::incarnation().startTimeMs + 1};
+const UpstreamIncarnation WithoutStartTime{"runner", 0};
+const UpstreamIncarnation OtherName{"other", GuardDriver::incarnation().startTimeMs + 1};
+
+/** Something that follows a claim that the known boot of the upstream has ended, and whether it shows that. */
+struct EvidenceCase {
+    const char *name;
+    void (*happen)(GuardDriver &guard, const UpstreamIncarnation &claimed);
+    bool isConclusive;
+    bool isReplaced = isConclusive; ///< the known boot has ended, too
+};
+
+constexpr std::array EvidenceCases{
+    EvidenceCase{"Nothing", [](GuardDriver &guard, const UpstreamIncarnation &) { guard.feed(Tick{}); }, false},
+    EvidenceCase{"KnownBootListsItsRuns",
+                 [](GuardDriver &guard, const UpstreamIncarnation &) { guard.answerRenewal({GuardDriver::run(0)}, {}); },
+                 false},
+    EvidenceCase{"ItDoesNotAnswer", [](GuardDriver &guard, const UpstreamIncarnation &) { guard.leaveRenewalUnanswered(); }, false},
+    EvidenceCase{"KnownBootListsTheirEnd",
+                 [](GuardDriver &guard, const UpstreamIncarnation &) {
+                     guard.answerRenewal({}, {{1, GuardDriver::run(0), RunOutcome::Stopped}});
+                 },
+                 true,
+                 false},
+    EvidenceCase{"AnotherBootAnswers",
+                 [](GuardDriver &guard, const UpstreamIncarnation &) { guard.failRenewal(RenewalFailure::OtherIncarnation); },
+                 true},
+    EvidenceCase{"NothingListens",
+                 [](GuardDriver &guard, const UpstreamIncarnation &) {
+                     guard.feed(ListenerProbed{true});
+                     guard.advance(milliseconds(5));
+                     guard.feed(Tick{});
+                     guard.feed(ListenerProbed{true});
+                 },
+                 true},
+    EvidenceCase{"LeasesEnd",
+                 [](GuardDriver &guard, const UpstreamIncarnation &) {
+                     for (int number = 0; number < 3; ++number) {
+                         guard.leaveRenewalUnanswered();
+                     }
+                     guard.advance(std::chrono::seconds(2));
+                     guard.feed(Tick{});
+                 },
+                 true},
+};
+
+std::string nameOf(const UpstreamIncarnation &claimed)
+{
+    if (claimed.startTimeMs == 0) {
+        return "WithoutStartTime";
+    }
+    return claimed.name == GuardDriver::incarnation().name ? "LaterBoot" : "OtherName";
+}
+
+/** Gives the upstream of @p guard a run, and reports that it started. */
+void startRun(GuardDriver &guard)
+{
+    guard.order(1, 0, 1'000, {}, std::chrono::seconds(10));
+    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+}
+
+} // namespace
+
+class GuardGoodbyeTest : public testing::TestWithParam<EvidenceCase>
+{
+};
+
+TEST_P(GuardGoodbyeTest, RunsAreReportedWhenTheyHaveCertainlyEnded)
+{
+    GuardDriver guard;
+    startRun(guard);
+    guard.feed(UpstreamLeft{"runner"});
+    EXPECT_TRUE(guard.all<ReportRun>().empty()) << "the upstream may still be running them";
+    ASSERT_EQ(guard.all<ProbeListener>().size(), 1U);
+    ASSERT_FALSE(guard.all<RenewLease>().empty());
+    GetParam().happen(guard, LaterBoot);
+    EXPECT_EQ(guard.all<ReportRun>().size(), GetParam().isConclusive ? 1U : 0U);
+    EXPECT_TRUE(guard.all<UpstreamCrashed>().empty()) << "it left as planned";
+}
+
+INSTANTIATE_TEST_SUITE_P(Evidence, GuardGoodbyeTest, testing::ValuesIn(EvidenceCases), [](const auto &test) { return test.param.name; });
+
+TEST(GuardEvidenceTest, NothingIsStartedAfterAGoodbyeUntilTheUpstreamAnnouncesItselfAgain)
+{
+    GuardDriver guard;
+    startRun(guard);
+    guard.feed(UpstreamLeft{"runner"});
+    guard.order(2, 1, 1'000);
+    EXPECT_TRUE(guard.all<StartRun>().empty());
+    guard.answerRenewal({GuardDriver::run(0)}, {});
+    guard.announce(GuardDriver::incarnation());
+    EXPECT_TRUE(guard.all<ReportRun>().empty());
+    guard.order(3, 1, 1'000);
+    ASSERT_EQ(guard.all<StartRun>().size(), 1U);
+    EXPECT_EQ(guard.all<StartRun>()[0].incarnation, GuardDriver::incarnation());
+}
+
+TEST(GuardEvidenceTest, AnUpstreamWithoutRunsIsReplacedAfterItsGoodbyeByTheNextThatAnnouncesItself)
+{
+    GuardDriver guard;
+    guard.feed(UpstreamLeft{"runner"});
+    guard.announce(OtherName);
+    ASSERT_FALSE(guard.all<RenewLease>().empty());
+    EXPECT_EQ(guard.all<RenewLease>()[0].incarnation, OtherName);
+}
+
+class GuardAnnouncedBootTest : public testing::TestWithParam<std::tuple<UpstreamIncarnation, EvidenceCase>>
+{
+};
+
+TEST_P(GuardAnnouncedBootTest, ItReplacesTheKnownOneWhenItsRunsHaveCertainlyEnded)
+{
+    const auto &[claimed, evidence] = GetParam();
+    GuardDriver guard;
+    startRun(guard);
+    guard.leaveRenewalUnanswered(); // else another name is taken for another writer
+    guard.announce(claimed);
+    EXPECT_TRUE(guard.all<ReportRun>().empty()) << "an announcement alone shows nothing";
+    ASSERT_FALSE(guard.all<RenewLease>().empty());
+    evidence.happen(guard, claimed);
+    EXPECT_EQ(guard.all<ReportRun>().size(), evidence.isConclusive ? 1U : 0U);
+    if (evidence.isReplaced) {
+        ASSERT_FALSE(guard.all<RenewLease>().empty());
+        EXPECT_EQ(guard.all<RenewLease>().back().incarnation, claimed);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Evidence,
+                         GuardAnnouncedBootTest,
+                         testing::Combine(testing::Values(LaterBoot, WithoutStartTime, OtherName), testing::ValuesIn(EvidenceCases)),
+                         [](const auto &test) { return nameOf(std::get<0>(test.param)) + std::get<1>(test.param).name; });
+
+TEST(GuardEvidenceTest, TheListOfAnAnnouncedBootShowsThatItHasReplacedTheKnownOne)
+{
+    GuardDriver guard;
+    startRun(guard);
+    guard.announce(LaterBoot);
+    EXPECT_TRUE(guard.all<ReportRun>().empty());
+    guard.answerRenewal({}, {}, LaterBoot);
+    ASSERT_EQ(guard.all<ReportRun>().size(), 1U);
+    EXPECT_EQ(guard.all<ReportRun>()[0].report.outcome, RunOutcome::Lapsed);
+    EXPECT_EQ(guard.all<UpstreamCrashed>().size(), 1U);
+}
+
+TEST(GuardEvidenceTest, AnAnnouncedBootIsPassedOverWhenTheKnownOneStillAnswers)
+{
+    GuardDriver guard;
+    startRun(guard);
+    guard.announce(LaterBoot);
+    guard.answerRenewal({GuardDriver::run(0)}, {});
+    EXPECT_TRUE(guard.all<ReportRun>().empty());
+    EXPECT_TRUE(guard.all<StopRun>().empty());
+    guard.answerRenewal({}, {{1, GuardDriver::run(0), RunOutcome::Done}});
+    ASSERT_EQ(guard.all<ReportRun>().size(), 1U);
+    EXPECT_EQ(guard.all<ReportRun>()[0].report.outcome, RunOutcome::Done);
+    guard.order(2, 1, 1'000);
+    ASSERT_EQ(guard.all<StartRun>().size(), 1U);
+    EXPECT_EQ(guard.all<StartRun>()[0].incarnation, GuardDriver::incarnation());
+}
+
+} // namespace Sycamoremoor
--- a/core/tests/pool_once_test.cpp
+++ b/core/tests/pool_once_test.cpp
@@ -150,6 +150,22 @@
                   simulation.silenceRunner(worker, randomDuration(simulation));
                   simulation.breakExchanges(0.2);
               }},
+    OnceFault{"GoodbyeOfEarlierBootArrivesWhileRunnerLives",
+              0,
+              [](PoolSimulation &simulation, std::uint32_t worker, std::uint32_t) {
+                  simulation.deliverDelayedGoodbye(worker);
+              }},
+    OnceFault{"AnnouncementWithoutStartTimeArrivesWhileRunnerLives",
+              0,
+              [](PoolSimulation &simulation, std::uint32_t worker, std::uint32_t) {
+                  simulation.deliverForeignAnnouncement(worker, 0);
+              }},
+    OnceFault{"AnnouncementOfLaterBootArrivesWhileRunnerLives",
+              0,
+              [](PoolSimulation &simulation, std::uint32_t worker, std::uint32_t) {
+                  const auto laterBoot = std::chrono::duration_cast<milliseconds>(std::chrono::hours(1) + simulation.time());
+                  simulation.deliverForeignAnnouncement(worker, laterBoot.count());
+              }},
 };
 
 } // namespace
--- a/core/tests/pool_simulation.h
+++ b/core/tests/pool_simulation.h
@@ -132,6 +132,12 @@
     /** Lets a runner execute the orders that it gets until @p duration has passed only then, in order; none of them is answered. */
     void silenceRunner(std::uint32_t worker, Duration duration);
 
+    /** A goodbye of an earlier boot of a runner reaches the guard of the live one. */
+    void deliverDelayedGoodbye(std::uint32_t worker);
+
+    /** An announcement that another writer made in the name of a runner reaches its guard. @param startTimeMs the boot that it names */
+    void deliverForeignAnnouncement(std::uint32_t worker, std::int64_t startTimeMs);
+
     /** Interrupts a random share of the open exchanges. */
     void breakExchanges(double share);
 
@@ -191,6 +197,7 @@
     [[nodiscard]] ZoneName zoneOf(std::uint32_t index) const;
     void startGuard(std::uint32_t index);
     void announce(std::uint32_t worker);
+    [[nodiscard]] UpstreamAnnounced announcementOf(std::uint32_t worker) const;
     void stepScheduler(std::uint32_t index, SchedulerInput input);
     /** Lets a scheduler read what has arrived, and carries out its outputs when it has had the processor time for both. */
     void workScheduler(std::uint32_t index);
