Fix: [core, platform] A guard whose renewals are refused for their fencing token raises it

Cause: a guard's first token is its start by the wall clock. If the clock was set back, or its predecessor had raised its token by a minute, the runner refuses it. Every answer to a renewal but 200 counted as no answer, so such a guard got no lists, took no work and answered no recalls until its upstream restarted. Before: GuardTokenTest.ARenewalThatIsRefusedForItsTokenIsRepeatedWithAHigherOne failed (no renewal followed). Change: a renewal that is refused with the reason fence raises the token, as a refused start does, and is repeated at once.

--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -125,6 +125,7 @@
     RenewalNumber sendRenewal(GuardStep &step, Duration wait);
     void renewalEnded(RenewalNumber number);
     void handleEndedRuns(GuardStep &step, const UpstreamListed &listed);
+    void raiseToken(GuardStep &step);
     void confirmStart(GuardStep &step, GuardedRun &record);
     void handleStartedRuns(GuardStep &step, const UpstreamListed &listed);
     void handleMissingRuns(GuardStep &step, const UpstreamListed &listed);
--- a/core/src/guard/guard_upstream.cpp
+++ b/core/src/guard/guard_upstream.cpp
@@ -386,6 +386,11 @@
         return;
     }
     renewalEnded(input.renewal);
+    if (input.failure == RenewalFailure::Fenced) {
+        raiseToken(step);
+        m_upstream->immediateRenewalWanted = true;
+        return;
+    }
     if (m_upstream->unansweredRenewals == 0) {
         m_upstream->silentSince = step.now();
     }
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -86,10 +86,7 @@
         }
         return;
     case StartAnswer::Fenced:
-        m_token += TokenIncrement;
-        step.log(Severity::Warning,
-                 "The upstream knows a higher fencing token; the token of this guard is raised to " + std::to_string(m_token.value())
-                     + ".");
+        raiseToken(step);
         report(step, input.run, RunOutcome::NotStarted, ErrorKind::OwnerFenced);
         return;
     case StartAnswer::Superseded:
@@ -108,6 +105,13 @@
     }
 }
 
+void GuardMachine::Private::raiseToken(GuardStep &step)
+{
+    m_token += TokenIncrement;
+    step.log(Severity::Warning,
+             "The upstream knows a higher fencing token; the token of this guard is raised to " + std::to_string(m_token.value()) + ".");
+}
+
 void GuardMachine::Private::confirmStart(GuardStep &step, GuardedRun &record)
 {
     record.started = true;
--- a/core/tests/guard_evidence_test.cpp
+++ b/core/tests/guard_evidence_test.cpp
@@ -175,4 +175,16 @@
     EXPECT_EQ(guard.all<StartRun>()[0].incarnation, GuardDriver::incarnation());
 }
 
+TEST(GuardTokenTest, ARenewalThatIsRefusedForItsTokenIsRepeatedWithAHigherOne)
+{
+    GuardDriver guard;
+    guard.order(1, 0, 1'000);
+    ASSERT_EQ(guard.all<StartRun>().size(), 1U);
+    const auto token = guard.all<StartRun>()[0].token;
+    guard.failRenewal(RenewalFailure::Fenced);
+    ASSERT_FALSE(guard.all<RenewLease>().empty());
+    EXPECT_GT(guard.all<RenewLease>()[0].token, token);
+    EXPECT_TRUE(guard.all<ProbeListener>().empty()) << "the upstream has answered";
+}
+
 } // namespace Sycamoremoor
