--- a/core/tests/guard_evidence_test.cpp
+++ b/core/tests/guard_evidence_test.cpp
@@ -15,9 +15,9 @@
 namespace
 {
 
-const UpstreamIncarnation LaterBoot{"runner", GuardDriver::incarnation().startTimeMs + 1};
-const UpstreamIncarnation WithoutStartTime{"runner", 0};
-const UpstreamIncarnation OtherName{"other", GuardDriver::incarnation().startTimeMs + 1};
+const UpstreamIncarnation laterBoot{"runner", GuardDriver::incarnation().startTimeMs + 1};
+const UpstreamIncarnation withoutStartTime{"runner", 0};
+const UpstreamIncarnation otherName{"other", GuardDriver::incarnation().startTimeMs + 1};
 
 /** Something that follows a claim that the known boot of the upstream has ended, and whether it shows that. */
 struct EvidenceCase {
@@ -90,7 +90,7 @@
     EXPECT_TRUE(guard.all<ReportRun>().empty()) << "the upstream may still be running them";
     ASSERT_EQ(guard.all<ProbeListener>().size(), 1U);
     ASSERT_FALSE(guard.all<RenewLease>().empty());
-    GetParam().happen(guard, LaterBoot);
+    GetParam().happen(guard, laterBoot);
     EXPECT_EQ(guard.all<ReportRun>().size(), GetParam().isConclusive ? 1U : 0U);
     EXPECT_TRUE(guard.all<UpstreamCrashed>().empty()) << "it left as planned";
 }
@@ -116,9 +116,9 @@
 {
     GuardDriver guard;
     guard.feed(UpstreamLeft{"runner"});
-    guard.announce(OtherName);
+    guard.announce(otherName);
     ASSERT_FALSE(guard.all<RenewLease>().empty());
-    EXPECT_EQ(guard.all<RenewLease>()[0].incarnation, OtherName);
+    EXPECT_EQ(guard.all<RenewLease>()[0].incarnation, otherName);
 }
 
 class GuardAnnouncedBootTest : public testing::TestWithParam<std::tuple<UpstreamIncarnation, EvidenceCase>>
@@ -144,16 +144,16 @@
 
 INSTANTIATE_TEST_SUITE_P(Evidence,
                          GuardAnnouncedBootTest,
-                         testing::Combine(testing::Values(LaterBoot, WithoutStartTime, OtherName), testing::ValuesIn(EvidenceCases)),
+                         testing::Combine(testing::Values(laterBoot, withoutStartTime, otherName), testing::ValuesIn(EvidenceCases)),
                          [](const auto &test) { return nameOf(std::get<0>(test.param)) + std::get<1>(test.param).name; });
 
 TEST(GuardEvidenceTest, TheListOfAnAnnouncedBootShowsThatItHasReplacedTheKnownOne)
 {
     GuardDriver guard;
     startRun(guard);
-    guard.announce(LaterBoot);
+    guard.announce(laterBoot);
     EXPECT_TRUE(guard.all<ReportRun>().empty());
-    guard.answerRenewal({}, {}, LaterBoot);
+    guard.answerRenewal({}, {}, laterBoot);
     ASSERT_EQ(guard.all<ReportRun>().size(), 1U);
     EXPECT_EQ(guard.all<ReportRun>()[0].report.outcome, RunOutcome::Lapsed);
     EXPECT_EQ(guard.all<UpstreamCrashed>().size(), 1U);
@@ -163,7 +163,7 @@
 {
     GuardDriver guard;
     startRun(guard);
-    guard.announce(LaterBoot);
+    guard.announce(laterBoot);
     guard.answerRenewal({GuardDriver::run(0)}, {});
     EXPECT_TRUE(guard.all<ReportRun>().empty());
     EXPECT_TRUE(guard.all<StopRun>().empty());
