Fix: [core] A guard that is refused for its token pauses, raises it once a refusal, and by steps that double

Change: only an order with the present token raises it, the step doubles until a list arrives, and a refusal counts as no answer.

--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -50,7 +50,8 @@
     static constexpr Duration StopRepeat
         = std::chrono::milliseconds(150); ///< from an unanswered stop to the next: three times the upstream's limit
     static constexpr Duration RenewalPause
-        = std::chrono::milliseconds(50);                       ///< per unanswered renewal; also its wait while unknown runs are stopped
+        = std::chrono::milliseconds(50);                  ///< per unanswered renewal; also its wait while unknown runs are stopped
+    static constexpr FencingToken TokenIncrement{60'000}; ///< in milliseconds: the first step by which a token that is too low is raised
     static constexpr std::uint32_t UnansweredRenewalLimit = 3; ///< bad networks lose one answer in twenty; three lost in a row are rare
 
     /** State of the current incarnation of the upstream. */
@@ -138,6 +139,8 @@
 
     GuardSettings m_settings;
     FencingToken m_token;
+    FencingToken m_tokenStep = TokenIncrement; ///< by which the token is raised the next time
+    RenewalNumber m_renewalsBeforeRaise;       ///< last renewal sent before the token was raised
     std::optional<Upstream> m_upstream;
     std::uint64_t m_lastRenewal = 0;
     RunTable m_runTable;
--- a/core/src/guard/guard_upstream.cpp
+++ b/core/src/guard/guard_upstream.cpp
@@ -296,6 +296,7 @@
     upstream.probeDue.reset();
     upstream.crashed = false;
     upstream.lapsedRuns.clear();
+    m_tokenStep = TokenIncrement;
     upstream.hasAnswered = true;
     upstream.lastReceivedAt = step.now();
     upstream.clockOffset = millisecondsOf(input.clock) - step.now().time_since_epoch();
@@ -386,22 +387,19 @@
         return;
     }
     renewalEnded(input.renewal);
-    if (input.failure == RenewalFailure::Fenced) {
-        raiseToken(step);
-        m_upstream->immediateRenewalWanted = true;
-        return;
-    }
     if (m_upstream->unansweredRenewals == 0) {
         m_upstream->silentSince = step.now();
+        m_upstream->immediateRenewalWanted = m_upstream->immediateRenewalWanted || input.failure == RenewalFailure::Fenced;
+    }
+    if (input.failure == RenewalFailure::Fenced && input.renewal > m_renewalsBeforeRaise) {
+        raiseToken(step);
     }
     if (++m_upstream->unansweredRenewals == UnansweredRenewalLimit) {
         step.log(Severity::Warning, "The upstream does not answer; it gets no new work.");
     }
-    if (input.failure == RenewalFailure::OtherIncarnation) {
-        if (!m_upstream->crashed) {
-            upstreamCrashed(step);
-        }
-    } else if (!m_upstream->crashed && !m_upstream->probeDue) {
+    if (input.failure == RenewalFailure::OtherIncarnation && !m_upstream->crashed) {
+        upstreamCrashed(step);
+    } else if (input.failure == RenewalFailure::NoAnswer && !m_upstream->crashed && !m_upstream->probeDue) {
         m_upstream->probeDue = step.now();
     }
 }
--- a/core/src/guard/run_table.h
+++ b/core/src/guard/run_table.h
@@ -51,6 +51,7 @@
     Duration runLimit{};                          ///< the run is stopped when it has run this long
     MonotonicTime leaseUntil;                     ///< the run is stopped then, however short it has run; its scheduler extends it
     MonotonicTime expiresAt;                      ///< the run is stopped then, however short it has run
+    FencingToken token;                           ///< of the order to start it
     MonotonicTime startSentAt;                    ///< when the order to start it was sent
     MonotonicTime startedAt;                      ///< when the start was confirmed
     bool started = false;                         ///< the start was confirmed
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -15,9 +15,8 @@
 constexpr Duration StopRetry = std::chrono::milliseconds(30); ///< from a stop that failed to the next: a refused connection fails at once
 constexpr Duration ImmediateRenewalTimeout = std::chrono::milliseconds(60); ///< an immediate renewal is answered at once or after one retry
 constexpr Duration LapseBound
-    = std::chrono::milliseconds(150);          ///< after a lease: 2% of it for the upstream's clock, and its limit for a stop
-constexpr FencingToken TokenIncrement{60'000}; ///< in milliseconds: exceeds any step of the clock from which the first token was taken
-constexpr int OverdueFactor = 2;               ///< of the expected run time: declared and estimated times are off by less
+    = std::chrono::milliseconds(150); ///< after a lease: 2% of it for the upstream's clock, and its limit for a stop
+constexpr int OverdueFactor = 2;      ///< of the expected run time: declared and estimated times are off by less
 constexpr Duration OverdueSlack = std::chrono::milliseconds(100); ///< added to the scaled run time
 constexpr std::int64_t TrialDivisor = 2;                          ///< of the capacity, for an upstream that may still stall
 constexpr std::size_t BackfillLimit = 32;                         ///< limit on the waiting runs that are tried for capacity per input
@@ -86,7 +85,9 @@
         }
         return;
     case StartAnswer::Fenced:
-        raiseToken(step);
+        if (record->token == m_token) {
+            raiseToken(step);
+        }
         report(step, input.run, RunOutcome::NotStarted, ErrorKind::OwnerFenced);
         return;
     case StartAnswer::Superseded:
@@ -107,7 +108,9 @@
 
 void GuardMachine::Private::raiseToken(GuardStep &step)
 {
-    m_token += TokenIncrement;
+    m_token += m_tokenStep;
+    m_tokenStep = m_tokenStep + m_tokenStep; // until a list shows that it was enough
+    m_renewalsBeforeRaise = RenewalNumber(m_lastRenewal);
     step.log(Severity::Warning,
              "The upstream knows a higher fencing token; the token of this guard is raised to " + std::to_string(m_token.value()) + ".");
 }
@@ -228,6 +231,7 @@
     m_runTable.reserve(run);
     auto &record = *m_runTable.find(run);
     record.startSentAt = step.now();
+    record.token = m_token;
     const auto &batch = *m_batches.find(record.connection);
     m_crashes.runStarted(step.now(), batch.queue);
     auto &upstream = *m_upstream;
--- a/core/tests/guard_evidence_test.cpp
+++ b/core/tests/guard_evidence_test.cpp
@@ -70,10 +70,10 @@
 }
 
 /** Gives the upstream of @p guard a run, and reports that it started. */
-void startRun(GuardDriver &guard)
+void startRun(GuardDriver &guard, std::uint64_t batch = 1, std::uint32_t index = 0)
 {
-    guard.order(1, 0, 1'000, {}, std::chrono::seconds(10));
-    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+    guard.order(batch, index, 1'000, {}, std::chrono::seconds(10));
+    guard.feed(RunStartAnswered{GuardDriver::run(index), StartAnswer::Started});
 }
 
 } // namespace
@@ -187,4 +187,51 @@
     EXPECT_TRUE(guard.all<ProbeListener>().empty()) << "the upstream has answered";
 }
 
+TEST(GuardTokenTest, TwoRefusalsOfOneTokenRaiseItOnce)
+{
+    GuardDriver guard;
+    startRun(guard);
+    guard.feed(RenewalUnanswered{RenewalNumber(2), RenewalFailure::Fenced});
+    ASSERT_FALSE(guard.all<RenewLease>().empty());
+    const auto token = guard.all<RenewLease>().back().token;
+    guard.feed(RenewalUnanswered{RenewalNumber(1), RenewalFailure::Fenced});
+    for (const auto &renewal : guard.all<RenewLease>()) {
+        EXPECT_EQ(renewal.token, token);
+    }
+}
+
+TEST(GuardTokenTest, AnUpstreamThatGoesOnRefusingIsAskedWithPausesAndItsRunsAreReported)
+{
+    GuardDriver guard;
+    startRun(guard);
+    std::size_t renewals = 0;
+    for (int number = 0; number < 1'000; ++number) {
+        guard.failRenewal(RenewalFailure::Fenced);
+        renewals += guard.all<RenewLease>().size();
+    }
+    EXPECT_LT(renewals, 10U) << "no time has passed";
+    std::size_t reports = 0;
+    for (int number = 0; number < 100; ++number) {
+        guard.advance(milliseconds(100));
+        guard.failRenewal(RenewalFailure::Fenced);
+        reports += guard.all<ReportRun>().size();
+    }
+    EXPECT_EQ(reports, 1U);
+}
+
+TEST(GuardTokenTest, AStepOfTheClockByAYearIsMadeUpForInSomeSeconds)
+{
+    constexpr std::int64_t YearMs = std::int64_t{365} * 24 * 3'600'000;
+    GuardDriver guard;
+    FencingToken token{0};
+    for (int number = 0; number < 40 && token.value() < YearMs; ++number) {
+        guard.advance(std::chrono::seconds(1));
+        guard.failRenewal(RenewalFailure::Fenced);
+        for (const auto &renewal : guard.all<RenewLease>()) {
+            token = renewal.token;
+        }
+    }
+    EXPECT_GE(token.value(), YearMs);
+}
+
 } // namespace Sycamoremoor
