Fix: [core] A guard starts nothing while its upstream may have been replaced, and keeps the runs that the replacement lists

Cause: until something showed that another boot had replaced the known one, the guard went on starting runs there; the new boot, which has the same name, executed them, and its list then had them all reported as lapsed, although it listed some of them. An overtaken announcement could take back that the replacement leaves. A planned leave whose runs lapsed gave a crash notice, and in a crash that another boot showed all runs were suspects. Change: runs wait while a replacement is pending; runs in its lists, running or ended, are its own; announcements of it are compared by sequence; a leaving upstream leaves no lapsed runs behind as those of a crash; the time of silence is read before it is set. Two conditions that no test held have one each.

--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -91,17 +91,20 @@
     void expectReplacement(GuardStep &step, const UpstreamAnnounced &announced);
     /** Asks the upstream for its lists, and whether anything listens there. */
     void checkLife(const GuardStep &step);
+    void followReplacement(GuardStep &step);
+    /** Like followReplacement(), as the replacement has answered with its lists. Runs that it lists are its own: their orders were on their way. */
+    void followReplacement(GuardStep &step, const UpstreamListed &listed);
     /** Follows the boot that has replaced the known one once no runs are left there. */
     void replaceUpstream(GuardStep &step);
-    /** Reports all runs: waiting ones as not started, the others as lapsed. @param crash the crash that ended them, or null */
-    void reportAllLost(GuardStep &step, const CrashNotice *crash = nullptr);
+    /** Reports all runs but @p kept: waiting ones as not started, the others as lapsed. @param crash the crash that ended them, or null */
+    void reportAllLost(GuardStep &step, const CrashNotice *crash = nullptr, const std::set<RunId> &kept = {});
     /** Records that the upstream crashed under @p runs, when it fell silent. */
     CrashNotice recordCrash(GuardStep &step, const std::vector<OpenRun> &runs);
-    /** The process of the upstream has ended: its runs have, too. */
-    void upstreamCrashed(GuardStep &step);
+    /** The process of the upstream has ended: its runs have, too, except @p kept. */
+    void upstreamCrashed(GuardStep &step, const std::set<RunId> &kept = {});
     void probe(GuardStep &step);
     /** Returns the runs that the upstream was told to start and that have not ended. */
-    [[nodiscard]] std::vector<OpenRun> openRuns() const;
+    [[nodiscard]] std::vector<OpenRun> openRuns(const std::set<RunId> &except = {}) const;
     void report(GuardStep &step, const RunId &run, RunOutcome outcome, ErrorKind error, const CrashNotice *crash = nullptr);
     void refuse(GuardStep &step, ConnectionId connection, std::uint32_t order, ErrorKind error);
     void sendReport(GuardStep &step, ConnectionId connection, const RunReport &report);
--- a/core/src/guard/guard_upstream.cpp
+++ b/core/src/guard/guard_upstream.cpp
@@ -87,6 +87,8 @@
                   {"known_name", upstream.announced.incarnation.name},
                   {"known_start_ms", std::to_string(upstream.announced.incarnation.startTimeMs)},
                   {"runs", std::to_string(openRuns().size())}});
+    } else if (announced.sequence <= upstream.replacement->sequence) {
+        return; // it was overtaken by a later announcement
     }
     upstream.replacement = announced;
     upstream.replacementAfter = RenewalNumber(m_lastRenewal);
@@ -104,9 +106,32 @@
 void GuardMachine::Private::replaceUpstream(GuardStep &step)
 {
     if (m_upstream->replacement && openRuns().empty()) {
-        const auto replacement = *m_upstream->replacement;
-        beginIncarnation(step, replacement);
-        setAnnounced(step, replacement);
+        followReplacement(step);
+    }
+}
+
+void GuardMachine::Private::followReplacement(GuardStep &step)
+{
+    const auto replacement = *m_upstream->replacement;
+    beginIncarnation(step, replacement);
+    setAnnounced(step, replacement);
+}
+
+void GuardMachine::Private::followReplacement(GuardStep &step, const UpstreamListed &listed)
+{
+    std::set<RunId> kept(listed.running.begin(), listed.running.end());
+    for (const auto &ended : listed.ended) {
+        kept.insert(ended.run);
+    }
+    upstreamCrashed(step, kept);
+    followReplacement(step);
+    handleEndedRuns(step, listed);
+    for (auto &[run, record] : m_runTable.runs()) {
+        if (record.stage == RunStage::Stopping) {
+            stop(step, run, record);
+        } else {
+            confirmStart(step, record);
+        }
     }
 }
 
@@ -137,7 +162,7 @@
         if (!m_upstream->lapsedRuns.empty()) {
             recordCrash(step, m_upstream->lapsedRuns);
         }
-        if (m_runTable.runs().empty()) {
+        if (m_upstream->crashed || m_runTable.runs().empty()) {
             m_token += LapseIncrement; // an order that is still on its way would be executed by the new incarnation
         } else {
             upstreamCrashed(step);
@@ -174,25 +199,30 @@
     checkLife(step);
 }
 
-void GuardMachine::Private::reportAllLost(GuardStep &step, const CrashNotice *crash)
+void GuardMachine::Private::reportAllLost(GuardStep &step, const CrashNotice *crash, const std::set<RunId> &kept)
 {
     m_token += LapseIncrement; // an order that is still on its way would be executed under the next lease
-    while (!m_runTable.runs().empty()) {
-        const auto &[run, record] = *m_runTable.runs().begin();
-        const bool waiting = record.stage == RunStage::Waiting;
+    std::vector<RunId> lost;
+    for (const auto &[run, record] : m_runTable.runs()) {
+        if (!kept.contains(run)) {
+            lost.push_back(run);
+        }
+    }
+    for (const auto &run : lost) {
+        const bool waiting = m_runTable.find(run)->stage == RunStage::Waiting;
         report(step,
-               RunId(run),
+               run,
                waiting ? RunOutcome::NotStarted : RunOutcome::Lapsed,
                waiting ? ErrorKind::UpstreamLost : ErrorKind::None,
                waiting ? nullptr : crash);
     }
 }
 
-std::vector<OpenRun> GuardMachine::Private::openRuns() const
+std::vector<OpenRun> GuardMachine::Private::openRuns(const std::set<RunId> &except) const
 {
     std::vector<OpenRun> open;
     for (const auto &[run, record] : m_runTable.runs()) {
-        if (record.stage != RunStage::Waiting) {
+        if (record.stage != RunStage::Waiting && !except.contains(run)) {
             open.push_back({run.task, record.startSentAt});
         }
     }
@@ -221,20 +251,19 @@
     return notice;
 }
 
-void GuardMachine::Private::upstreamCrashed(GuardStep &step)
+void GuardMachine::Private::upstreamCrashed(GuardStep &step, const std::set<RunId> &kept)
 {
     auto &upstream = *m_upstream;
     upstream.crashed = true;
     upstream.probeDue.reset();
-    upstream.unansweredRenewals = std::max(upstream.unansweredRenewals, UnansweredRenewalLimit);
-    const auto runs = openRuns();
+    const auto runs = openRuns(kept);
     const bool endedAsPlanned = upstream.announced.leaving; // it ends after a while, with or without an acknowledged goodbye
-    if (runs.empty() || endedAsPlanned) {
-        reportAllLost(step);
-        return;
+    std::optional<CrashNotice> notice;
+    if (!runs.empty() && !endedAsPlanned) {
+        notice = recordCrash(step, runs);
     }
-    const auto notice = recordCrash(step, runs);
-    reportAllLost(step, &notice);
+    upstream.unansweredRenewals = std::max(upstream.unansweredRenewals, UnansweredRenewalLimit);
+    reportAllLost(step, notice ? &*notice : nullptr, kept);
 }
 
 void GuardMachine::Private::handle(GuardStep &step, const ListenerProbed &input)
@@ -272,10 +301,13 @@
     if (input.incarnation.startTimeMs != upstream.announced.incarnation.startTimeMs) {
         if (upstream.replacement && input.incarnation.startTimeMs != 0
             && upstream.replacement->incarnation.startTimeMs == input.incarnation.startTimeMs) {
-            upstreamCrashed(step);
+            followReplacement(step, input);
             return;
         }
         // No new runs are accepted until the new incarnation announces itself.
+        if (upstream.unansweredRenewals == 0) {
+            upstream.silentSince = step.now();
+        }
         upstream.unansweredRenewals = std::max(upstream.unansweredRenewals, UnansweredRenewalLimit);
         return;
     }
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -172,7 +172,9 @@
             = m_upstream->unansweredRenewals >= UnansweredRenewalLimit && step.now() >= m_upstream->leaseUntil + LapseBound;
         if (leasesEnded && !m_runTable.runs().empty()) {
             step.log(Severity::Warning, "The leases at the unresponsive upstream have ended; its runs are lost.");
-            m_upstream->lapsedRuns = openRuns();
+            if (!m_upstream->announced.leaving) {
+                m_upstream->lapsedRuns = openRuns();
+            }
             reportAllLost(step);
         }
         replaceUpstream(step);
@@ -206,8 +208,8 @@
 
 void GuardMachine::Private::startWaiting(GuardStep &step)
 {
-    if (!isAccepting()) {
-        return;
+    if (!isAccepting() || m_upstream->replacement) {
+        return; // another boot of the same name would execute an order to the known one
     }
     std::vector<RunId> startable;
     auto free = usableCapacity() - m_runTable.reserved();
--- a/core/tests/guard_driver.h
+++ b/core/tests/guard_driver.h
@@ -3,6 +3,7 @@
 
 #include <sycamoremoor/core/guard_machine.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,15 +26,15 @@
         answerRenewal({}, {});
     }
 
-    /** An announcement of the upstream arrives. */
-    void announce(const UpstreamIncarnation &announcing, bool leaving = false)
+    /** An announcement of the upstream arrives. @param sequence its number, the next one if empty */
+    void announce(const UpstreamIncarnation &announcing, bool leaving = false, std::optional<std::uint64_t> sequence = std::nullopt)
     {
         UpstreamAnnounced announced;
         announced.leaving = leaving;
         announced.incarnation = announcing;
         announced.service = ServiceName("service");
         announced.capacity = {MilliCores(RunnerCores), Megabytes(1'000), Accelerators(0)};
-        announced.sequence = ++m_sequence;
+        announced.sequence = sequence.value_or(++m_sequence);
         feed(announced);
     }
 
--- a/core/tests/guard_evidence_test.cpp
+++ b/core/tests/guard_evidence_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <map>
 #include <string>
 #include <tuple>
 
@@ -175,6 +176,108 @@
     EXPECT_EQ(guard.all<StartRun>()[0].incarnation, GuardDriver::incarnation());
 }
 
+TEST(GuardEvidenceTest, NothingIsStartedWhileAnotherBootMayHaveReplacedTheKnownOne)
+{
+    GuardDriver guard;
+    startRun(guard);
+    guard.announce(laterBoot);
+    guard.order(2, 1, 1'000);
+    EXPECT_TRUE(guard.all<StartRun>().empty()) << "the later boot would execute it";
+    guard.answerRenewal({GuardDriver::run(0)}, {});
+    EXPECT_EQ(guard.all<StartRun>().size(), 1U) << "the known one answers";
+}
+
+TEST(GuardEvidenceTest, ARunThatTheReplacementListsIsItsOwn)
+{
+    GuardDriver guard;
+    startRun(guard, 1, 0);
+    guard.order(2, 1, 1'000);
+    startRun(guard, 3, 2);
+    guard.announce(laterBoot);
+    guard.answerRenewal({GuardDriver::run(1)}, {{1, GuardDriver::run(2), RunOutcome::Done}}, laterBoot);
+    std::map<ConnectionId, RunOutcome> outcomes;
+    for (const auto &output : guard.all<ReportRun>()) {
+        outcomes[output.connection] = output.report.outcome;
+    }
+    EXPECT_EQ(outcomes, (std::map<ConnectionId, RunOutcome>{{ConnectionId(1), RunOutcome::Lapsed}, {ConnectionId(3), RunOutcome::Done}}));
+    ASSERT_EQ(guard.all<UpstreamCrashed>().size(), 1U);
+    EXPECT_EQ(guard.all<UpstreamCrashed>()[0].notice.runs.size(), 1U);
+    guard.answerRenewal({GuardDriver::run(1)}, {}, laterBoot);
+    EXPECT_TRUE(guard.all<StopRun>().empty()) << "it goes on";
+}
+
+TEST(GuardEvidenceTest, AnOvertakenAnnouncementOfTheReplacementDoesNotTakeBackThatItLeaves)
+{
+    GuardDriver guard;
+    startRun(guard);
+    guard.announce(laterBoot, true, 7);
+    guard.announce(laterBoot, false, 6);
+    guard.failRenewal(RenewalFailure::OtherIncarnation);
+    guard.answerRenewal({}, {}, laterBoot);
+    guard.order(2, 1, 1'000);
+    EXPECT_TRUE(guard.all<StartRun>().empty());
+}
+
+TEST(GuardEvidenceTest, ALeaveThatWasAnnouncedIsNoCrashAlthoughItsRunsLapse)
+{
+    GuardDriver guard;
+    startRun(guard);
+    guard.feed(UpstreamLeft{"runner"});
+    for (int number = 0; number < 3; ++number) {
+        guard.leaveRenewalUnanswered();
+    }
+    guard.advance(std::chrono::seconds(2));
+    guard.feed(Tick{});
+    guard.announce(otherName);
+    EXPECT_TRUE(guard.all<UpstreamCrashed>().empty());
+}
+
+TEST(GuardEvidenceTest, OnlyTheRunsThatHadJustStartedAreSuspectsOfACrashThatAnotherBootShows)
+{
+    GuardDriver guard;
+    startRun(guard, 1, 0);
+    for (int number = 0; number < 5; ++number) {
+        guard.advance(milliseconds(200));
+        guard.renew(1);
+        guard.answerRenewal({GuardDriver::run(0)}, {});
+    }
+    startRun(guard, 2, 1);
+    guard.announce(laterBoot);
+    guard.answerRenewal({}, {}, laterBoot);
+    const auto crashes = guard.all<UpstreamCrashed>();
+    ASSERT_EQ(crashes.size(), 1U);
+    EXPECT_EQ(crashes[0].notice.runs.size(), 2U);
+    for (const auto &run : crashes[0].notice.runs) {
+        EXPECT_EQ(run.isSuspect, run.task == GuardDriver::run(1).task) << run.task.index;
+    }
+}
+
+TEST(GuardEvidenceTest, ARefusalOfTheNextBootToARenewalForTheOneBeforeEndsNothing)
+{
+    GuardDriver guard;
+    guard.leaveRenewalUnanswered();
+    guard.announce(otherName);
+    guard.answerRenewal({}, {}, otherName);
+    startRun(guard, 2, 1);
+    guard.feed(RenewalUnanswered{RenewalNumber(1), RenewalFailure::OtherIncarnation});
+    EXPECT_TRUE(guard.all<ReportRun>().empty());
+}
+
+TEST(GuardEvidenceTest, AListThatWasAskedForBeforeAnotherBootAnnouncedItselfDoesNotRefuteIt)
+{
+    GuardDriver guard;
+    startRun(guard);
+    guard.announce(laterBoot);
+    UpstreamListed earlier;
+    earlier.renewal = RenewalNumber(1);
+    earlier.incarnation = GuardDriver::incarnation();
+    earlier.running = {GuardDriver::run(0)};
+    guard.feed(earlier);
+    guard.failRenewal(RenewalFailure::OtherIncarnation);
+    ASSERT_FALSE(guard.all<RenewLease>().empty());
+    EXPECT_EQ(guard.all<RenewLease>().back().incarnation, laterBoot);
+}
+
 TEST(GuardTokenTest, ARenewalThatIsRefusedForItsTokenIsRepeatedWithAHigherOne)
 {
     GuardDriver guard;
--- a/core/tests/guard_machine_test.cpp
+++ b/core/tests/guard_machine_test.cpp
@@ -360,7 +360,7 @@
     }
 }
 
-TEST(GuardMachineTest, ALaterBootOrOneWithoutAStartTimeEndsTheRunsOfTheKnownOne)
+TEST(GuardMachineTest, TheRunsOfTheKnownBootEndWhenAnotherThatAnnouncedItselfAnswers)
 {
     for (const auto startTimeMs : {GuardDriver::incarnation().startTimeMs + 1, std::int64_t{0}}) {
         GuardDriver guard;
