--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -50,7 +50,8 @@
     static constexpr Duration StopRepeat
         = std::chrono::milliseconds(150); ///< from an unanswered stop to the next: three times the upstream's limit
     static constexpr Duration RenewalPause
-        = std::chrono::milliseconds(50);                       ///< per unanswered renewal; also its wait while unknown runs are stopped
+        = std::chrono::milliseconds(50);                  ///< per unanswered renewal; also its wait while unknown runs are stopped
+    static constexpr FencingToken TokenIncrement{60'000}; ///< in milliseconds: the first step by which a token that is too low is raised
     static constexpr std::uint32_t UnansweredRenewalLimit = 3; ///< bad networks lose one answer in twenty; three lost in a row are rare
 
     /** State of the current incarnation of the upstream. */
@@ -90,17 +91,20 @@
     void expectReplacement(GuardStep &step, const UpstreamAnnounced &announced);
     /** Asks the upstream for its lists, and whether anything listens there. */
     void checkLife(const GuardStep &step);
+    void followReplacement(GuardStep &step);
+    /** Like followReplacement(), as the replacement has answered with its lists. Runs that it lists are its own: their orders were on their way. */
+    void followReplacement(GuardStep &step, const UpstreamListed &listed);
     /** Follows the boot that has replaced the known one once no runs are left there. */
     void replaceUpstream(GuardStep &step);
-    /** Reports all runs: waiting ones as not started, the others as lapsed. @param crash the crash that ended them, or null */
-    void reportAllLost(GuardStep &step, const CrashNotice *crash = nullptr);
+    /** Reports all runs but @p kept: waiting ones as not started, the others as lapsed. @param crash the crash that ended them, or null */
+    void reportAllLost(GuardStep &step, const CrashNotice *crash = nullptr, const std::set<RunId> &kept = {});
     /** Records that the upstream crashed under @p runs, when it fell silent. */
     CrashNotice recordCrash(GuardStep &step, const std::vector<OpenRun> &runs);
-    /** The process of the upstream has ended: its runs have, too. */
-    void upstreamCrashed(GuardStep &step);
+    /** The process of the upstream has ended: its runs have, too, except @p kept. */
+    void upstreamCrashed(GuardStep &step, const std::set<RunId> &kept = {});
     void probe(GuardStep &step);
     /** Returns the runs that the upstream was told to start and that have not ended. */
-    [[nodiscard]] std::vector<OpenRun> openRuns() const;
+    [[nodiscard]] std::vector<OpenRun> openRuns(const std::set<RunId> &except = {}) const;
     void report(GuardStep &step, const RunId &run, RunOutcome outcome, ErrorKind error, const CrashNotice *crash = nullptr);
     void refuse(GuardStep &step, ConnectionId connection, std::uint32_t order, ErrorKind error);
     void sendReport(GuardStep &step, ConnectionId connection, const RunReport &report);
@@ -138,6 +142,8 @@
 
     GuardSettings m_settings;
     FencingToken m_token;
+    FencingToken m_tokenStep = TokenIncrement; ///< by which the token is raised the next time
+    RenewalNumber m_renewalsBeforeRaise;       ///< last renewal sent before the token was raised
     std::optional<Upstream> m_upstream;
     std::uint64_t m_lastRenewal = 0;
     RunTable m_runTable;
--- a/core/tests/guard_evidence_test.cpp
+++ b/core/tests/guard_evidence_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <map>
 #include <string>
 #include <tuple>
 
@@ -70,10 +71,10 @@
 }
 
 /** Gives the upstream of @p guard a run, and reports that it started. */
-void startRun(GuardDriver &guard)
+void startRun(GuardDriver &guard, std::uint64_t batch = 1, std::uint32_t index = 0)
 {
-    guard.order(1, 0, 1'000, {}, std::chrono::seconds(10));
-    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+    guard.order(batch, index, 1'000, {}, std::chrono::seconds(10));
+    guard.feed(RunStartAnswered{GuardDriver::run(index), StartAnswer::Started});
 }
 
 } // namespace
@@ -175,6 +176,108 @@
     EXPECT_EQ(guard.all<StartRun>()[0].incarnation, GuardDriver::incarnation());
 }
 
+TEST(GuardEvidenceTest, NothingIsStartedWhileAnotherBootMayHaveReplacedTheKnownOne)
+{
+    GuardDriver guard;
+    startRun(guard);
+    guard.announce(laterBoot);
+    guard.order(2, 1, 1'000);
+    EXPECT_TRUE(guard.all<StartRun>().empty()) << "the later boot would execute it";
+    guard.answerRenewal({GuardDriver::run(0)}, {});
+    EXPECT_EQ(guard.all<StartRun>().size(), 1U) << "the known one answers";
+}
+
+TEST(GuardEvidenceTest, ARunThatTheReplacementListsIsItsOwn)
+{
+    GuardDriver guard;
+    startRun(guard, 1, 0);
+    guard.order(2, 1, 1'000);
+    startRun(guard, 3, 2);
+    guard.announce(laterBoot);
+    guard.answerRenewal({GuardDriver::run(1)}, {{1, GuardDriver::run(2), RunOutcome::Done}}, laterBoot);
+    std::map<ConnectionId, RunOutcome> outcomes;
+    for (const auto &output : guard.all<ReportRun>()) {
+        outcomes[output.connection] = output.report.outcome;
+    }
+    EXPECT_EQ(outcomes, (std::map<ConnectionId, RunOutcome>{{ConnectionId(1), RunOutcome::Lapsed}, {ConnectionId(3), RunOutcome::Done}}));
+    ASSERT_EQ(guard.all<UpstreamCrashed>().size(), 1U);
+    EXPECT_EQ(guard.all<UpstreamCrashed>()[0].notice.runs.size(), 1U);
+    guard.answerRenewal({GuardDriver::run(1)}, {}, laterBoot);
+    EXPECT_TRUE(guard.all<StopRun>().empty()) << "it goes on";
+}
+
+TEST(GuardEvidenceTest, AnOvertakenAnnouncementOfTheReplacementDoesNotTakeBackThatItLeaves)
+{
+    GuardDriver guard;
+    startRun(guard);
+    guard.announce(laterBoot, true, 7);
+    guard.announce(laterBoot, false, 6);
+    guard.failRenewal(RenewalFailure::OtherIncarnation);
+    guard.answerRenewal({}, {}, laterBoot);
+    guard.order(2, 1, 1'000);
+    EXPECT_TRUE(guard.all<StartRun>().empty());
+}
+
+TEST(GuardEvidenceTest, ALeaveThatWasAnnouncedIsNoCrashAlthoughItsRunsLapse)
+{
+    GuardDriver guard;
+    startRun(guard);
+    guard.feed(UpstreamLeft{"runner"});
+    for (int number = 0; number < 3; ++number) {
+        guard.leaveRenewalUnanswered();
+    }
+    guard.advance(std::chrono::seconds(2));
+    guard.feed(Tick{});
+    guard.announce(otherName);
+    EXPECT_TRUE(guard.all<UpstreamCrashed>().empty());
+}
+
+TEST(GuardEvidenceTest, OnlyTheRunsThatHadJustStartedAreSuspectsOfACrashThatAnotherBootShows)
+{
+    GuardDriver guard;
+    startRun(guard, 1, 0);
+    for (int number = 0; number < 5; ++number) {
+        guard.advance(milliseconds(200));
+        guard.renew(1);
+        guard.answerRenewal({GuardDriver::run(0)}, {});
+    }
+    startRun(guard, 2, 1);
+    guard.announce(laterBoot);
+    guard.answerRenewal({}, {}, laterBoot);
+    const auto crashes = guard.all<UpstreamCrashed>();
+    ASSERT_EQ(crashes.size(), 1U);
+    EXPECT_EQ(crashes[0].notice.runs.size(), 2U);
+    for (const auto &run : crashes[0].notice.runs) {
+        EXPECT_EQ(run.isSuspect, run.task == GuardDriver::run(1).task) << run.task.index;
+    }
+}
+
+TEST(GuardEvidenceTest, ARefusalOfTheNextBootToARenewalForTheOneBeforeEndsNothing)
+{
+    GuardDriver guard;
+    guard.leaveRenewalUnanswered();
+    guard.announce(otherName);
+    guard.answerRenewal({}, {}, otherName);
+    startRun(guard, 2, 1);
+    guard.feed(RenewalUnanswered{RenewalNumber(1), RenewalFailure::OtherIncarnation});
+    EXPECT_TRUE(guard.all<ReportRun>().empty());
+}
+
+TEST(GuardEvidenceTest, AListThatWasAskedForBeforeAnotherBootAnnouncedItselfDoesNotRefuteIt)
+{
+    GuardDriver guard;
+    startRun(guard);
+    guard.announce(laterBoot);
+    UpstreamListed earlier;
+    earlier.renewal = RenewalNumber(1);
+    earlier.incarnation = GuardDriver::incarnation();
+    earlier.running = {GuardDriver::run(0)};
+    guard.feed(earlier);
+    guard.failRenewal(RenewalFailure::OtherIncarnation);
+    ASSERT_FALSE(guard.all<RenewLease>().empty());
+    EXPECT_EQ(guard.all<RenewLease>().back().incarnation, laterBoot);
+}
+
 TEST(GuardTokenTest, ARenewalThatIsRefusedForItsTokenIsRepeatedWithAHigherOne)
 {
     GuardDriver guard;
@@ -187,4 +290,51 @@
     EXPECT_TRUE(guard.all<ProbeListener>().empty()) << "the upstream has answered";
 }
 
+TEST(GuardTokenTest, TwoRefusalsOfOneTokenRaiseItOnce)
+{
+    GuardDriver guard;
+    startRun(guard);
+    guard.feed(RenewalUnanswered{RenewalNumber(2), RenewalFailure::Fenced});
+    ASSERT_FALSE(guard.all<RenewLease>().empty());
+    const auto token = guard.all<RenewLease>().back().token;
+    guard.feed(RenewalUnanswered{RenewalNumber(1), RenewalFailure::Fenced});
+    for (const auto &renewal : guard.all<RenewLease>()) {
+        EXPECT_EQ(renewal.token, token);
+    }
+}
+
+TEST(GuardTokenTest, AnUpstreamThatGoesOnRefusingIsAskedWithPausesAndItsRunsAreReported)
+{
+    GuardDriver guard;
+    startRun(guard);
+    std::size_t renewals = 0;
+    for (int number = 0; number < 1'000; ++number) {
+        guard.failRenewal(RenewalFailure::Fenced);
+        renewals += guard.all<RenewLease>().size();
+    }
+    EXPECT_LT(renewals, 10U) << "no time has passed";
+    std::size_t reports = 0;
+    for (int number = 0; number < 100; ++number) {
+        guard.advance(milliseconds(100));
+        guard.failRenewal(RenewalFailure::Fenced);
+        reports += guard.all<ReportRun>().size();
+    }
+    EXPECT_EQ(reports, 1U);
+}
+
+TEST(GuardTokenTest, AStepOfTheClockByAYearIsMadeUpForInSomeSeconds)
+{
+    constexpr std::int64_t YearMs = std::int64_t{365} * 24 * 3'600'000;
+    GuardDriver guard;
+    FencingToken token{0};
+    for (int number = 0; number < 40 && token.value() < YearMs; ++number) {
+        guard.advance(std::chrono::seconds(1));
+        guard.failRenewal(RenewalFailure::Fenced);
+        for (const auto &renewal : guard.all<RenewLease>()) {
+            token = renewal.token;
+        }
+    }
+    EXPECT_GE(token.value(), YearMs);
+}
+
 } // namespace Sycamoremoor
