--- a/core/tests/pool_runner.cpp
+++ b/core/tests/pool_runner.cpp
@@ -2,6 +2,7 @@
 #include "pool_runner.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Sycamoremoor
 {
@@ -10,12 +11,18 @@
 {
 
 constexpr Duration MaxLease = std::chrono::seconds(1);
+constexpr Duration LateLapse = std::chrono::seconds(1); ///< after the end of a lease, if runners do not keep to it
 
 } // namespace
 
+PoolRunner::PoolRunner(PoolRules rulesOff)
+    : m_rulesOff(std::move(rulesOff))
+{
+}
+
 void PoolRunner::restart(MonotonicTime now)
 {
-    *this = {};
+    *this = PoolRunner(m_rulesOff);
     m_startTime = now;
     m_startTimeMs = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
     m_leaseUntil = now;
@@ -28,17 +35,29 @@
 
 void PoolRunner::extendLease(MonotonicTime now, UpstreamTime leaseUntil)
 {
-    const auto until = std::min(m_startTime + Duration(std::chrono::milliseconds(leaseUntil.value())), now + MaxLease);
+    if (m_rulesOff.contains(PoolRule::RunnerLease)) {
+        m_leaseUntil = MonotonicTime::max();
+        return;
+    }
+    auto until = std::min(m_startTime + Duration(std::chrono::milliseconds(leaseUntil.value())), now + MaxLease);
+    if (m_rulesOff.contains(PoolRule::LapseBound)) {
+        until += LateLapse;
+    }
     m_leaseUntil = std::max(m_leaseUntil, until);
 }
 
+bool PoolRunner::isFenced(FencingToken token) const
+{
+    return token < m_token && !m_rulesOff.contains(PoolRule::FencingToken);
+}
+
 StartAnswer
 PoolRunner::start(MonotonicTime now, const RunnerStart &start, UpstreamTime leaseUntil, FencingToken token, const RunnerRun &run)
 {
-    if (token < m_token) {
+    if (isFenced(token)) {
         return StartAnswer::Fenced;
     }
-    m_token = token;
+    m_token = std::max(m_token, token);
     extendLease(now, leaseUntil);
     if (m_runs.contains(start.run)) {
         return StartAnswer::Started;
@@ -55,12 +74,14 @@
 
 void PoolRunner::stop(MonotonicTime /*now*/, const RunId &run, FencingToken token)
 {
-    if (token < m_token) {
+    if (isFenced(token)) {
         return;
     }
-    m_token = token;
-    auto &closed = m_lastClosedRuns[run.task];
-    closed = std::max(closed, run.number);
+    m_token = std::max(m_token, token);
+    if (!m_rulesOff.contains(PoolRule::StopIsFinal)) {
+        auto &closed = m_lastClosedRuns[run.task];
+        closed = std::max(closed, run.number);
+    }
     if (m_runs.contains(run)) {
         end(run, RunOutcome::Stopped);
     }
@@ -68,10 +89,10 @@
 
 void PoolRunner::renew(MonotonicTime now, UpstreamTime leaseUntil, FencingToken token, std::uint64_t acknowledged)
 {
-    if (token < m_token) {
+    if (isFenced(token)) {
         return;
     }
-    m_token = token;
+    m_token = std::max(m_token, token);
     if (leaseUntil.value() != 0) {
         extendLease(now, leaseUntil);
     }
--- a/core/tests/pool_runner.h
+++ b/core/tests/pool_runner.h
@@ -1,6 +1,8 @@
 // Simulated runner of the pool simulation: executes orders under leases and does not check its capacity.
 #pragma once
 
+#include "pool_rule.h"
+
 #include <sycamoremoor/core/guard_output_type.h>
 
 #include <cstdint>
@@ -30,6 +32,8 @@
 class PoolRunner
 {
 public:
+    explicit PoolRunner(PoolRules rulesOff = {});
+
     /** Begins a new incarnation with empty lists. */
     void restart(MonotonicTime now);
 
@@ -57,7 +61,9 @@
 private:
     void end(const RunId &run, RunOutcome outcome);
     void extendLease(MonotonicTime now, UpstreamTime leaseUntil);
+    [[nodiscard]] bool isFenced(FencingToken token) const;
 
+    PoolRules m_rulesOff;
     MonotonicTime m_startTime;
     std::int64_t m_startTimeMs = 0;
     FencingToken m_token{0};
--- a/core/tests/pool_simulation.cpp
+++ b/core/tests/pool_simulation.cpp
@@ -31,6 +31,10 @@
 constexpr std::uint32_t CrashLimit = 3;           ///< a task that has crashed as many runners may be started fewer than StartLimit times
 constexpr std::uint32_t StartLimit = 3;
 constexpr Duration MinReportInterval = milliseconds(4); ///< between two reports of a guard to one scheduler
+constexpr GuardTime Never(std::chrono::microseconds(std::chrono::hours(1'000)).count());
+constexpr Duration ClockError = std::chrono::seconds(3); ///< of the clock in reports of capacity
+constexpr std::uint64_t MissingShare = 20;               ///< one of so many runs is missing in lists that are not complete
+constexpr Duration LateList = milliseconds(100);         ///< by which a list that is late arrives after the next one
 
 Duration scaled(Duration duration, double factor)
 {
@@ -101,10 +105,17 @@
     TaskSize capacityLimit = ZeroTaskSize; ///< capacity that starts must keep to: a smaller one counts once the guard can know of it
     bool runnerUp = true;
     MonotonicTime runnerSilentUntil; ///< orders to the runner are neither executed nor answered until then
+    Duration straggling{};           ///< from then until the last of them is executed
     std::uint64_t sequence = 0;
     std::uint64_t runnerTimer = 0;
     std::set<RenewalNumber> pendingRenewals; ///< renewals that the runner has not answered yet; it waits for the end of a run
     bool isListingScheduled = false;
+    MonotonicTime answersLostUntil;           ///< the runner executes orders, but its answers are lost until then
+    RenewalNumber lastRenewal;                ///< that the guard sent
+    FencingToken firstToken;                  ///< of this incarnation of the guard
+    std::set<RunId> ownRuns;                  ///< runs that this incarnation of the guard ordered to start
+    std::optional<std::int64_t> foreignStart; ///< boot that another writer announced
+    std::set<std::pair<std::pair<std::uint32_t, std::uint64_t>, BatchNumber>> receivedBatches; ///< by scheduler and its incarnation
 };
 
 /** An open exchange between a scheduler and a guard that carries one batch and its reports. */
@@ -137,6 +148,7 @@
 {
     for (std::uint32_t index = 0; index < m_settings.workers; ++index) {
         m_guards.push_back(std::make_unique<GuardNode>());
+        m_guards[index]->runner = PoolRunner(m_settings.rulesOff);
         m_guards[index]->runner.restart(m_now);
         auto capacity = m_settings.capacity;
         const auto factor = m_settings.capacityFactor ? m_settings.capacityFactor(index) : 1;
@@ -158,6 +170,11 @@
     return Duration(std::uniform_int_distribution<std::int64_t>(300, 2'000)(m_random));
 }
 
+bool PoolSimulation::isOff(PoolRule rule) const
+{
+    return m_settings.rulesOff.contains(rule);
+}
+
 bool PoolSimulation::chance(double share)
 {
     return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
@@ -277,6 +294,9 @@
     GuardSettings settings;
     settings.incarnation = Incarnation(node.incarnation * m_settings.workers + index + 1);
     settings.firstToken = FencingToken(static_cast<std::int64_t>(node.incarnation * TokenStep));
+    node.firstToken = settings.firstToken;
+    node.ownRuns.clear();
+    node.receivedBatches.clear();
     node.machine = std::make_unique<GuardMachine>(settings);
     node.capacityReport = {};
     node.crashes.clear();
@@ -289,7 +309,7 @@
 {
     auto &node = *m_guards[worker];
     at(m_now - m_start + AnnounceInterval, [this, worker] { announce(worker); });
-    if (!node.up || !node.runnerUp || node.runnerSilentUntil > m_now) {
+    if (!node.up || !node.runnerUp || std::max(node.runnerSilentUntil, node.answersLostUntil) > m_now) {
         return;
     }
     ++node.sequence;
@@ -320,6 +340,9 @@
 {
     auto announced = announcementOf(worker);
     announced.incarnation.startTimeMs = startTimeMs;
+    if (isOff(PoolRule::ListNamesBoot)) {
+        m_guards[worker]->foreignStart = startTimeMs;
+    }
     stepGuard(worker, announced);
 }
 
@@ -432,7 +455,11 @@
         deliverBatch(scheduler, *batch);
     } else if (const auto *renewed = std::get_if<RenewBatches>(&output)) {
         const auto worker = static_cast<std::uint32_t>(std::stoul(renewed->agent.value().substr(1)));
-        deliver(scheduler, worker, m_now + randomDelay(), [this, worker, renewal = renewed->renewal](bool /*wasHeldUp*/) {
+        auto renewal = renewed->renewal;
+        if (isOff(PoolRule::RenewalTime)) {
+            renewal.leaseUntil = Never;
+        }
+        deliver(scheduler, worker, m_now + randomDelay(), [this, worker, renewal](bool /*wasHeldUp*/) {
             stepGuard(worker, BatchesRenewed{renewal});
         });
     } else if (const auto *recall = std::get_if<RecallBatch>(&output)) {
@@ -471,9 +498,42 @@
     exchange.batch = output.batch.batch;
     exchange.lastReport = m_now;
     exchange.arrivesAt = m_now + randomDelay();
-    deliver(scheduler, worker, exchange.arrivesAt, [this, number, exchange, batch = output.batch](bool wasHeldUp) {
-        receiveBatch(number, exchange, batch, wasHeldUp);
-    });
+    const auto held = m_batchesHeldUpUntil.find({scheduler, worker});
+    const bool isHeldUp = held != m_batchesHeldUpUntil.end() && held->second > exchange.arrivesAt;
+    if (isHeldUp) {
+        exchange.arrivesAt = held->second;
+    }
+    deliver(
+        scheduler,
+        worker,
+        exchange.arrivesAt,
+        [this, number, exchange, batch = output.batch](bool wasHeldUp) { receiveBatch(number, exchange, batch, wasHeldUp); },
+        isHeldUp);
+}
+
+StartBatch PoolSimulation::arriving(std::uint32_t worker, StartBatch batch) const
+{
+    if (isOff(PoolRule::ReceiveBy)) {
+        batch.receiveBy = Never;
+    }
+    if (isOff(PoolRule::BatchLease)) {
+        batch.leaseUntil = Never;
+    }
+    if (isOff(PoolRule::Expiry)) {
+        batch.expiresAt = Never;
+    }
+    if (isOff(PoolRule::BatchIncarnation)) {
+        batch.guard = m_guards[worker]->capacityReport.incarnation;
+    }
+    for (auto &order : batch.orders) {
+        if (isOff(PoolRule::StartWithin)) {
+            order.startWithin = std::chrono::hours(1);
+        }
+        if (isOff(PoolRule::RunLimit)) {
+            order.runLimit = std::chrono::hours(1);
+        }
+    }
+    return batch;
 }
 
 void PoolSimulation::receiveBatch(std::uint64_t number, const Exchange &sent, const StartBatch &batch, bool wasHeldUp)
@@ -481,7 +541,8 @@
     const auto found = m_exchanges.find(number);
     auto &guard = *m_guards[sent.worker];
     // A batch that was held up arrives even if the scheduler has closed its exchange; the close arrives after it.
-    if (found == m_exchanges.end() && (!wasHeldUp || !guard.up || guard.incarnation != sent.guardIncarnation)) {
+    const bool isSameGuard = guard.incarnation == sent.guardIncarnation || isOff(PoolRule::BatchIncarnation);
+    if (found == m_exchanges.end() && (!wasHeldUp || !guard.up || !isSameGuard)) {
         return;
     }
     if (!guard.up) {
@@ -491,15 +552,18 @@
     if (found != m_exchanges.end()) {
         found->second.guardIncarnation = guard.incarnation;
     }
-    whenAwake(guard, [this, &guard, number, batch, scheduler = sent.scheduler, worker = sent.worker] {
-        guard.highestBatches[scheduler] = std::max(guard.highestBatches[scheduler], batch.batch);
-        guard.reportIntervals[scheduler] = batch.reportInterval;
-        for (const auto &order : batch.orders) {
-            guard.sizes[order.run] = order.size;
-            guard.receivedAt[order.run] = m_now;
-        }
-        stepGuard(worker, BatchReceived{ConnectionId(number), batch});
-    });
+    const auto incarnation = sent.schedulerIncarnation;
+    whenAwake(guard,
+              [this, &guard, number, incarnation, batch = arriving(sent.worker, batch), scheduler = sent.scheduler, worker = sent.worker] {
+                  guard.receivedBatches.insert({{scheduler, incarnation}, batch.batch});
+                  guard.highestBatches[scheduler] = std::max(guard.highestBatches[scheduler], batch.batch);
+                  guard.reportIntervals[scheduler] = batch.reportInterval;
+                  for (const auto &order : batch.orders) {
+                      guard.sizes[order.run] = order.size;
+                      guard.receivedAt[order.run] = m_now;
+                  }
+                  stepGuard(worker, BatchReceived{ConnectionId(number), batch});
+              });
 }
 
 void PoolSimulation::deliverRecall(std::uint32_t scheduler, const RecallBatch &output)
@@ -530,7 +594,32 @@
             return;
         }
         found->second.guardIncarnation = guard.incarnation;
-        stepGuard(worker, RecallReceived{ConnectionId(number), recall});
+        const auto sent = found->second;
+        const bool isReceived = guard.receivedBatches.contains({{sent.scheduler, sent.schedulerIncarnation}, sent.batch});
+        if (isOff(PoolRule::RecallAnswer) || (isOff(PoolRule::RecallMemory) && !isReceived)) {
+            m_exchanges.erase(found);
+            answerRecall(sent);
+            return;
+        }
+        auto arrived = recall;
+        if (isOff(PoolRule::RecallIncarnation)) {
+            arrived.guard = guard.capacityReport.incarnation;
+        }
+        stepGuard(worker, RecallReceived{ConnectionId(number), arrived});
+    });
+}
+
+void PoolSimulation::answerRecall(const Exchange &exchange)
+{
+    deliver(exchange.scheduler, exchange.worker, m_now + randomDelay(), [this, exchange](bool /*wasHeldUp*/) {
+        for (std::uint32_t order = 0; order < exchange.recall->recall.orders; ++order) {
+            if (m_schedulers[exchange.scheduler]->incarnation == exchange.schedulerIncarnation) {
+                RunReport report;
+                report.order = order;
+                report.error = ErrorKind::Tombstoned;
+                stepScheduler(exchange.scheduler, RunReported{exchange.batch, report});
+            }
+        }
     });
 }
 
@@ -566,6 +655,9 @@
 
 void PoolSimulation::abandonBatch(std::uint64_t number, const Exchange &exchange, MonotonicTime arrival)
 {
+    if (isOff(PoolRule::HangUp)) {
+        return;
+    }
     deliver(exchange.scheduler, exchange.worker, std::max(arrival, exchange.arrivesAt), [this, exchange, number](bool /*wasHeldUp*/) {
         if (m_guards[exchange.worker]->incarnation == exchange.guardIncarnation) {
             stepGuard(exchange.worker, BatchAbandoned{ConnectionId(number)});
@@ -573,7 +665,7 @@
     });
 }
 
-void PoolSimulation::sendOrder(std::uint32_t worker, const std::function<void(OrderEvent)> &handleEvent)
+void PoolSimulation::sendOrder(std::uint32_t worker, bool isStart, const std::function<void(OrderEvent)> &handleEvent)
 {
     const auto incarnation = m_guards[worker]->incarnation;
     const auto startTimeMs = m_guards[worker]->runner.startTimeMs();
@@ -582,11 +674,15 @@
             && m_guards[worker]->runner.startTimeMs() == startTimeMs;
     };
     if (const auto silentUntil = m_guards[worker]->runnerSilentUntil; silentUntil > m_now) {
-        at(silentUntil - m_start, [this, worker, startTimeMs, handleEvent] {
-            if (m_guards[worker]->runnerUp && m_guards[worker]->runner.startTimeMs() == startTimeMs) {
-                handleEvent(OrderEvent::Execute);
-            }
-        });
+        const auto longest = m_guards[worker]->straggling.count();
+        const Duration late(longest > 0 ? std::uniform_int_distribution<std::int64_t>(0, longest)(m_random) : 0);
+        if (isStart || longest == 0) {
+            at(silentUntil - m_start + late, [this, worker, startTimeMs, handleEvent] {
+                if (m_guards[worker]->runnerUp && m_guards[worker]->runner.startTimeMs() == startTimeMs) {
+                    handleEvent(OrderEvent::Execute);
+                }
+            });
+        }
         at(m_now - m_start + OrderTimeout, [this, worker, incarnation, handleEvent] {
             if (m_guards[worker]->incarnation == incarnation) {
                 handleEvent(OrderEvent::Timeout);
@@ -612,7 +708,7 @@
         return;
     }
     // Drawn only if answers can get lost, so that the random sequence of all other simulations does not change.
-    const bool answerLost = m_settings.lostAnswers > 0 && chance(m_settings.lostAnswers);
+    const bool answerLost = m_guards[worker]->answersLostUntil > m_now || (m_settings.lostAnswers > 0 && chance(m_settings.lostAnswers));
     at(m_now - m_start + Duration(200), [handleEvent, isSameIncarnation, this, worker, incarnation, answerLost] {
         if (isSameIncarnation()) {
             handleEvent(OrderEvent::Execute);
@@ -633,9 +729,14 @@
             m_guardWaits.push_back(m_now - received->second);
             node.receivedAt.erase(received);
         }
+        node.ownRuns.insert(start->run);
         // The runner executes the order and answers it at different times; there is an answer only if it was executed before.
         auto answer = std::make_shared<std::optional<StartAnswer>>();
-        sendOrder(worker, [this, worker, order = *start, answer](OrderEvent orderEvent) {
+        auto sent = *start;
+        if (isOff(PoolRule::RaisedToken)) {
+            sent.token = node.firstToken;
+        }
+        sendOrder(worker, true, [this, worker, order = sent, answer](OrderEvent orderEvent) {
             if (orderEvent != OrderEvent::Execute) {
                 const auto reported = orderEvent == OrderEvent::Answer ? answer->value_or(StartAnswer::NoAnswer) : StartAnswer::NoAnswer;
                 *answer = StartAnswer::NoAnswer;
@@ -668,9 +769,14 @@
         });
     } else if (const auto *stop = std::get_if<StopRun>(&output)) {
         auto done = std::make_shared<bool>(false);
-        sendOrder(worker, [this, worker, order = *stop, done](OrderEvent orderEvent) {
+        auto sent = *stop;
+        if (isOff(PoolRule::RaisedToken)) {
+            sent.token = node.firstToken;
+        }
+        sendOrder(worker, false, [this, worker, order = sent, done](OrderEvent orderEvent) {
             if (orderEvent != OrderEvent::Execute) {
-                stepGuard(worker, RunStopAnswered{order.run, *done && orderEvent == OrderEvent::Answer});
+                const bool isConfirmed = (*done && orderEvent == OrderEvent::Answer) || isOff(PoolRule::StopConfirmed);
+                stepGuard(worker, RunStopAnswered{order.run, isConfirmed});
                 return;
             }
             auto &guard = *m_guards[worker];
@@ -682,7 +788,16 @@
                 scheduleListing(worker);
             }
         });
-    } else if (const auto *renewal = std::get_if<RenewLease>(&output)) {
+    } else if (const auto *sent = std::get_if<RenewLease>(&output)) {
+        auto arrived = *sent;
+        const auto *renewal = &arrived;
+        node.lastRenewal = arrived.number;
+        if (isOff(PoolRule::RaisedToken)) {
+            arrived.token = node.firstToken;
+        }
+        if (isOff(PoolRule::SilenceEndsLease) && arrived.leaseUntil.value() == 0) {
+            arrived.leaseUntil = UpstreamTime(Never.value());
+        }
         const auto incarnation = node.incarnation;
         const bool isSilent = node.runnerSilentUntil > m_now;
         if (isSilent) {
@@ -694,11 +809,17 @@
                 }
             });
         }
-        if (isSilent || chance(m_settings.lostOrders) || !node.runnerUp) {
+        const bool isMute = node.answersLostUntil > m_now;
+        if (isMute && node.runnerUp && !isSilent) {
+            node.runner.renew(m_now, renewal->leaseUntil, renewal->token, renewal->acknowledged);
+            setRunnerTimer(worker);
+        }
+        if (isSilent || isMute || chance(m_settings.lostOrders) || !node.runnerUp) {
             const auto noticedAfter = node.runnerUp ? renewal->wait + OrderTimeout : ResetNotice;
-            at(m_now - m_start + noticedAfter, [this, worker, incarnation, number = renewal->number] {
+            const auto failure = isOff(PoolRule::RefusalNamesBoot) ? RenewalFailure::OtherIncarnation : RenewalFailure::NoAnswer;
+            at(m_now - m_start + noticedAfter, [this, worker, incarnation, number = renewal->number, failure] {
                 if (m_guards[worker]->incarnation == incarnation) {
-                    stepGuard(worker, RenewalUnanswered{number});
+                    stepGuard(worker, RenewalUnanswered{number, failure});
                 }
             });
             return;
@@ -769,10 +890,10 @@
 void PoolSimulation::probeListener(std::uint32_t worker)
 {
     const auto &node = *m_guards[worker];
-    const bool isSilent = node.runnerSilentUntil > m_now;
+    const bool isSilent = std::max(node.runnerSilentUntil, node.answersLostUntil) > m_now;
     at(m_now - m_start + (isSilent ? OrderTimeout : Duration(200)), [this, worker, isSilent, incarnation = node.incarnation] {
         if (const auto &guard = *m_guards[worker]; guard.incarnation == incarnation) {
-            stepGuard(worker, ListenerProbed{!isSilent && !guard.runnerUp});
+            stepGuard(worker, ListenerProbed{(!isSilent && !guard.runnerUp) || isOff(PoolRule::ProbeIsRefused)});
         }
     });
 }
@@ -812,6 +933,9 @@
     }
     auto report = guard.capacityReport;
     report.clock = GuardTime(m_now.time_since_epoch().count());
+    if (isOff(PoolRule::ReportClock)) {
+        report.clock += GuardTime(ClockError.count());
+    }
     if (const auto lastCountedBatch = guard.highestBatches.find(scheduler); lastCountedBatch != guard.highestBatches.end()) {
         report.lastCountedBatch = lastCountedBatch->second;
     }
@@ -836,18 +960,46 @@
         if (guard.incarnation != incarnation || !guard.runnerUp) {
             return;
         }
-        UpstreamListed listed;
-        listed.incarnation = {"R" + std::to_string(worker), guard.runner.startTimeMs()};
-        listed.clock = guard.runner.clock(m_now);
-        listed.running = guard.runner.running();
-        listed.ended = guard.runner.ended();
+        const auto listed = arrivingList(worker);
         for (const auto number : std::exchange(guard.pendingRenewals, {})) {
-            listed.renewal = number;
-            stepGuard(worker, listed);
+            auto arrived = listed;
+            arrived.renewal = number;
+            if (const auto foreign = std::exchange(guard.foreignStart, std::nullopt)) {
+                arrived.incarnation.startTimeMs = *foreign;
+                arrived.running.clear();
+                arrived.ended.clear();
+            }
+            stepGuard(worker, arrived);
+        }
+        if (isOff(PoolRule::ListAskedForAfter)) {
+            at(m_now - m_start + LateList, [this, worker, incarnation, listed] {
+                if (m_guards[worker]->incarnation == incarnation) {
+                    auto late = listed;
+                    late.renewal = m_guards[worker]->lastRenewal;
+                    stepGuard(worker, late);
+                }
+            });
         }
     });
 }
 
+UpstreamListed PoolSimulation::arrivingList(std::uint32_t worker)
+{
+    const auto &guard = *m_guards[worker];
+    UpstreamListed listed;
+    listed.incarnation = {"R" + std::to_string(worker), guard.runner.startTimeMs()};
+    listed.clock = guard.runner.clock(m_now);
+    listed.running = guard.runner.running();
+    listed.ended = guard.runner.ended();
+    if (isOff(PoolRule::EarlierRuns)) {
+        std::erase_if(listed.running, [&](const RunId &run) { return !guard.ownRuns.contains(run); });
+    }
+    if (isOff(PoolRule::CompleteList)) {
+        std::erase_if(listed.running, [this](const RunId & /*run*/) { return m_random() % MissingShare == 0; });
+    }
+    return listed;
+}
+
 void PoolSimulation::setRunnerTimer(std::uint32_t worker)
 {
     auto &node = *m_guards[worker];
@@ -1096,13 +1248,21 @@
     node.capacityLimit.memory = std::max(node.capacityLimit.memory, capacity.memory);
 }
 
-void PoolSimulation::silenceRunner(std::uint32_t worker, Duration duration)
+void PoolSimulation::silenceRunner(std::uint32_t worker, Duration duration, Duration straggling)
 {
     auto &node = *m_guards[worker];
+    node.straggling = straggling;
     node.runnerSilentUntil = std::max(node.runnerSilentUntil, m_now + duration);
     loseRenewals(worker, OrderTimeout);
 }
 
+void PoolSimulation::muteRunner(std::uint32_t worker, Duration duration)
+{
+    auto &node = *m_guards[worker];
+    node.answersLostUntil = std::max(node.answersLostUntil, m_now + duration);
+    loseRenewals(worker, OrderTimeout);
+}
+
 void PoolSimulation::loseRenewals(std::uint32_t worker, Duration noticedAfter)
 {
     auto &node = *m_guards[worker];
@@ -1154,6 +1314,13 @@
     missReports(scheduler, worker, duration);
 }
 
+void PoolSimulation::holdUpBatches(std::uint32_t scheduler, std::uint32_t worker, Duration duration)
+{
+    auto &until = m_batchesHeldUpUntil[{scheduler, worker}];
+    until = std::max(until, m_now + duration);
+    breakMeanwhile(scheduler, worker, duration);
+}
+
 void PoolSimulation::breakMeanwhile(std::optional<std::uint32_t> scheduler, std::uint32_t worker, Duration duration)
 {
     for (Duration delay = BreakInterval; delay < duration; delay += BreakInterval) {
--- a/core/tests/pool_simulation.h
+++ b/core/tests/pool_simulation.h
@@ -1,6 +1,7 @@
 // Simulation of a worker pool: schedulers, guards and runners in simulated time, with faults.
 #pragma once
 
+#include "pool_rule.h"
 #include "pool_runner.h"
 
 #include <sycamoremoor/core/guard_machine.h>
@@ -42,6 +43,7 @@
     bool callersResubmit = false;              ///< callers whose connection broke send their job to another scheduler 1.3 s later
     std::uint32_t followedWorkers = 1'000'000; ///< workers whose capacity a scheduler follows, if there are as many
     std::uint32_t zones = 1;                   ///< workers and schedulers are in them by turns
+    PoolRules rulesOff;                        ///< what the simulation does in their place is said there
     SchedulerCosts schedulerCosts;
     /** Returns the factor on the costs of a scheduler, by its index. If empty, all have the same. */
     std::function<double(std::uint32_t)> costFactor;
@@ -129,8 +131,14 @@
     /** Changes the capacity of a runner while it runs; its next announcement says so. */
     void setCapacity(std::uint32_t worker, const TaskSize &capacity);
 
-    /** Lets a runner execute the orders that it gets until @p duration has passed only then, in order; none of them is answered. */
-    void silenceRunner(std::uint32_t worker, Duration duration);
+    /**
+     * Lets a runner execute the orders that it gets until @p duration has passed only then, in order; none of them is answered.
+     * @param straggling if not zero, orders to start arrive out of order in this time afterwards, and orders to stop are lost
+     */
+    void silenceRunner(std::uint32_t worker, Duration duration, Duration straggling = {});
+
+    /** Loses the answers of a runner until @p duration has passed; it executes its orders. */
+    void muteRunner(std::uint32_t worker, Duration duration);
 
     /** A goodbye of an earlier boot of a runner reaches the guard of the live one. */
     void deliverDelayedGoodbye(std::uint32_t worker);
@@ -153,6 +161,9 @@
      */
     void holdUpMessages(std::uint32_t scheduler, std::uint32_t worker, Duration duration);
 
+    /** Holds up batches from a scheduler to a guard, but no other messages, until @p duration has passed; some of their exchanges break. */
+    void holdUpBatches(std::uint32_t scheduler, std::uint32_t worker, Duration duration);
+
     /**
      * Stops a guard process and continues it later; inputs that arrive in between are handled then, in order. The runner beside it
      * continues. A random share of the exchanges ends for the schedulers in this time.
@@ -211,7 +222,7 @@
         Answer,  ///< the answer arrives at the guard
         Timeout, ///< the guard has waited for the answer until its time limit
     };
-    void sendOrder(std::uint32_t worker, const std::function<void(OrderEvent)> &handleEvent);
+    void sendOrder(std::uint32_t worker, bool isStart, const std::function<void(OrderEvent)> &handleEvent);
     void receiveBatch(std::uint64_t number, const Exchange &sent, const StartBatch &batch, bool wasHeldUp);
     void breakExchange(std::uint64_t number, bool notifyScheduler, bool notifyGuard);
     void interruptBatch(const Exchange &exchange);
@@ -235,6 +246,13 @@
     void loseCaller(ConnectionId connection);
     ConnectionId submit(std::uint32_t scheduler, Caller caller);
     void deliverRecall(std::uint32_t scheduler, const RecallBatch &output);
+    /** Reports the runs of a recalled batch as not started in the guard's stead. */
+    void answerRecall(const Exchange &exchange);
+    [[nodiscard]] bool isOff(PoolRule rule) const;
+    /** Returns @p batch as it arrives at a guard. */
+    [[nodiscard]] StartBatch arriving(std::uint32_t worker, StartBatch batch) const;
+    /** Returns the list of a runner as its guard receives it. */
+    [[nodiscard]] UpstreamListed arrivingList(std::uint32_t worker);
     void reportCapacity(std::uint32_t worker, std::uint32_t scheduler);
     void reportCrash(std::uint32_t worker, std::uint32_t scheduler, const CrashNotice &notice);
     void probeListener(std::uint32_t worker);
@@ -280,7 +298,8 @@
     std::uint64_t m_lastExchange = 0;
     std::map<ConnectionId, Caller> m_callers;
     std::uint64_t m_lastCaller = 0;
-    std::map<std::pair<std::uint32_t, std::uint32_t>, MonotonicTime> m_heldUpUntil; ///< by scheduler and worker
+    std::map<std::pair<std::uint32_t, std::uint32_t>, MonotonicTime> m_heldUpUntil;        ///< by scheduler and worker
+    std::map<std::pair<std::uint32_t, std::uint32_t>, MonotonicTime> m_batchesHeldUpUntil; ///< by scheduler and worker
     std::set<ConnectionId> m_lostCallers; ///< callers whose connection broke, but whose scheduler has not noticed yet
     std::map<QueueTaskId, std::set<std::pair<std::uint32_t, std::uint32_t>>> m_runningTasks; ///< workers and numbers of the runs of a task
     std::map<QueueJobId, std::uint32_t> m_startsByJob;
