Fix: [net] A round after a standstill holds all that was ready before it ends

Cause: the end of a round is what one poll of libevent returned, 32 events at first. After a process stood still its sockets hold both the reports that its runs were stopped and the ends of its callers' connections, and a round could hold the former only; the machine then placed the tasks again although the callers had submitted their jobs elsewhere.

Change: when no round has ended for 250 ms, the loop makes a socket of its own ready, which the kernel reports after all that were ready before, and the round ends when that comes, three times over: an accepted connection, its first request, the end of that connection. A standstill meanwhile begins this again, six times at most. A loop that is on time only reads its clock once more for each round.

--- a/net/include/sycamoremoor/net/event_loop.h
+++ b/net/include/sycamoremoor/net/event_loop.h
@@ -1,6 +1,8 @@
 // The event loop of one task, with a mailbox for other threads.
 #pragma once
 
+#include <sycamoremoor/core/time_type.h>
+
 #include <array>
 #include <functional>
 #include <memory>
@@ -41,7 +43,12 @@
     /** Puts a message into the mailbox; the loop's thread calls it. May be called from any thread. */
     void post(Message message);
 
-    /** Calls a message after everything that was ready when the loop last waited. */
+    /**
+     * Calls a message after everything that was ready when the loop last waited.
+     *
+     * One poll returns only a part of what is ready if that is much. A loop that may have stood still reads all of it first, with
+     * what follows on connections that it accepts meanwhile; what becomes ready later does not postpone the message.
+     */
     void atEndOfRound(RoundPhase phase, Message message);
 
     [[nodiscard]] event_base *base() const;
@@ -49,12 +56,22 @@
 private:
     static void mailboxReady(int socket, short what, void *self);
     static void roundEnded(int socket, short what, void *self);
+    static void markReached(int socket, short what, void *self);
     void readMailbox();
+
+    /** Marks what is ready, if all of it belongs to this round. @return whether the round ends only after the mark */
+    bool startLap();
     void endRound();
 
     event_base *m_base;
     event *m_wakeUp;
     event *m_roundEnd;
+    int m_mark; ///< a socket that is made ready after all that are ready
+    event *m_markReached;
+    bool m_isMarked = false;
+    int m_lapsLeft = 0;       ///< times that the mark is yet to be set and reached in this round
+    int m_lapsMade = 0;       ///< in this round
+    MonotonicTime m_onTimeAt; ///< when a round last reached its end or a mark
     std::array<std::vector<Message>, static_cast<std::size_t>(RoundPhase::End)> m_endOfRound;
     std::mutex m_mailboxMutex;
     std::vector<Message> m_mailbox;
--- a/net/tests/http_gone_test.cpp
+++ b/net/tests/http_gone_test.cpp
@@ -10,8 +10,11 @@
 #include <sys/epoll.h>
 
 #include <csignal>
+#include <list>
 #include <string>
 #include <string_view>
+#include <thread>
+#include <utility>
 #include <vector>
 
 namespace
@@ -176,4 +179,33 @@
                                          EarlyCase{"HalfInAStream", true, HalfRequest, Request.substr(HalfRequest.size())}),
                          [](const auto &test) { return test.param.name; });
 
+TEST(HttpStandstillTest, RequestsAndTheEndsOfTheirConnectionsAreReadInOneRound)
+{
+    constexpr std::size_t Clients = 100;
+    constexpr Duration Standstill = std::chrono::milliseconds(400);
+    EventLoop loop;
+    std::size_t taken = 0;
+    std::size_t gone = 0;
+    bool isAsked = false;
+    std::vector<std::pair<std::size_t, std::size_t>> byEnd; ///< requests and ends, by ended round
+    HttpServer server(loop, {"127.0.0.1", 0}, {}, [&](const HttpExchangePointer &exchange) {
+        ++taken;
+        exchange->onGone([&gone] { ++gone; });
+        if (!std::exchange(isAsked, true)) {
+            loop.atEndOfRound(RoundPhase::Decide, [&] {
+                isAsked = false;
+                byEnd.emplace_back(taken, gone);
+            });
+        }
+    });
+    std::list<RawClient> clients;
+    for (std::size_t client = 0; client < Clients; ++client) {
+        clients.emplace_back(server.endpoint()).send(std::string(Request));
+        clients.back().finish();
+    }
+    std::this_thread::sleep_for(Standstill);
+    ASSERT_TRUE(runUntil(loop, [&] { return gone == Clients && !isAsked; }));
+    EXPECT_EQ(byEnd, (std::vector<std::pair<std::size_t, std::size_t>>{{Clients, Clients}}));
+}
+
 } // namespace Sycamoremoor
