Add: [core tests] A guard that stood still starts nothing that waited or was sent meanwhile

A guard handles each input at once, so it may read a batch before the end of its connection. What keeps it from starting such runs is the time limit of waiting (80 ms), checked before a start, and receiveBy (250 ms), checked when a batch is read.

--- a/core/tests/guard_machine_test.cpp
+++ b/core/tests/guard_machine_test.cpp
@@ -269,6 +269,22 @@
     EXPECT_EQ(guard.all<StartRun>().size(), 1U);
 }
 
+TEST(GuardMachineTest, AGuardThatStoodStillStartsNothingThatWaitedOrWasSentMeanwhile)
+{
+    GuardDriver guard;
+    guard.order(1, 0, GuardDriver::RunnerCores);
+    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+    guard.order(2, 1, GuardDriver::RunnerCores);
+    ASSERT_TRUE(guard.all<StartRun>().empty()) << "it waits for capacity";
+    guard.advance(milliseconds(1'300));
+    guard.answerRenewal({}, {{1, GuardDriver::run(0), RunOutcome::Stopped}});
+    EXPECT_TRUE(guard.all<StartRun>().empty());
+    ASSERT_EQ(guard.all<ReportRun>().size(), 2U);
+    EXPECT_EQ(guard.all<ReportRun>().back().report.outcome, RunOutcome::NotStarted);
+    guard.order(3, 2, 1'000, milliseconds(1'300));
+    EXPECT_TRUE(guard.all<StartRun>().empty()) << "the end of its connection may be unread";
+}
+
 TEST(GuardMachineTest, ARunIsStoppedWhenItsJobExpiresHoweverLateItStarted)
 {
     GuardDriver guard;
