Fix: [core, daemon, deploy] The lease of a batch follows the time after which callers submit a job again

Cause: the lease (1.1 s) was a constant that fits callers who submit a job again 1.3 s after their connection broke; the deployment's settings have that time as bounds.resendMs.

The lease is that time less 200 ms for a stop. Minimum age and interval of renewals are one and two fifths of the lease less 100 ms for the delivery of a renewal, so that the renewal after a lost one precedes the end of the lease: 200 and 400 ms for 1300 ms, as before.

--- a/core/include/sycamoremoor/core/scheduler_machine.h
+++ b/core/include/sycamoremoor/core/scheduler_machine.h
@@ -14,8 +14,10 @@
     EntryName name;
     Incarnation incarnation;
     ZoneName zone;
-    /** Of a batch at its guard without renewal: with the time for a stop, below the delay after which callers submit a job again. */
-    Duration batchLease = std::chrono::milliseconds(1100);
+    static constexpr Duration LeastResubmitAfter = std::chrono::milliseconds(550); ///< less leaves no time to renew leases
+
+    /** How long after its connection broke a caller submits a job again. By then the runs of a scheduler that is gone have ended. */
+    Duration resubmitAfter = std::chrono::milliseconds(1300);
     Duration drainTimeout = std::chrono::milliseconds(5000); ///< longest duration of a planned stop
     /** How long a stopping scheduler waits for jobs at least: the load balancer still sends connections for two of its checks. */
     Duration drainGrace = std::chrono::milliseconds(2500);
--- a/core/src/scheduler/scheduler_placing.cpp
+++ b/core/src/scheduler/scheduler_placing.cpp
@@ -14,7 +14,8 @@
 constexpr double RunLimitFactor = 4; ///< run limit per expected run time; declared and estimated times are off by less
 constexpr Duration RunLimitSlack = std::chrono::milliseconds(200); ///< added to the scaled run limit
 constexpr Duration DeliveryLimit = std::chrono::milliseconds(250); ///< of a batch; a guard that is busier gets no new work
-constexpr Duration MaxGuardWait = std::chrono::milliseconds(80);   ///< a run that waits longer at its guard would start sooner elsewhere
+static_assert(leaseTimesOf(SchedulerSettings::LeastResubmitAfter).lease >= DeliveryLimit + RenewalDelivery);
+constexpr Duration MaxGuardWait = std::chrono::milliseconds(80); ///< a run that waits longer at its guard would start sooner elsewhere
 constexpr Duration ShortGuardWait
     = std::chrono::milliseconds(1);        ///< of a run for which capacity should be free: if it is not, another worker has some sooner
 constexpr std::uint32_t MaxShortWaits = 4; ///< runs of a task that were refused so; then it waits for its turn at a guard
@@ -104,7 +105,7 @@
     output.batch.guard = m_workers.guardIncarnation(agent);
     const auto guardTime = m_workers.earliestGuardTime(step.now(), agent);
     output.batch.receiveBy = guardTime + GuardTime(DeliveryLimit.count());
-    output.batch.leaseUntil = guardTime + GuardTime(m_settings.batchLease.count());
+    output.batch.leaseUntil = guardTime + GuardTime(m_leaseTimes.lease.count());
     output.batch.expiresAt = guardTime + GuardTime((job.expiresAt - step.now()).count());
     output.batch.reportInterval = reportInterval();
     output.batch.queue = job.queue.name;
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -7,6 +7,7 @@
 #include "crash_record.h"
 #include "job_order.h"
 #include "lag_meter.h"
+#include "lease_times_func.h"
 #include "placement.h"
 #include "scheduled_job.h"
 #include "worker_table.h"
@@ -127,6 +128,7 @@
     void setTimer(SchedulerStep &step);
 
     SchedulerSettings m_settings;
+    LeaseTimes m_leaseTimes;
     QueueSetPointer m_queues;
     WorkerTable m_workers;
     Placement m_placement;
--- a/core/src/scheduler/scheduler_runs.cpp
+++ b/core/src/scheduler/scheduler_runs.cpp
@@ -11,10 +11,7 @@
 namespace
 {
 
-constexpr Duration RenewInterval = std::chrono::milliseconds(400); ///< of the leases of the batches at one guard
-constexpr std::size_t RenewGroups = 8;                             ///< guards are renewed in groups, so that no step sends to all of them
-constexpr Duration MinRenewAge
-    = std::chrono::milliseconds(200); ///< of a batch; if one renewal is lost, the next precedes the end of the lease
+constexpr std::size_t RenewGroups = 8; ///< guards are renewed in groups, so that no step sends to all of them
 
 } // namespace
 
@@ -247,13 +244,13 @@
     if (step.now() < m_renewAt) {
         return;
     }
-    constexpr auto GroupInterval = RenewInterval / RenewGroups;
+    const auto groupInterval = m_leaseTimes.renewInterval / RenewGroups;
     std::size_t groups = 0;
-    for (; m_renewAt <= step.now() && groups < RenewGroups; m_renewAt += GroupInterval) {
+    for (; m_renewAt <= step.now() && groups < RenewGroups; m_renewAt += groupInterval) {
         ++groups;
     }
     if (m_renewAt <= step.now()) {
-        m_renewAt = step.now() + GroupInterval;
+        m_renewAt = step.now() + groupInterval;
     }
     const auto firstGroup = std::exchange(m_renewGroup, (m_renewGroup + groups) % RenewGroups);
     const auto isDue = [&](const AgentName &agent) {
@@ -262,14 +259,14 @@
     };
     std::map<AgentName, BatchRenewal> renewals;
     for (const auto &[number, batch] : m_batches) {
-        if (!batch.recalled && batch.sentAt + MinRenewAge <= step.now() && isDue(batch.agent)) {
+        if (!batch.recalled && batch.sentAt + m_leaseTimes.minRenewAge <= step.now() && isDue(batch.agent)) {
             renewals[batch.agent].batches.push_back(number);
         }
     }
     for (auto &[agent, renewal] : renewals) {
         renewal.scheduler = m_settings.name;
         renewal.schedulerIncarnation = m_settings.incarnation;
-        renewal.leaseUntil = m_workers.earliestGuardTime(step.now(), agent) + GuardTime(m_settings.batchLease.count());
+        renewal.leaseUntil = m_workers.earliestGuardTime(step.now(), agent) + GuardTime(m_leaseTimes.lease.count());
         step.emit(RenewBatches{agent, std::move(renewal)});
     }
 }
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -75,6 +75,7 @@
 
 SchedulerMachine::Private::Private(SchedulerSettings settings)
     : m_settings(std::move(settings))
+    , m_leaseTimes(leaseTimesOf(m_settings.resubmitAfter))
     , m_placement(m_workers)
 {
 }
--- a/core/tests/scheduler_driver.h
+++ b/core/tests/scheduler_driver.h
@@ -20,8 +20,8 @@
     /** The objective is 1.6 times 200 ms plus 60 ms, 380 ms; the job expires after 1,140 ms. */
     static constexpr Duration Allowance = std::chrono::milliseconds(60);
 
-    SchedulerDriver()
-        : m_machine(SchedulerSettings{EntryName("S"), Incarnation(3), ZoneName("z")})
+    explicit SchedulerDriver(Duration resubmitAfter = SchedulerSettings().resubmitAfter)
+        : m_machine(SchedulerSettings{EntryName("S"), Incarnation(3), ZoneName("z"), resubmitAfter})
     {
         auto queues = std::make_shared<QueueSet>();
         queues->version = Revision(1);
@@ -89,17 +89,17 @@
     }
 
     /** Submits a job of one task. @return the batch that was sent */
-    BatchNumber submit(const std::string &id = "job")
+    BatchNumber submit(const std::string &id = "job", Duration runTime = RunTime)
     {
-        feed(submission(id));
+        feed(submission(id, runTime));
         return last<SendBatch>()->batch.batch;
     }
 
-    QueueJobSubmitted submission(const std::string &id)
+    QueueJobSubmitted submission(const std::string &id, Duration runTime = RunTime)
     {
         auto spec = std::make_shared<QueueJobSpec>();
         spec->id = QueueJobId(id);
-        spec->steps.push_back({.count = 1, .size = {MilliCores(1'000), Megabytes(1), Accelerators(0)}, .declaredRunTime = RunTime});
+        spec->steps.push_back({.count = 1, .size = {MilliCores(1'000), Megabytes(1), Accelerators(0)}, .declaredRunTime = runTime});
         QueueRecord queue;
         queue.name = QueueName("queue");
         queue.service = ServiceName("service");
--- a/core/tests/scheduler_machine_test.cpp
+++ b/core/tests/scheduler_machine_test.cpp
@@ -111,6 +111,61 @@
     }
 }
 
+/** When callers submit a job again, and what follows for the lease of a batch. */
+struct LeaseCase {
+    const char *name;
+    Duration resubmitAfter;
+    Duration lease;
+    Duration interval; ///< between renewals
+};
+
+constexpr std::array LeaseCases{
+    LeaseCase{"Least", SchedulerSettings::LeastResubmitAfter, milliseconds(350), milliseconds(100)},
+    LeaseCase{"Short", milliseconds(800), milliseconds(600), milliseconds(200)},
+    LeaseCase{"Default", milliseconds(1'300), milliseconds(1'100), milliseconds(400)},
+    LeaseCase{"Long", milliseconds(3'300), milliseconds(3'100), milliseconds(1'200)},
+    LeaseCase{"VeryLong", milliseconds(60'300), milliseconds(60'100), milliseconds(24'000)},
+};
+
+class SchedulerLeaseTest : public testing::TestWithParam<LeaseCase>
+{
+};
+
+TEST_P(SchedulerLeaseTest, FollowsTheCallersAndIsEndedByNoLostRenewal)
+{
+    constexpr auto Phases = 40;
+    constexpr auto StepsPerInterval = 40;
+    const auto &[name, resubmitAfter, lease, interval] = GetParam();
+    const auto leaseOf = [lease = lease](GuardTime since) {
+        return since + GuardTime(lease.count());
+    };
+    for (int phase = 0; phase < Phases; ++phase) {
+        SchedulerDriver scheduler(resubmitAfter);
+        scheduler.advance(interval / StepsPerInterval * phase);
+        scheduler.reportCapacity(AgentName("A"), scheduler.guardTime());
+        scheduler.submit("job", lease);
+        std::vector<GuardTime> leases{scheduler.last<SendBatch>()->batch.leaseUntil};
+        EXPECT_EQ(leases.front(), leaseOf(scheduler.guardTime()));
+        std::vector<GuardTime> renewedAt;
+        for (int step = 0; step < 4 * StepsPerInterval; ++step) {
+            scheduler.advance(interval / StepsPerInterval);
+            scheduler.reportCapacity(AgentName("A"), scheduler.guardTime());
+            if (const auto renewed = scheduler.last<RenewBatches>()) {
+                EXPECT_EQ(renewed->renewal.leaseUntil, leaseOf(scheduler.guardTime()));
+                leases.push_back(renewed->renewal.leaseUntil);
+                renewedAt.push_back(scheduler.guardTime());
+            }
+        }
+        ASSERT_GE(renewedAt.size(), 3U) << phase;
+        for (std::size_t lost = 0; lost + 1 < renewedAt.size(); ++lost) {
+            EXPECT_LT(renewedAt[lost + 1], leases[lost]) << "phase " << phase << ", renewal " << lost;
+            EXPECT_EQ(renewedAt[lost + 1], renewedAt[lost] + GuardTime(interval.count())) << "phase " << phase;
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Leases, SchedulerLeaseTest, testing::ValuesIn(LeaseCases), [](const auto &test) { return test.param.name; });
+
 TEST(SchedulerMachineTest, ADelayedReportOfTheGuardsClockMakesNoOrderValidForLonger)
 {
     SchedulerDriver scheduler;
--- a/daemon/src/option_value_func.cpp
+++ b/daemon/src/option_value_func.cpp
@@ -77,6 +77,16 @@
     return milliseconds.has_value();
 }
 
+bool readDurationFrom(Duration least, const std::string &text, Duration &duration)
+{
+    Duration read{};
+    const bool isAllowed = readDuration(text, read) && read >= least;
+    if (isAllowed) {
+        duration = read;
+    }
+    return isAllowed;
+}
+
 bool readCount(const std::string &text, std::int64_t least, std::int64_t most, std::size_t &count)
 {
     const auto value = readWhole(text, least, most);
--- a/daemon/src/option_value_func.h
+++ b/daemon/src/option_value_func.h
@@ -26,6 +26,9 @@
 bool readEndpoint(const std::string &text, Endpoint &endpoint);
 bool readEndpoints(const std::string &text, std::vector<Endpoint> &endpoints);
 bool readDuration(const std::string &text, Duration &duration);
+
+/** Reads a duration of at least @p least. */
+bool readDurationFrom(Duration least, const std::string &text, Duration &duration);
 bool readCount(const std::string &text, std::int64_t least, std::int64_t most, std::size_t &count);
 bool readCores(const std::string &text, MilliCores &cores);
 
--- a/daemon/src/table/option_table.h
+++ b/daemon/src/table/option_table.h
@@ -51,6 +51,10 @@
               [](const std::string &text, Settings &to) { return readEndpoint(text, to.readiness); }, EndpointAllowed},
     OptionRow{"followed-workers", "COUNT", "workers whose capacity it follows, of more", SchedulerRole, false,
               [](const std::string &text, Settings &to) { return readCount(text, 1, 100'000, to.followedWorkers); }, "a whole number from 1 to 100000"},
+    OptionRow{"resubmit-after-ms", "MS", "how long after its connection broke a caller submits its job again", SchedulerRole, false,
+              [](const std::string &text, Settings &to) {
+                  return readDurationFrom(SchedulerSettings::LeastResubmitAfter, text, to.scheduler.resubmitAfter);
+              }, "a whole number of milliseconds from 550 to 86400000, as less leaves no time to renew the lease of runs"},
     OptionRow{"announcements", "IP:PORT", "where its upstream announces itself", GuardRole, true,
               [](const std::string &text, Settings &to) { return readEndpoint(text, to.announcements); }, EndpointAllowed},
     OptionRow{"entries", "IP:PORT,..", "entries to ask first for the roster", EntryRole | AgentRole, false,
--- a/daemon/tests/option_reader_test.cpp
+++ b/daemon/tests/option_reader_test.cpp
@@ -88,6 +88,13 @@
     WrongSetting{"Heartbeat", "--heartbeat-ms=0", "--heartbeat-ms: \"0\" is not allowed; it must be a whole number of milliseconds"},
     WrongSetting{"Order", "--failure-timeout-ms=500", "--failure-timeout-ms must be larger than --heartbeat-ms."},
     WrongSetting{"Ledger", "--ledger-retention-ms=1000", "--ledger-retention-ms must be larger than --start-max-age-ms."},
+    WrongSetting{"ResubmitText", "--resubmit-after-ms=1.3s", "--resubmit-after-ms: \"1.3s\" is not allowed"},
+    WrongSetting{"ResubmitEmpty", "--resubmit-after-ms=", "--resubmit-after-ms: \"\" is not allowed"},
+    WrongSetting{"ResubmitTooSoon",
+                 "--resubmit-after-ms=549",
+                 "--resubmit-after-ms: \"549\" is not allowed; it must be a whole number of milliseconds from 550 to 86400000, as less "
+                 "leaves no time to renew the lease of runs."},
+    WrongSetting{"ResubmitTooLate", "--resubmit-after-ms=86400001", "--resubmit-after-ms: \"86400001\" is not allowed"},
     WrongSetting{"LogLevel", "--log-level=loud", "it must be debug, info, warning or error."},
     WrongSetting{"LogFormat", "--log-format=xml", "it must be text or json."},
     WrongSetting{"Unknown", "--colour=red", "--colour=red is no flag"},
@@ -140,6 +147,19 @@
     EXPECT_EQ(settings.name, "agent-1");
 }
 
+TEST(OptionReaderTest, ASchedulerIsToldWhenItsCallersSubmitAgain)
+{
+    DaemonSettings settings;
+    EXPECT_EQ(joined(readArguments(schedulerFlags, {}, settings)), "");
+    EXPECT_EQ(settings.scheduler.resubmitAfter, std::chrono::milliseconds(1'300));
+    for (const auto *value : {"550", "2000", "86400000"}) {
+        auto flags = schedulerFlags;
+        flags.push_back(std::string("--resubmit-after-ms=") + value);
+        EXPECT_EQ(joined(readArguments(flags, {}, settings)), "");
+        EXPECT_EQ(settings.scheduler.resubmitAfter, std::chrono::milliseconds(std::stoi(value)));
+    }
+}
+
 TEST(OptionReaderTest, WrongVariableIsRefusedByItsName)
 {
     DaemonSettings settings;
