--- a/daemon/src/table/option_table.h
+++ b/daemon/src/table/option_table.h
@@ -53,8 +53,8 @@
               [](const std::string &text, Settings &to) { return readCount(text, 1, 100'000, to.followedWorkers); }, "a whole number from 1 to 100000"},
     OptionRow{"resubmit-after-ms", "MS", "how long after its connection broke a caller submits its job again", SchedulerRole, false,
               [](const std::string &text, Settings &to) {
-                  return readDurationFrom(SchedulerSettings::LeastResubmitAfter, text, to.scheduler.resubmitAfter);
-              }, "a whole number of milliseconds from 550 to 86400000, as less leaves no time to renew the lease of runs"},
+                  return text.empty() || readDurationFrom(SchedulerSettings::LeastResubmitAfter, text, to.scheduler.resubmitAfter);
+              }, "a whole number of milliseconds from 550 to 86400000, as less leaves no time to renew the lease of runs, or empty for 1300"},
     OptionRow{"announcements", "IP:PORT", "where its upstream announces itself", GuardRole, true,
               [](const std::string &text, Settings &to) { return readEndpoint(text, to.announcements); }, EndpointAllowed},
     OptionRow{"entries", "IP:PORT,..", "entries to ask first for the roster", EntryRole | AgentRole, false,
