--- a/bench/scheduler_load.cpp
+++ b/bench/scheduler_load.cpp
@@ -113,8 +113,9 @@
                   EntryName("scheduler"),
                   GuardSubset(EntryName("scheduler"), ZoneName("zone"), guards.size()),
                   {[this] { return m_driver.machine().reportInterval(); },
-                   [this](const AgentName &agent) {
-                       return m_driver.machine().isUsing(agent);
+                   [this](const AgentName &agent) { return m_driver.machine().isUsing(agent); },
+                   [this] {
+                       return m_driver.machine().missesWorkers();
                    }})
         , m_batches(loop, m_client, m_metrics, [this](const AgentName &agent) { return m_rooms.endpoint(agent); })
         , m_driver(
