--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -52,7 +52,8 @@
     static constexpr Duration RenewalPause
         = std::chrono::milliseconds(50);                  ///< per unanswered renewal; also its wait while unknown runs are stopped
     static constexpr FencingToken TokenIncrement{60'000}; ///< in milliseconds: the first step by which a token that is too low is raised
-    static constexpr std::uint32_t UnansweredRenewalLimit = 3; ///< bad networks lose one answer in twenty; three lost in a row are rare
+    static constexpr FencingToken MaxTokenStep{1'000'000'000'000}; ///< in milliseconds, thirty years: far beyond any step of a clock
+    static constexpr std::uint32_t UnansweredRenewalLimit = 3;     ///< bad networks lose one answer in twenty; three lost in a row are rare
 
     /** State of the current incarnation of the upstream. */
     struct Upstream {
@@ -86,11 +87,13 @@
     /** Returns whether an announcement is not of the upstream beside this guard: the known one answers, or its start is in the future. */
     [[nodiscard]] bool isOfAnotherWriter(const GuardStep &step, const UpstreamIncarnation &incarnation) const;
     void beginIncarnation(GuardStep &step, const UpstreamAnnounced &announced);
+    /** Sets what the upstream last announced of itself. */
     void setAnnounced(GuardStep &step, const UpstreamAnnounced &announced);
     /** Another boot claims to have replaced the known one, which has runs: finds out whether it has. */
     void expectReplacement(GuardStep &step, const UpstreamAnnounced &announced);
     /** Asks the upstream for its lists, and whether anything listens there. */
     void checkLife(const GuardStep &step);
+    /** Begins the incarnation that claims to have replaced the known one. */
     void followReplacement(GuardStep &step);
     /** Like followReplacement(), as the replacement has answered with its lists. Runs that it lists are its own: their orders were on their way. */
     void followReplacement(GuardStep &step, const UpstreamListed &listed);
@@ -129,6 +132,7 @@
     RenewalNumber sendRenewal(GuardStep &step, Duration wait);
     void renewalEnded(RenewalNumber number);
     void handleEndedRuns(GuardStep &step, const UpstreamListed &listed);
+    /** The upstream has refused an order for its token. */
     void raiseToken(GuardStep &step);
     void confirmStart(GuardStep &step, GuardedRun &record);
     void handleStartedRuns(GuardStep &step, const UpstreamListed &listed);
@@ -142,7 +146,7 @@
 
     GuardSettings m_settings;
     FencingToken m_token;
-    FencingToken m_tokenStep = TokenIncrement; ///< by which the token is raised the next time
+    FencingToken m_tokenStep = TokenIncrement; ///< by which the token is raised the next time; doubles until a list arrives
     RenewalNumber m_renewalsBeforeRaise;       ///< last renewal sent before the token was raised
     std::optional<Upstream> m_upstream;
     std::uint64_t m_lastRenewal = 0;
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -109,7 +109,7 @@
 void GuardMachine::Private::raiseToken(GuardStep &step)
 {
     m_token += m_tokenStep;
-    m_tokenStep = m_tokenStep + m_tokenStep; // until a list shows that it was enough
+    m_tokenStep = std::min(m_tokenStep + m_tokenStep, MaxTokenStep);
     m_renewalsBeforeRaise = RenewalNumber(m_lastRenewal);
     step.log(Severity::Warning,
              "The upstream knows a higher fencing token; the token of this guard is raised to " + std::to_string(m_token.value()) + ".");
