--- a/core/tests/pool_once_faults.h
+++ b/core/tests/pool_once_faults.h
@@ -122,6 +122,15 @@
                       }
                   }
               }},
+    OnceFault{"JobSentAgainAtOnceToSameScheduler",
+              0,
+              [](PoolSimulation &simulation, std::uint32_t, std::uint32_t) {
+                  for (const auto connection : simulation.openCallers()) {
+                      if (simulation.random()() % 4 == 0) {
+                          simulation.reconnectCaller(connection);
+                      }
+                  }
+              }},
     OnceFault{"StopArrivesLateAfterBreakThatBothSaw",
               0.08,
               [](PoolSimulation &simulation, std::uint32_t, std::uint32_t) {
--- a/core/tests/pool_simulation.cpp
+++ b/core/tests/pool_simulation.cpp
@@ -1406,6 +1406,19 @@
     }
 }
 
+void PoolSimulation::reconnectCaller(ConnectionId connection)
+{
+    const auto caller = m_callers.at(connection);
+    m_callers.erase(connection);
+    m_resubmittedJobs.insert(caller.spec->id);
+    m_lostCallers.insert(connection);
+    whenAwake(*m_schedulers[caller.scheduler], [this, scheduler = caller.scheduler, connection] {
+        m_lostCallers.erase(connection);
+        stepScheduler(scheduler, CallerDisconnected{connection});
+    });
+    at(m_now - m_start + randomDelay(), [this, caller] { submit(caller.scheduler, caller); });
+}
+
 Duration PoolSimulation::time() const
 {
     return m_now - m_start;
--- a/core/tests/pool_simulation.h
+++ b/core/tests/pool_simulation.h
@@ -176,6 +176,9 @@
      */
     void freezeScheduler(std::uint32_t scheduler, Duration duration);
 
+    /** Breaks the connection of a caller that waits for its answer; it submits its job to the same scheduler again at once. */
+    void reconnectCaller(ConnectionId connection);
+
     /** Disconnects a caller that waits for its answer; it may submit again, see PoolSettings::callersResubmit. */
     void disconnectCaller(ConnectionId connection);
 
