Fix: [core, net] A job whose caller submits it again at once goes on when its runs have ended

Cause: when the last caller of a job disconnected, its scheduler closed the exchanges of its batches and forgot the job. A caller whose connection is reset while its request is on its way submits the job again within milliseconds, to the same scheduler, which started its tasks while the guards were still stopping the earlier runs. The 1.3 s after which callers submit again hold for connections that break later. Change: the batches of such a job are recalled, as those of a lost exchange, and the job is kept until they were reported or their leases have ended. Submitted again, it goes on. A recall closes the exchange that the batch still has.

--- a/core/src/scheduler/scheduled_job.h
+++ b/core/src/scheduler/scheduled_job.h
@@ -43,7 +43,7 @@
 /** A job that was accepted and not yet answered. */
 struct ScheduledJob {
     JobNumber number;
-    std::vector<ConnectionId> connections; ///< connections of its callers; several if it was submitted again
+    std::vector<ConnectionId> connections; ///< of its callers; several if it was submitted again, none while its runs end after they left
     QueueRecord queue;
     std::shared_ptr<const QueueJobSpec> spec;
     MonotonicTime arrivedAt;
--- a/core/src/scheduler/scheduler_admission.cpp
+++ b/core/src/scheduler/scheduler_admission.cpp
@@ -26,8 +26,13 @@
 {
     if (const auto same = m_byId.find(input.spec->id); same != m_byId.end() && *m_jobs.at(same->second).spec == *input.spec) {
         step.emit(Count{CounterMetric::JobsResubmitted, 1});
-        m_jobs.at(same->second).connections.push_back(input.connection);
+        auto &job = m_jobs.at(same->second);
+        const bool wasLeft = job.connections.empty();
+        job.connections.push_back(input.connection);
         m_callers[input.connection] = same->second;
+        if (wasLeft) {
+            resume(step, job, input);
+        }
         return;
     }
     auto job = makeJob(step, input);
@@ -54,6 +59,18 @@
     m_arrivals.push_back(stored.number);
 }
 
+void SchedulerMachine::Private::resume(SchedulerStep &step, ScheduledJob &job, const QueueJobSubmitted &input)
+{
+    step.log(Severity::Info,
+             "A job is submitted again while its runs end; it goes on when they have ended.",
+             {{"job", job.spec->id.value()},
+              {"left_after_ms", inMilliseconds(step.now() - job.arrivedAt)},
+              {"batches", std::to_string(job.batches.size())}});
+    job.arrivedAt = step.now() - step.context.lag;
+    setTimes(job, input.callerTimeout);
+    continueJob(step, job);
+}
+
 bool SchedulerMachine::Private::hasGivenUpTask(const ScheduledJob &job) const
 {
     return std::ranges::any_of(job.tasks, [&](const ScheduledTask &task) {
@@ -78,14 +95,11 @@
             job.tasks.back().isIsolated = m_crashes.of({job.spec->id, index, task}).needsIsolation();
         }
     }
-    setTimes(job);
-    if (input.callerTimeout > Duration::zero()) {
-        job.expiresAt = std::min(job.expiresAt, job.arrivedAt + input.callerTimeout);
-    }
+    setTimes(job, input.callerTimeout);
     return job;
 }
 
-void SchedulerMachine::Private::setTimes(ScheduledJob &job) const
+void SchedulerMachine::Private::setTimes(ScheduledJob &job, Duration callerTimeout) const
 {
     const auto &steps = job.spec->steps;
     std::vector<Duration> chains(steps.size());
@@ -100,6 +114,9 @@
     job.objective = scaled(longest, job.queue.stretch) + job.queue.latencyAllowance;
     job.latestStart = job.arrivedAt + job.objective - longest - TransitAllowance;
     job.expiresAt = job.arrivedAt + scaled(job.objective, ExpiryFactor);
+    if (callerTimeout > Duration::zero()) {
+        job.expiresAt = std::min(job.expiresAt, job.arrivedAt + callerTimeout);
+    }
 }
 
 ErrorKind SchedulerMachine::Private::refusalOf(SchedulerStep &step, const ScheduledJob &job, Duration &retryAfter) const
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -77,7 +77,10 @@
     };
 
     ScheduledJob makeJob(SchedulerStep &step, const QueueJobSubmitted &input);
-    void setTimes(ScheduledJob &job) const;
+    /** Sets the times of a job that has just arrived. @param callerTimeout how long its caller waits, zero if not stated */
+    void setTimes(ScheduledJob &job, Duration callerTimeout) const;
+    /** A caller submits a job again whose callers had left; it goes on. */
+    void resume(SchedulerStep &step, ScheduledJob &job, const QueueJobSubmitted &input);
     [[nodiscard]] ErrorKind refusalOf(SchedulerStep &step, const ScheduledJob &job, Duration &retryAfter) const;
     /** Returns how many of the followed workers can hold the step of the job that the fewest of them can hold. */
     [[nodiscard]] std::size_t fittingWorkers(const ScheduledJob &job) const;
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -132,9 +132,21 @@
     }
     step.log(Severity::Info,
              "The caller of a job disconnected; its runs are stopped.",
-             {{"job", job.spec->id.value()}, {"held_ms", inMilliseconds(step.now() - job.arrivedAt)}});
-    cancelBatches(step, job);
-    erase(job);
+             {{"job", job.spec->id.value()},
+              {"held_ms", inMilliseconds(step.now() - job.arrivedAt)},
+              {"batches", std::to_string(job.batches.size())}});
+    if (job.batches.empty()) {
+        erase(job);
+        return;
+    }
+    // The caller may submit the job again at once, so it is forgotten only when its runs have ended.
+    for (const auto &number : job.batches) {
+        if (auto &batch = m_batches.at(number); !batch.recalled) {
+            recall(step, job, number, batch);
+        }
+    }
+    enqueue(job);
+    scheduleCheck(job, step.now() + m_settings.resubmitAfter);
 }
 
 void SchedulerMachine::Private::cancelBatches(SchedulerStep &step, ScheduledJob &job)
@@ -224,12 +236,13 @@
 
 void SchedulerMachine::Private::enqueue(ScheduledJob &job)
 {
-    if (job.waiting > 0) {
+    const bool hasCaller = !job.connections.empty();
+    if (hasCaller && job.waiting > 0) {
         orderOf(job).put(job, waitingCoreTime(job));
     } else {
         orderOf(job).remove(job.number);
     }
-    if (job.waitingIsolated > 0) {
+    if (hasCaller && job.waitingIsolated > 0) {
         m_isolatingJobs.insert(job.number);
     } else {
         m_isolatingJobs.erase(job.number);
@@ -298,7 +311,10 @@
 {
     while (!m_checks.empty() && m_checks.begin()->first <= step.now()) {
         auto &job = m_jobs.at(m_checks.begin()->second);
-        if (const auto at = latestPlacement(job); !job.started && at > step.now()) {
+        if (job.connections.empty()) {
+            cancelBatches(step, job); // their leases have ended
+            erase(job);
+        } else if (const auto at = latestPlacement(job); !job.started && at > step.now()) {
             scheduleCheck(job, at);
         } else if (!job.started) {
             const auto wait = orderOf(job).expectedWait(step.now(), JobOrder::keyOf(job));
@@ -335,6 +351,12 @@
 
 void SchedulerMachine::Private::continueJob(SchedulerStep &step, ScheduledJob &job)
 {
+    if (job.connections.empty()) {
+        if (job.batches.empty()) {
+            erase(job);
+        }
+        return;
+    }
     const auto unreachableAt = deadlineUnreachableAt(job);
     if (unreachableAt <= step.now()) {
         abandon(step, job);
--- a/core/tests/pool_simulation.cpp
+++ b/core/tests/pool_simulation.cpp
@@ -463,17 +463,12 @@
             stepGuard(worker, BatchesRenewed{renewal});
         });
     } else if (const auto *recall = std::get_if<RecallBatch>(&output)) {
+        endExchange(scheduler, recall->recall.batch);
         node.recalls.insert(recall->recall.batch);
         deliverRecall(scheduler, *recall);
     } else if (const auto *cancel = std::get_if<CancelBatch>(&output)) {
         node.recalls.erase(cancel->batch);
-        const auto found = std::ranges::find_if(m_exchanges, [&](const auto &item) {
-            return item.second.scheduler == scheduler && item.second.schedulerIncarnation == node.incarnation
-                && item.second.batch == cancel->batch && !item.second.schedulerGone;
-        });
-        if (found != m_exchanges.end()) {
-            breakExchange(found->first, false, true);
-        }
+        endExchange(scheduler, cancel->batch);
     } else if (const auto *answered = std::get_if<AnswerQueueJob>(&output)) {
         answer(*answered);
     } else if (const auto *timer = std::get_if<SetTimer>(&output)) {
@@ -566,6 +561,17 @@
               });
 }
 
+void PoolSimulation::endExchange(std::uint32_t scheduler, BatchNumber batch)
+{
+    const auto found = std::ranges::find_if(m_exchanges, [&](const auto &item) {
+        return item.second.scheduler == scheduler && item.second.schedulerIncarnation == m_schedulers[scheduler]->incarnation
+            && item.second.batch == batch && !item.second.schedulerGone;
+    });
+    if (found != m_exchanges.end()) {
+        breakExchange(found->first, false, true);
+    }
+}
+
 void PoolSimulation::deliverRecall(std::uint32_t scheduler, const RecallBatch &output)
 {
     const auto &node = *m_schedulers[scheduler];
--- a/core/tests/pool_simulation.h
+++ b/core/tests/pool_simulation.h
@@ -248,6 +248,8 @@
     /** Removes a caller whose connection broke, and lets it submit again. */
     void loseCaller(ConnectionId connection);
     ConnectionId submit(std::uint32_t scheduler, Caller caller);
+    /** A scheduler closes the exchange of a batch, if it has one. */
+    void endExchange(std::uint32_t scheduler, BatchNumber batch);
     void deliverRecall(std::uint32_t scheduler, const RecallBatch &output);
     /** Reports the runs of a recalled batch as not started in the guard's stead. */
     void answerRecall(const Exchange &exchange);
--- a/core/tests/scheduler_machine_test.cpp
+++ b/core/tests/scheduler_machine_test.cpp
@@ -376,4 +376,68 @@
 
 INSTANTIATE_TEST_SUITE_P(Jobs, SchedulerChoiceTest, testing::ValuesIn(ChoiceCases), [](const auto &test) { return test.param.name; });
 
+TEST(SchedulerMachineTest, AJobThatIsSubmittedAgainAtOnceGoesOnWhenItsRunsHaveEnded)
+{
+    SchedulerDriver driver;
+    const auto submission = driver.submission("job");
+    driver.feed(submission);
+    const auto batch = driver.last<SendBatch>()->batch.batch;
+    driver.feed(CallerDisconnected{submission.connection});
+    ASSERT_TRUE(driver.last<RecallBatch>().has_value());
+    EXPECT_EQ(driver.last<RecallBatch>()->recall.batch, batch);
+    driver.advance(milliseconds(5));
+    auto again = submission;
+    again.connection = ConnectionId(99);
+    driver.feed(again);
+    EXPECT_EQ(driver.count<SendBatch>(), 0U) << "its run has not ended";
+    RunReport report;
+    report.outcome = RunOutcome::Stopped;
+    report.error = ErrorKind::Cancelled;
+    driver.feed(RunReported{batch, report});
+    ASSERT_EQ(driver.count<SendBatch>(), 1U);
+    const auto resent = driver.last<SendBatch>()->batch;
+    EXPECT_EQ(resent.orders[0].run.number, 2U);
+    report.outcome = RunOutcome::Done;
+    driver.feed(RunReported{resent.batch, report});
+    ASSERT_TRUE(driver.last<AnswerQueueJob>().has_value());
+    EXPECT_EQ(driver.last<AnswerQueueJob>()->connection, again.connection);
+    EXPECT_EQ(driver.last<AnswerQueueJob>()->result, QueueJobResult::Complete);
+}
+
+TEST(SchedulerMachineTest, AJobWithoutCallersIsNotPlacedAndIsForgottenWhenItsRunsHaveEnded)
+{
+    SchedulerDriver driver;
+    const auto submission = driver.submission("job");
+    driver.feed(submission);
+    const auto batch = driver.last<SendBatch>()->batch.batch;
+    driver.feed(CallerDisconnected{submission.connection});
+    RunReport report;
+    report.outcome = RunOutcome::Stopped;
+    report.error = ErrorKind::Cancelled;
+    driver.feed(RunReported{batch, report});
+    EXPECT_EQ(driver.count<SendBatch>(), 0U);
+    auto again = submission;
+    again.connection = ConnectionId(99);
+    driver.feed(again);
+    ASSERT_EQ(driver.count<SendBatch>(), 1U);
+    EXPECT_EQ(driver.last<SendBatch>()->batch.orders[0].run.number, 1U) << "it is another job";
+}
+
+TEST(SchedulerMachineTest, AJobWithoutCallersIsForgottenWhenTheLeasesOfItsRunsHaveEnded)
+{
+    SchedulerDriver driver;
+    const auto submission = driver.submission("job");
+    driver.feed(submission);
+    const auto batch = driver.last<SendBatch>()->batch.batch;
+    driver.feed(CallerDisconnected{submission.connection});
+    driver.advance(SchedulerSettings().resubmitAfter);
+    driver.feed(Tick{});
+    ASSERT_TRUE(driver.last<CancelBatch>().has_value());
+    EXPECT_EQ(driver.last<CancelBatch>()->batch, batch);
+    auto again = submission;
+    again.connection = ConnectionId(99);
+    driver.feed(again);
+    EXPECT_EQ(driver.count<SendBatch>(), 1U);
+}
+
 } // namespace Sycamoremoor
--- a/net/src/batch_sender.cpp
+++ b/net/src/batch_sender.cpp
@@ -99,6 +99,9 @@
 void BatchSender::carryOut(const RecallBatch &output)
 {
     const auto number = output.recall.batch;
+    if (const auto open = m_exchanges.find(number); open != m_exchanges.end() && open->second->call != 0) {
+        m_client.cancel(open->second->endpoint, open->second->call);
+    }
     auto exchange = std::make_unique<Exchange>();
     exchange->recall = output;
     exchange->repeat = std::make_unique<Timer>(m_loop, [this, number] { sendRecall(number); });
