--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -526,6 +526,8 @@
         deployment = Deployment(folder, **getattr(case, "settings", {}))
         try:
             async with asyncio.timeout(110):
+                if hasattr(case, "prepare"):
+                    await case.prepare(deployment)
                 await deployment.start()
                 await deployment.ready()
                 broken = await case(deployment, trouble)
