Fix: [net] A guard writes its record again when the store refused the write

Cause: AgentPublisher wrote its record only when the watched copy of its key changed, and left it to "the next check" to repeat a write that had failed. The watcher reports only changes, and a key that is still missing is none.

Change: a write that did not surely take effect is repeated after 0.2 s, doubling to 0.8 s, until the store shows the record.

Evidence: AgentPublisherTest.WritesAgainUntilTheStoreHasTheRecord failed without the repetition, and passes.

--- a/net/include/sycamoremoor/net/agent_directory.h
+++ b/net/include/sycamoremoor/net/agent_directory.h
@@ -7,6 +7,7 @@
 #include <sigc++/signal.h>
 
 #include <map>
+#include <memory>
 #include <string>
 
 namespace Sycamoremoor
@@ -34,20 +35,30 @@
     std::map<std::string, StoreVersion> m_loggedVersions; ///< of records that were logged, by key
 };
 
-/** Keeps the record of one guard published: writes it again whenever the store lacks it. */
+/** Keeps the record of one guard published: writes it again whenever the store lacks it, and when a write did not surely succeed. */
 class AgentPublisher
 {
 public:
     AgentPublisher(EventLoop &loop, StoreHooks store, const AgentRecord &record);
+    ~AgentPublisher();
+
+    AgentPublisher(const AgentPublisher &) = delete;
+    AgentPublisher &operator=(const AgentPublisher &) = delete;
 
     void start();
 
 private:
     void check(const PrefixWatcher::Items &items);
+    void write();
+    void writeEnded(bool written);
 
     StoreHooks m_store;
     StoreItem m_item;
     PrefixWatcher m_watcher;
+    Timer m_retry;
+    Duration m_retryDelay;
+    bool m_writing = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< hooks of calls that outlive the publisher do nothing
 };
 
 } // namespace Sycamoremoor
--- a/net/src/agent_directory.cpp
+++ b/net/src/agent_directory.cpp
@@ -4,6 +4,7 @@
 #include <sycamoremoor/net/log_func.h>
 #include <sycamoremoor/wire/message_codec.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Sycamoremoor
@@ -16,8 +17,10 @@
 constexpr PrefixWatchTimes DirectoryTimes{std::chrono::seconds(3), std::chrono::seconds(10)}; ///< a new worker may be idle for seconds
 constexpr PrefixWatchTimes PublisherTimes{std::chrono::seconds(2), std::chrono::seconds(10)}; ///< a lost record is back within two seconds
 
-constexpr std::size_t MaxNameBytes = 200;       ///< of a worker
-constexpr std::size_t MaxLoggedRecords = 1'000; ///< records that are remembered as logged
+constexpr Duration FirstRetryDelay = std::chrono::milliseconds(200);   ///< of a write that the store refused or did not answer
+constexpr Duration LongestRetryDelay = std::chrono::milliseconds(800); ///< a worker is listed within two seconds of the store's return
+constexpr std::size_t MaxNameBytes = 200;                              ///< of a worker
+constexpr std::size_t MaxLoggedRecords = 1'000;                        ///< records that are remembered as logged
 
 /** Reads a record. @return what is wrong with it, empty if it names a worker */
 std::string faultOf(const StoreItem &item, AgentRecord &record)
@@ -81,10 +84,14 @@
     : m_store(store)
     , m_item{std::string(AgentPrefix) + record.agent.value(), encode(record), 0}
     , m_watcher(loop, std::move(store), m_item.key, PublisherTimes)
+    , m_retry(loop, [this] { write(); })
+    , m_retryDelay(FirstRetryDelay)
 {
     m_watcher.signalChanged().connect([this](const PrefixWatcher::Items &items) { check(items); });
 }
 
+AgentPublisher::~AgentPublisher() = default;
+
 void AgentPublisher::start()
 {
     m_watcher.start();
@@ -94,14 +101,40 @@
 {
     const auto found = items.find(m_item.key);
     if (found != items.end() && found->second.value == m_item.value) {
+        m_retry.stop();
+        m_retryDelay = FirstRetryDelay;
+        return;
+    }
+    write();
+}
+
+void AgentPublisher::write()
+{
+    if (std::exchange(m_writing, true)) {
         return;
     }
+    m_retry.stop();
     writeLog({Severity::Info, "directory", "The record of this worker is written to the store."});
-    m_store.write(m_item, [](bool written) {
-        if (!written) {
-            writeLog({Severity::Warning, "directory", "The record of this worker may not have been written; the next check tells."});
+    m_store.write(m_item, [this, alive = std::weak_ptr(m_alive)](bool written) {
+        if (!alive.expired()) {
+            writeEnded(written);
         }
     });
 }
 
+void AgentPublisher::writeEnded(bool written)
+{
+    m_writing = false;
+    if (written) {
+        m_retryDelay = FirstRetryDelay;
+        return;
+    }
+    writeLog({Severity::Warning,
+              "directory",
+              "The record of this worker may not have been written; it is written again unless the store turns out to have it.",
+              {{"retry_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_retryDelay).count())}}});
+    m_retry.start(m_retryDelay);
+    m_retryDelay = std::min(m_retryDelay * 2, LongestRetryDelay);
+}
+
 } // namespace Sycamoremoor
--- a/net/tests/agent_directory_test.cpp
+++ b/net/tests/agent_directory_test.cpp
@@ -26,6 +26,8 @@
 struct FakeStore {
     std::vector<StoreItem> items;
     std::function<void(StoreChanges)> watching;
+    int refusedWrites = 0; ///< of the writes to come
+    int writes = 0;
 
     StoreHooks hooks()
     {
@@ -37,6 +39,13 @@
             = [this](const std::string & /*prefix*/, StoreVersion /*after*/, Duration /*wait*/, std::function<void(StoreChanges)> done) {
                   watching = std::move(done);
               };
+        hooks.write = [this](const StoreItem &item, const std::function<void(bool)> &done) {
+            ++writes;
+            if (--refusedWrites < 0) {
+                items.push_back(item);
+            }
+            done(refusedWrites < 0);
+        };
         return hooks;
     }
 
@@ -106,4 +115,20 @@
 
 INSTANTIATE_TEST_SUITE_P(Items, OddItemTest, testing::ValuesIn(oddItems()), [](const auto &test) { return std::string(test.param.name); });
 
+// Guards against a record that is never written since the store refused its first write: no scheduler finds such a guard.
+TEST(AgentPublisherTest, WritesAgainUntilTheStoreHasTheRecord)
+{
+    constexpr int Refused = 2;
+    EventLoop loop;
+    FakeStore store;
+    store.refusedWrites = Refused;
+    AgentPublisher publisher(loop, store.hooks(), recordOf("a"));
+    publisher.start();
+    ASSERT_TRUE(runUntil(loop, [&store] { return !store.items.empty(); }));
+    EXPECT_EQ(store.items[0].value, encode(recordOf("a")));
+    EXPECT_EQ(store.writes, Refused + 1);
+    runFor(loop, std::chrono::seconds(1));
+    EXPECT_EQ(store.writes, Refused + 1) << "a written record is left alone";
+}
+
 } // namespace Sycamoremoor
