Fix: [platform] Jobs of queues that ask for advice are refused at once

Cause: the decoder passed the field `advice` over, so the scheduler did not know that each start would be rejected, and a start that is rejected as invalid is placed again at once.

--- a/core/include/sycamoremoor/core/queue_type.h
+++ b/core/include/sycamoremoor/core/queue_type.h
@@ -26,6 +26,7 @@
     std::uint32_t maxAttempts = 1; ///< number of failed runs of one task after which its job fails
     double stretch = 1;            ///< latency objective as a multiple of the expected run time of the job's longest chain of steps
     Duration latencyAllowance{};   ///< added to the stretched run time in the latency objective
+    std::string unsupported;       ///< feature that the queue asks for and that is not built, empty if none: its jobs are refused
 
     friend bool operator==(const QueueRecord &, const QueueRecord &) = default;
 };
