Fix: [core] A cancelled job is ended, and nothing of it is started any more

Cause: the door answered every DELETE with 410 and passed nothing on; schedulers had no input for a cancellation.

Change: a cancellation is an input of the scheduler.

--- a/bench/scheduler_load.cpp
+++ b/bench/scheduler_load.cpp
@@ -211,6 +211,8 @@
         }
     }
 
+    void carryOut(const AnswerCancel & /*output*/) { }
+
     void carryOut(const Stopped & /*output*/) { }
 
     RandomBits m_random;
--- a/core/include/sycamoremoor/core/scheduler_input_type.h
+++ b/core/include/sycamoremoor/core/scheduler_input_type.h
@@ -25,6 +25,12 @@
     Duration callerTimeout{}; ///< how long the caller waits for the answer, zero if it set no limit
 };
 
+/** A caller cancels a job: none of its tasks is started any more, and its runs are stopped. Answered once by AnswerCancel. */
+struct QueueJobCancelled {
+    ConnectionId connection;
+    QueueJobId job;
+};
+
 /** A guard reported the free capacity of its worker. */
 struct CapacityReported {
     AgentName agent;
@@ -69,6 +75,7 @@
 using SchedulerInput = std::variant<Tick,
                                     QueuesRead,
                                     QueueJobSubmitted,
+                                    QueueJobCancelled,
                                     CallerDisconnected,
                                     CapacityReported,
                                     CrashReported,
--- a/core/include/sycamoremoor/core/scheduler_output_type.h
+++ b/core/include/sycamoremoor/core/scheduler_output_type.h
@@ -37,7 +37,7 @@
 /** Result of a job, as its caller receives it. */
 enum class QueueJobResult {
     Complete, ///< every task succeeded
-    Failed,   ///< a task failed QueueRecord::maxAttempts times
+    Failed,   ///< a task failed QueueRecord::maxAttempts times, or the job was cancelled
     Refused,  ///< no task of it runs or will run
     Lost,     ///< abandoned after a task of it may have run; the caller may submit it again
     End,
@@ -50,12 +50,27 @@
 struct AnswerQueueJob {
     ConnectionId connection;
     QueueJobResult result = QueueJobResult::Refused;
-    ErrorKind error = ErrorKind::None; ///< reason of Refused and Lost
+    ErrorKind error = ErrorKind::None; ///< reason of all results but Complete
     Duration retryAfter{};             ///< when to submit again, for Refused and Lost
 };
 
-using SchedulerOutput
-    = std::variant<SendBatch, RenewBatches, RecallBatch, CancelBatch, AnswerQueueJob, SetTimer, LogLine, Observation, Count, Stopped>;
+/** Answer a cancellation and end its exchange. */
+struct AnswerCancel {
+    ConnectionId connection;
+    bool isKnown = false; ///< the job was open at this scheduler, or was cancelled here before
+};
+
+using SchedulerOutput = std::variant<SendBatch,
+                                     RenewBatches,
+                                     RecallBatch,
+                                     CancelBatch,
+                                     AnswerQueueJob,
+                                     AnswerCancel,
+                                     SetTimer,
+                                     LogLine,
+                                     Observation,
+                                     Count,
+                                     Stopped>;
 
 using SchedulerOutputs = std::vector<SchedulerOutput>;
 
--- a/core/include/sycamoremoor/core/step_type.h
+++ b/core/include/sycamoremoor/core/step_type.h
@@ -72,6 +72,7 @@
     JobsFailed,
     JobsRefused,
     JobsResubmitted,
+    JobsCancelled,
     TasksSent,
     TasksReported,
     TasksRefused, ///< tasks sent to an agent that did not start them
--- a/core/include/sycamoremoor/core/table/metric_table.h
+++ b/core/include/sycamoremoor/core/table/metric_table.h
@@ -33,6 +33,7 @@
     {"sycamoremoor_jobs_failed",       "Jobs that were taken and failed"},
     {"sycamoremoor_jobs_refused",      "Submissions refused before they were taken"},
     {"sycamoremoor_jobs_resubmitted",  "Submissions of a key that was known"},
+    {"sycamoremoor_jobs_cancelled",    "Cancellations of jobs that were open or cancelled before"},
     {"sycamoremoor_tasks_sent",        "Tasks sent to agents"},
     {"sycamoremoor_tasks_reported",    "Reports of tasks that changed what was known"},
     {"sycamoremoor_tasks_refused",     "Tasks sent to an agent and not started there"},
--- a/core/src/scheduler/scheduler_admission.cpp
+++ b/core/src/scheduler/scheduler_admission.cpp
@@ -34,6 +34,11 @@
 
 void SchedulerMachine::Private::handle(SchedulerStep &step, const QueueJobSubmitted &input)
 {
+    if (m_cancelled.contains(input.spec->id)) {
+        step.log(Severity::Info, "A job is submitted that was cancelled; it is not run.", {{"job", input.spec->id.value()}});
+        step.emit(AnswerQueueJob{input.connection, QueueJobResult::Failed, ErrorKind::Cancelled, {}});
+        return;
+    }
     if (const auto same = m_byId.find(input.spec->id); same != m_byId.end() && *m_jobs.at(same->second).spec == *input.spec) {
         step.emit(Count{CounterMetric::JobsResubmitted, 1});
         auto &job = m_jobs.at(same->second);
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -4,6 +4,7 @@
 #include "../dispatch/run_time_estimator.h"
 #include "../machine_step.h"
 #include "bulkhead.h"
+#include "cancelled_jobs.h"
 #include "crash_record.h"
 #include "job_order.h"
 #include "lag_meter.h"
@@ -33,6 +34,7 @@
     void handle(SchedulerStep &step, const Tick &input);
     void handle(SchedulerStep &step, const QueuesRead &input);
     void handle(SchedulerStep &step, const QueueJobSubmitted &input);
+    void handle(SchedulerStep &step, const QueueJobCancelled &input);
     void handle(SchedulerStep &step, const CallerDisconnected &input);
     void handle(SchedulerStep &step, const CapacityReported &input);
     void handle(SchedulerStep &step, const CrashReported &input);
@@ -105,6 +107,8 @@
     [[nodiscard]] static MonotonicTime deadlineUnreachableAt(const ScheduledJob &job);
     void abandon(SchedulerStep &step, ScheduledJob &job);
     void recall(SchedulerStep &step, ScheduledJob &job, BatchNumber number, OpenBatch &batch);
+    /** Recalls all batches of a job that has no callers any more, and keeps it until its runs have ended. */
+    void endRuns(SchedulerStep &step, ScheduledJob &job);
     void runEnded(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const AgentName &agent, const RunReport &report);
     /** Records that an upstream crashed under a run of a task. @return whether the job was answered, since the task is given up */
     bool runCrashed(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const CrashKey &crash, bool isSuspect);
@@ -140,6 +144,7 @@
     std::unordered_map<ConnectionId, JobNumber> m_callers;
     std::map<QueueJobId, JobNumber> m_byId;
     std::map<BatchNumber, OpenBatch> m_batches;
+    CancelledJobs m_cancelled;
     MonotonicTime m_renewAt;             ///< when the leases of a group of guards are renewed next
     std::size_t m_renewGroup = 0;        ///< the group that is renewed next
     JobOrder m_order;                    ///< jobs of queues that are not confined
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -137,6 +137,45 @@
              {{"job", job.spec->id.value()},
               {"held_ms", inMilliseconds(step.now() - job.arrivedAt)},
               {"batches", std::to_string(job.batches.size())}});
+    endRuns(step, job);
+}
+
+void SchedulerMachine::Private::handle(SchedulerStep &step, const QueueJobCancelled &input)
+{
+    std::vector<JobNumber> open; // several if jobs of the same id but other contents were submitted
+    for (const auto &[number, job] : m_jobs) {
+        if (job.spec->id == input.job) {
+            open.push_back(number);
+        }
+    }
+    const bool isKnown = !open.empty() || m_cancelled.contains(input.job);
+    // Also a job that is not known: its submission may still be on its way.
+    m_cancelled.add(step.now(), input.job);
+    step.emit(Count{CounterMetric::JobsCancelled, isKnown ? 1U : 0U});
+    for (const auto number : open) {
+        auto &job = m_jobs.at(number);
+        step.log(Severity::Info,
+                 "A job is cancelled; its runs are stopped.",
+                 {{"job", input.job.value()},
+                  {"held_ms", inMilliseconds(step.now() - job.arrivedAt)},
+                  {"callers", std::to_string(job.connections.size())},
+                  {"batches", std::to_string(job.batches.size())}});
+        for (const auto connection : std::exchange(job.connections, {})) {
+            m_callers.erase(connection);
+            step.emit(AnswerQueueJob{connection, QueueJobResult::Failed, ErrorKind::Cancelled, {}});
+        }
+        endRuns(step, job);
+    }
+    if (open.empty()) {
+        step.log(Severity::Info,
+                 "A job is cancelled that is not open here.",
+                 {{"job", input.job.value()}, {"outcome", isKnown ? "cancelled_before" : "not_known"}});
+    }
+    step.emit(AnswerCancel{input.connection, isKnown});
+}
+
+void SchedulerMachine::Private::endRuns(SchedulerStep &step, ScheduledJob &job)
+{
     if (job.batches.empty()) {
         erase(job);
         return;
@@ -294,6 +333,7 @@
 
 void SchedulerMachine::Private::processDue(SchedulerStep &step)
 {
+    m_cancelled.forgetOld(step.now());
     renewBatches(step);
     updateBulkhead(step);
     place(step);
--- a/core/tests/scheduler_machine_test.cpp
+++ b/core/tests/scheduler_machine_test.cpp
@@ -436,6 +436,56 @@
     EXPECT_EQ(driver.last<AnswerQueueJob>()->result, QueueJobResult::Complete);
 }
 
+// Guards against a cancellation that is acknowledged while the job's runs go on and its later steps are started.
+TEST(SchedulerCancelTest, EndsTheRunsAndStartsNothingMore)
+{
+    SchedulerDriver driver;
+    auto submission = driver.submission("job");
+    auto spec = *submission.spec;
+    spec.steps.push_back(spec.steps[0]);
+    spec.steps[1].after = {0};
+    submission.spec = std::make_shared<const QueueJobSpec>(spec);
+    driver.feed(submission);
+    ASSERT_EQ(driver.count<SendBatch>(), 1U);
+    const auto batch = driver.last<SendBatch>()->batch.batch;
+    const ConnectionId canceller(77);
+    driver.feed(QueueJobCancelled{canceller, QueueJobId("job")});
+    ASSERT_EQ(driver.count<RecallBatch>(), 1U);
+    EXPECT_EQ(driver.last<RecallBatch>()->recall.batch, batch);
+    ASSERT_TRUE(driver.last<AnswerCancel>().has_value());
+    EXPECT_EQ(driver.last<AnswerCancel>()->connection, canceller);
+    EXPECT_TRUE(driver.last<AnswerCancel>()->isKnown);
+    ASSERT_TRUE(driver.last<AnswerQueueJob>().has_value());
+    EXPECT_EQ(driver.last<AnswerQueueJob>()->connection, submission.connection);
+    EXPECT_EQ(driver.last<AnswerQueueJob>()->result, QueueJobResult::Failed);
+    EXPECT_EQ(driver.last<AnswerQueueJob>()->error, ErrorKind::Cancelled);
+    RunReport report;
+    report.outcome = RunOutcome::Done;
+    driver.feed(RunReported{batch, report});
+    driver.feed(Tick{});
+    EXPECT_EQ(driver.count<SendBatch>(), 0U) << "the second step is not started";
+}
+
+TEST(SchedulerCancelTest, ASubmissionThatArrivesLaterIsNotRun)
+{
+    for (const bool isOpen : {true, false}) {
+        SchedulerDriver driver;
+        if (isOpen) {
+            driver.submit("job");
+        }
+        driver.feed(QueueJobCancelled{ConnectionId(77), QueueJobId("job")});
+        EXPECT_EQ(driver.last<AnswerCancel>()->isKnown, isOpen);
+        driver.feed(driver.submission("job"));
+        EXPECT_EQ(driver.count<SendBatch>(), 0U);
+        ASSERT_TRUE(driver.last<AnswerQueueJob>().has_value());
+        EXPECT_EQ(driver.last<AnswerQueueJob>()->error, ErrorKind::Cancelled);
+        driver.feed(QueueJobCancelled{ConnectionId(78), QueueJobId("job")});
+        EXPECT_TRUE(driver.last<AnswerCancel>()->isKnown) << "it was cancelled before";
+        driver.feed(driver.submission("other"));
+        EXPECT_EQ(driver.count<SendBatch>(), 1U);
+    }
+}
+
 TEST(SchedulerMachineTest, AJobWithoutCallersIsNotPlacedAndIsForgottenWhenItsRunsHaveEnded)
 {
     SchedulerDriver driver;
--- a/daemon/src/scheduler_task.cpp
+++ b/daemon/src/scheduler_task.cpp
@@ -112,6 +112,11 @@
     m_frontDoor.carryOut(output);
 }
 
+void SchedulerTask::carryOut(const AnswerCancel &output)
+{
+    m_frontDoor.carryOut(output);
+}
+
 void SchedulerTask::carryOut(const Stopped &output)
 {
     m_stopWatcher.machineStopped(output.cutOff);
--- a/daemon/src/scheduler_task.h
+++ b/daemon/src/scheduler_task.h
@@ -59,6 +59,7 @@
     void carryOut(const RecallBatch &output);
     void carryOut(const CancelBatch &output);
     void carryOut(const AnswerQueueJob &output);
+    void carryOut(const AnswerCancel &output);
     void carryOut(const Stopped &output);
     void takeConfig(const PrefixWatcher::Items &items);
     void answerReadiness(const HttpExchangePointer &exchange);
