Fix: [core] Refused connections alone are no crash of an upstream

Cause: two refused probes were taken for the end of the runner's process. A device on the path or a closed listener refuses, too; what a process that ends does in any case is to have its open connections closed.

Change: the result of a call says whether the other end closed or reset the connection, and a guard counts refusals as a crash only if that has happened since the upstream answered last. Else the runs are given the time of their leases, with one log line.

--- a/core/include/sycamoremoor/core/guard_input_type.h
+++ b/core/include/sycamoremoor/core/guard_input_type.h
@@ -109,6 +109,7 @@
 /** Why a RenewLease brought no lists. */
 enum class RenewalFailure {
     NoAnswer,         ///< unknown: the upstream may have renewed the lease
+    Disconnected,     ///< unknown, too; the other end closed the connection or reset it
     Fenced,           ///< refused: the upstream has received a higher fencing token
     OtherIncarnation, ///< refused: another incarnation of the upstream answered
     End,
--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -73,6 +73,7 @@
         std::uint32_t unansweredRenewals = 0;          ///< consecutive renewals without an answer
         MonotonicTime silentSince;                     ///< when the first of these was found to have no answer
         std::uint32_t refusedProbes = 0;               ///< consecutive probes that found that nothing listens
+        bool wasDisconnected = false;                  ///< it closed or reset a connection since it answered last
         bool isProbing = false;                        ///< a probe is in flight
         std::optional<MonotonicTime> probeDue;         ///< when to probe again
         bool crashed = false;                          ///< its process has ended, as far as is known
--- a/core/src/guard/guard_upstream.cpp
+++ b/core/src/guard/guard_upstream.cpp
@@ -273,9 +273,19 @@
     }
     auto &upstream = *m_upstream;
     upstream.refusedProbes = input.refused ? upstream.refusedProbes + 1 : 0;
-    if (upstream.refusedProbes >= RefusalsOfCrash && !upstream.crashed) {
+    if (!input.refused || upstream.crashed) {
+        return;
+    }
+    if (!upstream.wasDisconnected) {
+        // The kernel closes the connections of a process that ends. Something on the path refuses new ones while it may run on.
+        if (upstream.refusedProbes == 1) {
+            step.log(Severity::Warning,
+                     "The upstream refuses connections while open ones are silent; its runs count as ended when their leases have.",
+                     {{"upstream", upstream.announced.incarnation.name}, {"runs", std::to_string(openRuns().size())}});
+        }
+    } else if (upstream.refusedProbes >= RefusalsOfCrash) {
         upstreamCrashed(step);
-    } else if (input.refused && !upstream.crashed) {
+    } else {
         upstream.probeDue = step.now() + ProbeInterval;
     }
 }
@@ -324,6 +334,7 @@
         upstream.replacement.reset();
     }
     upstream.unansweredRenewals = 0;
+    upstream.wasDisconnected = false;
     upstream.refusedProbes = 0;
     upstream.probeDue.reset();
     upstream.crashed = false;
@@ -431,7 +442,10 @@
     }
     if (input.failure == RenewalFailure::OtherIncarnation && !m_upstream->crashed) {
         upstreamCrashed(step);
-    } else if (input.failure == RenewalFailure::NoAnswer && !m_upstream->crashed && !m_upstream->probeDue) {
+        return;
+    }
+    m_upstream->wasDisconnected = m_upstream->wasDisconnected || input.failure == RenewalFailure::Disconnected;
+    if (input.failure != RenewalFailure::Fenced && !m_upstream->crashed && !m_upstream->probeDue) {
         m_upstream->probeDue = step.now();
     }
 }
--- a/core/tests/guard_evidence_test.cpp
+++ b/core/tests/guard_evidence_test.cpp
@@ -45,12 +45,22 @@
                  true},
     EvidenceCase{"NothingListens",
                  [](GuardDriver &guard, const UpstreamIncarnation &) {
+                     guard.failRenewal(RenewalFailure::Disconnected);
                      guard.feed(ListenerProbed{true});
                      guard.advance(milliseconds(5));
                      guard.feed(Tick{});
                      guard.feed(ListenerProbed{true});
                  },
                  true},
+    EvidenceCase{"ThePathRefusesNewConnections",
+                 [](GuardDriver &guard, const UpstreamIncarnation &) {
+                     for (int probe = 0; probe < 2; ++probe) {
+                         guard.feed(ListenerProbed{true});
+                         guard.advance(milliseconds(5));
+                         guard.leaveRenewalUnanswered();
+                     }
+                 },
+                 false},
     EvidenceCase{"LeasesEnd",
                  [](GuardDriver &guard, const UpstreamIncarnation &) {
                      for (int number = 0; number < 3; ++number) {
--- a/net/include/sycamoremoor/net/http_type.h
+++ b/net/include/sycamoremoor/net/http_type.h
@@ -77,6 +77,7 @@
     int status = 0;                        ///< when answered
     std::string body;                      ///< when answered and not taken in parts
     Delivery delivery = Delivery::Unknown; ///< when not answered: whether the request may have arrived
+    bool disconnected = false;             ///< when not answered: the other end closed or reset the connection after the request had left
 };
 
 } // namespace Sycamoremoor
--- a/net/src/client_connection.cpp
+++ b/net/src/client_connection.cpp
@@ -167,6 +167,7 @@
     ClientResult result;
     result.answered = status != 0;
     result.status = status;
+    result.disconnected = !result.answered && connection->m_sent;
     if (result.answered) {
         result.body = takeBytes(request);
     }
