--- a/core/src/scheduler/cancelled_jobs.cpp
+++ b/core/src/scheduler/cancelled_jobs.cpp
@@ -33,11 +33,6 @@
     }
 }
 
-std::size_t CancelledJobs::size() const
-{
-    return m_cancelledAt.size();
-}
-
 void CancelledJobs::forgetFirst()
 {
     const auto &[time, job] = m_byTime.front();
--- a/core/src/scheduler/cancelled_jobs.h
+++ b/core/src/scheduler/cancelled_jobs.h
@@ -4,7 +4,6 @@
 #include <sycamoremoor/core/queue_job_type.h>
 #include <sycamoremoor/core/time_type.h>
 
-#include <cstddef>
 #include <deque>
 #include <map>
 #include <utility>
@@ -23,8 +22,6 @@
     /** Forgets what was cancelled long ago. */
     void forgetOld(MonotonicTime now);
 
-    [[nodiscard]] std::size_t size() const;
-
 private:
     void forgetFirst();
 
