--- a/net/tests/http_gone_test.cpp
+++ b/net/tests/http_gone_test.cpp
@@ -38,7 +38,7 @@
 {
 
 constexpr Duration Rest = std::chrono::milliseconds(300);
-constexpr int MostRoundsAtRest = 20; ///< a loop that spins makes thousands; a slow machine makes fewer
+constexpr int MostRoundsAtRest = 20;                          ///< a loop that spins makes thousands; a slow machine makes fewer
 constexpr Duration OutOfStep = std::chrono::milliseconds(30); ///< with checks that are repeated at intervals
 constexpr int MostRoundsUntilTold = 10; ///< of the loop, which wakes each 2 ms; told by the socket, not by a check every 100 ms
 constexpr std::string_view Request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
