--- a/review/stand-in-2/fleet.py
+++ b/review/stand-in-2/fleet.py
@@ -234,13 +234,16 @@
         self.record.add(self.name, f"is up again, labels {self.labels}, cpu {self.cpu}")
         self.tasks = [asyncio.create_task(self._beat()), asyncio.create_task(self._expire())]
 
-    async def announce(self):
-        self.sequence += 1
-        body = {"service": SERVICE, "address": f"{self.address}:{self.port}", "zone": "zone-a", "version": "v1", "slots": 8,
+    def announcement(self):
+        return {"service": SERVICE, "address": f"{self.address}:{self.port}", "zone": "zone-a", "version": "v1", "slots": 8,
                 "state": self.state, "coldRemainingMs": 0, "capacity": {"cpu": self.cpu, "memMb": 32768, "gpu": 0},
                 "labels": self.labels, "clockMs": self.clock(), "sequence": self.sequence, "born": self.born}
+
+    async def announce(self):
+        self.sequence += 1
+        path = f"/sycamoremoor/instances/{self.name}"
         try:
-            answer = await asyncio.wait_for(call(self.control, "PUT", f"/sycamoremoor/instances/{self.name}", body), 1)
+            answer = await asyncio.wait_for(call(self.control, "PUT", path, self.announcement()), 1)
             return answer is not None and answer[0] == 200
         except (OSError, asyncio.TimeoutError):
             return False
