--- a/review/stand-in-2/fleet.py
+++ b/review/stand-in-2/fleet.py
@@ -161,6 +161,61 @@
         return 400, {}
 
 
+class Proxy:
+    """The path to a guard. Its channels can be reset, and the opening packets of new ones can be lost for a while."""
+
+    def __init__(self, target, record):
+        self.target, self.record, self.channels, self.opens = target, record, [], asyncio.Event()
+        self.opens.set()
+
+    async def start(self, address):
+        self.endpoint = f"{address}:{free_port(address)}"
+        await asyncio.start_server(self._serve, address, int(self.endpoint.rsplit(":", 1)[1]))
+
+    async def _serve(self, reader, writer):
+        await self.opens.wait()
+        address, port = self.target.rsplit(":", 1)
+        try:
+            guard_reader, guard_writer = await asyncio.open_connection(address, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        channel = {"writers": (writer, guard_writer), "first": b"", "begin": now()}
+        self.channels.append(channel)
+
+        async def pump(source, sink, is_request):
+            try:
+                while data := await source.read(1 << 16):
+                    if is_request and not channel["first"]:
+                        channel["first"] = data[:200]
+                    sink.write(data)
+                    await sink.drain()
+            except (ConnectionError, asyncio.CancelledError):
+                pass
+            finally:
+                sink.close()
+
+        await asyncio.gather(pump(reader, guard_writer, True), pump(guard_reader, writer, False))
+        if channel in self.channels:
+            self.channels.remove(channel)
+
+    def lose_new(self):
+        self.record.add("network", f"new channels to {self.target} hang")
+        self.opens.clear()
+
+    def heal(self):
+        self.record.add("network", f"new channels to {self.target} open again")
+        self.opens.set()
+
+    def reset(self, path):
+        """Resets the open channels whose first request was for a path."""
+        for channel in list(self.channels):
+            if path.encode() in channel["first"]:
+                self.record.add("network", f"a channel of {path} is reset")
+                for writer in channel["writers"]:
+                    writer.transport.abort()
+
+
 class Runs:
     """All runs on all runners, and whether the rules on them are kept."""
 
@@ -198,6 +253,7 @@
     def __init__(self, name, runs, record, control, labels=("a", "r1-1"), cpu=16000):
         self.name, self.runs, self.record, self.control = name, runs, record, control
         self.labels, self.cpu = list(labels), cpu
+        self.silent = self.falls_silent = False  # from the next hold on, if it falls silent
         self.boot()
 
     def boot(self):
@@ -207,6 +263,7 @@
         self.running, self.highest, self.ended = {}, {}, []
         self.last_end, self.sequence, self.lease = 0, 0, 0
         self.state = "ready"
+        self.cut_off = asyncio.Event()
         self.end_event = asyncio.Event()
 
     def clock(self):
@@ -274,6 +331,12 @@
         self.lease = max(self.lease, min(until, self.clock() + HOLD_MAX_MS))
 
     async def handle(self, method, target, headers, body):
+        if self.falls_silent and target == "/sycamoremoor/hold" and not self.silent:
+            self.silent, self.falls_silent = True, False
+            self.record.add(self.name, "is cut off")
+            self.cut_off.set()
+        if self.silent:
+            await asyncio.sleep(60)
         if headers.get("x-expect-instance", self.name) != self.name:
             return 421, {"clockMs": self.clock()}
         order = json.loads(body) if body else {}
@@ -396,7 +459,7 @@
         self.record, self.logs = Record(folder), logs
         self.runs = Runs(self.record)
         self.store = Store()
-        self.schedulers, self.guards, self.runners, self.programs = [], [], [], []
+        self.schedulers, self.guards, self.runners, self.programs, self.proxies = [], [], [], [], []
 
     def config(self, version, routes):
         self.store.put("op/config", json.dumps({
@@ -440,9 +503,13 @@
         self.schedulers.append(self.run_scheduler(spec))
         return self.schedulers[-1]
 
-    async def add_guard(self, index, **runner):
+    async def add_guard(self, index, through_proxy=False, **runner):
         ip = f"127.0.2.{index}"
         spec = {"name": f"side-{index}", "listen": f"{ip}:{free_port(ip)}", "control": f"{ip}:{free_port(ip)}"}
+        if through_proxy:
+            self.proxies.append(Proxy(spec["listen"], self.record))
+            await self.proxies[-1].start(ip)
+            spec["advertise"] = self.proxies[-1].endpoint
         self.guards.append(self.run_guard(spec))
         self.runners.append(Runner(f"i-{index}", self.runs, self.record, spec["control"], **runner))
         await self.runners[-1].start(ip)
