--- a/review/stand-in-2/fleet.py
+++ b/review/stand-in-2/fleet.py
@@ -162,32 +162,37 @@
 
 
 class Proxy:
-    """The path to a guard. Its channels can be reset, and the opening packets of new ones can be lost for a while."""
+    """
+    The path to a guard. Its channels can be reset, and the opening packets of new ones can be lost for a while: of all schedulers, or of
+    one, whose name stands in the first bytes of each of its channels.
+    """
 
     def __init__(self, target, record):
         self.target, self.record, self.channels, self.opens = target, record, [], asyncio.Event()
         self.opens.set()
+        self.lost = ""
 
     async def start(self, address):
         self.endpoint = f"{address}:{free_port(address)}"
         await asyncio.start_server(self._serve, address, int(self.endpoint.rsplit(":", 1)[1]))
 
     async def _serve(self, reader, writer):
-        await self.opens.wait()
+        first = await reader.read(1 << 16)
+        if self.lost.encode() in first:
+            await self.opens.wait()
         address, port = self.target.rsplit(":", 1)
         try:
             guard_reader, guard_writer = await asyncio.open_connection(address, int(port))
         except OSError:
             writer.transport.abort()
             return
-        channel = {"writers": (writer, guard_writer), "first": b"", "begin": now()}
+        channel = {"writers": (writer, guard_writer), "first": first}
         self.channels.append(channel)
+        guard_writer.write(first)
 
-        async def pump(source, sink, is_request):
+        async def pump(source, sink):
             try:
                 while data := await source.read(1 << 16):
-                    if is_request and not channel["first"]:
-                        channel["first"] = data[:200]
                     sink.write(data)
                     await sink.drain()
             except (ConnectionError, asyncio.CancelledError):
@@ -195,23 +200,24 @@
             finally:
                 sink.close()
 
-        await asyncio.gather(pump(reader, guard_writer, True), pump(guard_reader, writer, False))
+        await asyncio.gather(pump(reader, guard_writer), pump(guard_reader, writer))
         if channel in self.channels:
             self.channels.remove(channel)
 
-    def lose_new(self):
-        self.record.add("network", f"new channels to {self.target} hang")
+    def lose_new(self, scheduler=""):
+        self.record.add("network", f"new channels {'of ' + scheduler + ' ' if scheduler else ''}to {self.target} hang")
+        self.lost = scheduler
         self.opens.clear()
 
     def heal(self):
         self.record.add("network", f"new channels to {self.target} open again")
         self.opens.set()
 
-    def reset(self, path):
-        """Resets the open channels whose first request was for a path."""
+    def reset(self, text):
+        """Resets the open channels whose first request contains a text."""
         for channel in list(self.channels):
-            if path.encode() in channel["first"]:
-                self.record.add("network", f"a channel of {path} is reset")
+            if text.encode() in channel["first"]:
+                self.record.add("network", f"a channel with {text} is reset")
                 for writer in channel["writers"]:
                     writer.transport.abort()
 
@@ -479,7 +485,7 @@
 
     def run_scheduler(self, spec):
         scheduler = Program(spec["name"], [
-            "--role=scheduler", f"--name={spec['name']}", "--zone=zone-a", "--region=region-a", f"--listen={spec['listen']}",
+            "--role=scheduler", f"--name={spec['name']}", f"--zone={spec['zone']}", "--region=region-a", f"--listen={spec['listen']}",
             f"--callers={spec['callers']}", f"--readiness={spec['readiness']}", f"--platform={self.platform}",
             "--resubmit-after-ms=1300", "--log-format=json"], self.logs)
         scheduler.callers, scheduler.readiness, scheduler.spec = spec["callers"], spec["readiness"], spec
@@ -497,7 +503,7 @@
 
     def add_scheduler(self, index):
         ip = f"127.0.1.{index}"
-        spec = {"name": f"front-{index}"}
+        spec = {"name": f"front-{index}", "zone": ("zone-a", "zone-b")[(index - 1) % 2]}
         for what in ("listen", "callers", "readiness"):
             spec[what] = f"{ip}:{free_port(ip)}"
         self.schedulers.append(self.run_scheduler(spec))
