Fix: [net] A delayed answer of a watch brings no removed key back

A watch of the store that was asked before a read of the whole prefix may be answered after it. A key that had been written and removed in between then came back until the next read, since the copy no longer knew of it. Writes up to the version that the copy shows are passed over now. The copy also tells that version.

--- a/net/include/sycamoremoor/net/prefix_watcher.h
+++ b/net/include/sycamoremoor/net/prefix_watcher.h
@@ -40,6 +40,9 @@
     /** Emitted when the copy changed, and after the first read even if there is no key. */
     sigc::signal<void(const Items &)> &signalChanged();
 
+    /** Returns the version of the store that the copy shows at least. */
+    [[nodiscard]] StoreVersion version() const;
+
     /** Begins to read. */
     void start();
 
--- a/net/src/prefix_watcher.cpp
+++ b/net/src/prefix_watcher.cpp
@@ -34,6 +34,11 @@
     return m_changed;
 }
 
+StoreVersion PrefixWatcher::version() const
+{
+    return m_version;
+}
+
 void PrefixWatcher::start()
 {
     m_confirmTimer.start(Duration::zero());
@@ -113,6 +118,9 @@
         if (known != m_items.end() && known->second.version >= item.version) {
             continue;
         }
+        if (!removed && item.version <= m_version) {
+            continue; // a snapshot that was read meanwhile shows it, or shows that the key was removed since
+        }
         if (removed) {
             changed = m_items.erase(item.key) > 0 || changed;
         } else {
