Add: [core] Guards and schedulers start nothing in an evacuated zone

Runs were started on workers of a zone that the operator had evacuated. A guard now refuses to start runs while its own zone is evacuated, reports that it does not accept, and lets started runs end. When the evacuation ends, it offers more of a cold upstream as that warms up. Schedulers leave workers of evacuated zones out of every choice, and refuse at once what no other worker can take. Nothing changes without GuardSettings::evacuateWithin and EvacuationsRead.

--- a/core/include/sycamoremoor/core/guard_input_type.h
+++ b/core/include/sycamoremoor/core/guard_input_type.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <sycamoremoor/core/entry_input_type.h>
+#include <sycamoremoor/core/evacuation_type.h>
 #include <sycamoremoor/core/guard_message_type.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -31,7 +33,9 @@
     std::vector<std::string> labels;
     bool leaving = false; ///< it is shutting down and accepts no new runs
     UpstreamTime clock;
-    std::uint64_t sequence = 0; ///< increases with each announcement of an incarnation
+    std::uint64_t sequence = 0;          ///< increases with each announcement of an incarnation
+    Duration coldFor{};                  ///< for how long it will still be slow, zero if it is not
+    std::optional<Duration> leavesAfter; ///< least time until it ends, if it is leaving and states one
 };
 
 /** The upstream shut down as planned. */
@@ -138,6 +142,7 @@
                                 UpstreamListed,
                                 RenewalUnanswered,
                                 ListenerProbed,
+                                EvacuationsRead,
                                 DrainRequested>;
 
 } // namespace Sycamoremoor
--- a/core/include/sycamoremoor/core/guard_machine.h
+++ b/core/include/sycamoremoor/core/guard_machine.h
@@ -17,6 +17,8 @@
     Duration renewWait = std::chrono::milliseconds(200);     ///< of a long poll; the lease survives four lost renewals in a row
     std::uint32_t parallelLongPolls = 2;                     ///< long polls in flight at the same time, in case one is lost
     Duration drainTimeout = std::chrono::milliseconds(5000); ///< longest duration of a planned stop
+    ZoneName zone;                                           ///< availability zone of its machine
+    Duration evacuateWithin{}; ///< from the operator's order until nothing is started in an evacuated zone; zero if none is evacuated
 };
 
 /**
--- a/core/include/sycamoremoor/core/guard_message_type.h
+++ b/core/include/sycamoremoor/core/guard_message_type.h
@@ -97,7 +97,7 @@
 /** Guard to schedulers: capacity and free capacity of its upstream. */
 struct CapacityReport {
     Incarnation incarnation; ///< of the guard
-    /** False while the guard drains, or its upstream is leaving, does not answer, is not known or has unknown runs. */
+    /** False while the guard drains, its zone is evacuated, or its upstream is leaving, does not answer, is not known or has unknown runs. */
     bool accepting = false;
     ServiceName service;
     TaskSize capacity = {MilliCores(0), Megabytes(0), Accelerators(0)};
--- a/core/include/sycamoremoor/core/scheduler_input_type.h
+++ b/core/include/sycamoremoor/core/scheduler_input_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <sycamoremoor/core/entry_input_type.h>
+#include <sycamoremoor/core/evacuation_type.h>
 #include <sycamoremoor/core/guard_message_type.h>
 #include <sycamoremoor/core/queue_type.h>
 
@@ -82,6 +83,7 @@
                                     WorkerUnreachable,
                                     WorkerUnfollowed,
                                     WorkersChosen,
+                                    EvacuationsRead,
                                     RunReported,
                                     BatchInterrupted,
                                     DrainRequested>;
--- a/core/include/sycamoremoor/core/scheduler_machine.h
+++ b/core/include/sycamoremoor/core/scheduler_machine.h
@@ -52,6 +52,9 @@
     /** Returns whether jobs were refused since the last WorkersChosen of which few of the followed workers can hold the tasks. */
     [[nodiscard]] bool missesWorkers() const;
 
+    /** Returns whether the operator has evacuated @p zone, as far as is known. */
+    [[nodiscard]] bool isEvacuated(const ZoneName &zone) const;
+
     /** Returns the configuration in force, or null. */
     [[nodiscard]] const QueueSetPointer &queues() const;
 
--- a/core/src/guard/guard_batches.cpp
+++ b/core/src/guard/guard_batches.cpp
@@ -67,7 +67,7 @@
 
 ErrorKind GuardMachine::Private::refusalOf(const RunOrder &order) const
 {
-    if (m_drainUntil || (m_upstream && m_upstream->announced.leaving)) {
+    if (m_drainUntil || m_evacuation.isEvacuated() || (m_upstream && m_upstream->announced.leaving)) {
         return ErrorKind::Draining;
     }
     if (!isAccepting()) {
@@ -229,6 +229,9 @@
 
 void GuardMachine::Private::sendReport(GuardStep &step, ConnectionId connection, const RunReport &report)
 {
+    if (report.error == ErrorKind::Draining && m_evacuation.isEvacuated()) {
+        step.emit(Count{CounterMetric::EvacuatedRuns, 1});
+    }
     auto &batch = *m_batches.find(connection);
     batch.reports.push_back(report);
     const auto receiver = batch.receiver;
--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -4,6 +4,7 @@
 #include "../machine_step.h"
 #include "batch_table.h"
 #include "crash_log.h"
+#include "evacuation_gate.h"
 #include "recent_runs.h"
 #include "run_table.h"
 #include "stall_detector.h"
@@ -37,6 +38,7 @@
     void handle(GuardStep &step, const UpstreamListed &input);
     void handle(GuardStep &step, const RenewalUnanswered &input);
     void handle(GuardStep &step, const ListenerProbed &input);
+    void handle(GuardStep &step, const EvacuationsRead &input);
     void handle(GuardStep &step, const DrainRequested &input);
 
     /** Does what is due: starts, stops and drops runs, renews the lease, reports a changed capacity. Sets the timer. */
@@ -138,7 +140,7 @@
     void stopDueRuns(GuardStep &step);
     /** Stops all runs if they stand still. */
     void detectStall(GuardStep &step);
-    /** Returns the capacity that runs may use: less than that of the upstream while it may still stall. */
+    /** Returns the capacity that runs may use: less than that of the upstream while it may still stall or is cold. */
     [[nodiscard]] TaskSize usableCapacity() const;
     void renew(GuardStep &step);
     RenewalNumber sendRenewal(GuardStep &step, Duration wait);
@@ -165,6 +167,7 @@
     RunTable m_runTable;
     BatchTable m_batches;
     CrashLog m_crashes;
+    EvacuationGate m_evacuation;
     std::map<ConnectionId, BatchRecall> m_earlierRecalls; ///< recalls of batches of earlier incarnations of this guard
     CapacityReport m_lastReported;                        ///< capacity as last reported
     std::optional<MonotonicTime> m_drainUntil;
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -59,6 +59,7 @@
     : m_settings(settings)
     , m_token(settings.firstToken)
     , m_crashes(settings.incarnation)
+    , m_evacuation(settings.zone, settings.evacuateWithin)
 {
 }
 
@@ -158,6 +159,13 @@
     }
 }
 
+void GuardMachine::Private::handle(GuardStep &step, const EvacuationsRead &input)
+{
+    for (auto &line : m_evacuation.update(step.now(), input)) {
+        step.emit(std::move(line));
+    }
+}
+
 void GuardMachine::Private::handle(GuardStep &step, const DrainRequested & /*input*/)
 {
     if (!m_drainUntil) {
@@ -167,6 +175,7 @@
 
 void GuardMachine::Private::processDue(GuardStep &step)
 {
+    m_evacuation.advance(step.now());
     if (m_upstream) {
         const bool leasesEnded
             = m_upstream->unansweredRenewals >= UnansweredRenewalLimit && step.now() >= m_upstream->leaseUntil + LapseBound;
@@ -295,7 +304,7 @@
 
 bool GuardMachine::Private::isAccepting() const
 {
-    return m_upstream && !m_drainUntil && m_upstream->reconciled && !m_upstream->announced.leaving
+    return m_upstream && !m_drainUntil && m_evacuation.isOpen() && m_upstream->reconciled && !m_upstream->announced.leaving
         && m_upstream->unansweredRenewals < UnansweredRenewalLimit && m_upstream->stall.phase() != StallDetector::Phase::Stalled;
 }
 
@@ -305,6 +314,7 @@
     if (m_upstream->stall.phase() == StallDetector::Phase::Trial) {
         capacity.cores = MilliCores(capacity.cores.value() / TrialDivisor);
     }
+    capacity.cores = MilliCores(capacity.cores.value() * m_evacuation.steps() / EvacuationGate::AllSteps);
     return capacity;
 }
 
@@ -356,6 +366,7 @@
     if (m_upstream && m_upstream->probeDue && !m_upstream->isProbing) {
         wake = std::min(wake, *m_upstream->probeDue);
     }
+    wake = std::min(wake, m_evacuation.nextUpdate());
     if (m_drainUntil && !m_stopped) {
         wake = std::min(wake, *m_drainUntil);
     }
--- a/core/src/scheduler/scheduler_admission.cpp
+++ b/core/src/scheduler/scheduler_admission.cpp
@@ -18,6 +18,7 @@
 constexpr Duration MinSlack = std::chrono::milliseconds(15);         ///< an objective without slack is met as closely as idle workers allow
 constexpr double ExpiryFactor = 3;                                   ///< a job expires at this multiple of its objective
 constexpr Duration ConfinedRetryAfter = std::chrono::seconds(3);     ///< usual time until a crashed upstream is back
+constexpr Duration EvacuatedRetryAfter = std::chrono::seconds(3);    ///< operators evacuate a zone for longer than a burst of load lasts
 constexpr std::size_t FewWorkers = GuardSubset::DefaultSize / 2; ///< that can hold a task: with more, others would hardly add to the choice
 constexpr int DrainRunTimeFactor = 2; ///< of a job's expected run time, which it has to end before this process stops
 constexpr Duration DrainSlack = std::chrono::milliseconds(500); ///< added to the scaled run time
@@ -149,6 +150,10 @@
         retryAfter = ConfinedRetryAfter;
         return ErrorKind::QueueFull;
     }
+    if (m_workers.isEvacuated(job.queue->service)) {
+        retryAfter = EvacuatedRetryAfter;
+        return ErrorKind::NoCapacity;
+    }
     if (step.now() <= latestPlacement(job)) {
         return ErrorKind::None;
     }
@@ -178,6 +183,24 @@
     return now + runTime * DrainRunTimeFactor + DrainSlack <= *m_drainSince + m_settings.drainTimeout;
 }
 
+void SchedulerMachine::Private::handle(SchedulerStep &step, const EvacuationsRead &input)
+{
+    for (auto &line : m_workers.updateEvacuations(input)) {
+        step.emit(std::move(line));
+    }
+    std::vector<JobNumber> stranded;
+    for (const auto &[number, job] : m_jobs) {
+        if (!job.started && m_workers.isEvacuated(job.queue->service)) {
+            stranded.push_back(number);
+        }
+    }
+    for (const auto number : stranded) {
+        auto &job = m_jobs.at(number);
+        refuse(step, job, ErrorKind::NoCapacity, EvacuatedRetryAfter);
+        erase(job);
+    }
+}
+
 void SchedulerMachine::Private::refuseArrivals(SchedulerStep &step)
 {
     for (const auto number : std::exchange(m_arrivals, {})) {
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -41,6 +41,7 @@
     void handle(SchedulerStep &step, const WorkerUnreachable &input);
     void handle(SchedulerStep &step, const WorkerUnfollowed &input);
     void handle(SchedulerStep &step, const WorkersChosen &input);
+    void handle(SchedulerStep &step, const EvacuationsRead &input);
     void handle(SchedulerStep &step, const RunReported &input);
     void handle(SchedulerStep &step, const BatchInterrupted &input);
     void handle(SchedulerStep &step, const DrainRequested &input);
@@ -53,6 +54,7 @@
     [[nodiscard]] Duration reportInterval() const;
     [[nodiscard]] bool isUsing(const AgentName &agent) const;
     [[nodiscard]] bool missesWorkers() const;
+    [[nodiscard]] bool isEvacuated(const ZoneName &zone) const;
 
     /** Records how long the inputs of this step have waited, and logs when the scheduler falls behind and when it is on time again. */
     void recordLag(SchedulerStep &step);
--- a/core/src/scheduler/worker_table.cpp
+++ b/core/src/scheduler/worker_table.cpp
@@ -61,10 +61,16 @@
     return worker.clockLead - (now - worker.clockLeadAt) / ClockDriftDivisor;
 }
 
+/** Returns whether a worker accepts tasks. */
+bool accepts(const ScheduledWorker &worker)
+{
+    return worker.isReporting && worker.report.accepting && !worker.isEvacuated;
+}
+
 /** Returns whether a worker accepts tasks of @p service. */
 bool serves(const ScheduledWorker &worker, const ServiceName &service)
 {
-    return worker.isReporting && worker.report.accepting && worker.report.service == service;
+    return accepts(worker) && worker.report.service == service;
 }
 
 bool hasLabel(const CapacityReport &report, const std::string &label)
@@ -91,6 +97,8 @@
     }
     worker.report = input.report;
     worker.isReporting = true;
+    worker.zone = input.zone;
+    worker.isEvacuated = m_evacuated.contains(input.zone);
     while (!worker.uncountedBatches.empty() && worker.uncountedBatches.begin()->first <= input.report.lastCountedBatch) {
         worker.uncountedSize -= worker.uncountedBatches.begin()->second;
         worker.uncountedBatches.erase(worker.uncountedBatches.begin());
@@ -107,6 +115,32 @@
     return m_workers.at(agent).report.incarnation;
 }
 
+std::vector<LogLine> WorkerTable::updateEvacuations(const EvacuationsRead &read)
+{
+    auto lines = m_evacuated.update(read);
+    for (auto &[agent, worker] : m_workers) {
+        worker.isEvacuated = m_evacuated.contains(worker.zone);
+    }
+    return lines;
+}
+
+bool WorkerTable::isEvacuated(const ZoneName &zone) const
+{
+    return m_evacuated.contains(zone);
+}
+
+bool WorkerTable::isEvacuated(const ServiceName &service) const
+{
+    bool anyEvacuated = false;
+    for (const auto &[agent, worker] : m_workers) {
+        if (serves(worker, service)) {
+            return false;
+        }
+        anyEvacuated = anyEvacuated || (worker.isReporting && worker.isEvacuated && worker.report.service == service);
+    }
+    return anyEvacuated;
+}
+
 void WorkerTable::markUnreachable(const AgentName &agent)
 {
     if (const auto found = m_workers.find(agent); found != m_workers.end()) {
@@ -267,8 +301,7 @@
 
 std::size_t WorkerTable::acceptingCount() const
 {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(m_workers, [](const auto &item) { return item.second.isReporting && item.second.report.accepting; }));
+    return static_cast<std::size_t>(std::ranges::count_if(m_workers, [](const auto &item) { return accepts(item.second); }));
 }
 
 std::size_t WorkerTable::fittingCount(const ServiceName &service, const TaskSize &size, const std::string &label) const
@@ -292,7 +325,7 @@
 
 bool WorkerTable::hasWorker() const
 {
-    return std::ranges::any_of(m_workers, [](const auto &item) { return item.second.isReporting && item.second.report.accepting; });
+    return std::ranges::any_of(m_workers, [](const auto &item) { return accepts(item.second); });
 }
 
 MilliCores WorkerTable::cores(const ServiceName &service) const
--- a/core/src/scheduler/worker_table.h
+++ b/core/src/scheduler/worker_table.h
@@ -1,6 +1,8 @@
 // Workers as a scheduler knows them: free capacity, health, and the choice of a worker for a task.
 #pragma once
 
+#include "../evacuated_zones.h"
+
 #include <sycamoremoor/core/scheduler_input_type.h>
 #include <sycamoremoor/core/task_size_func.h>
 
@@ -33,6 +35,8 @@
     Duration clockLead{};                             ///< least by which the guard's clock is ahead of this scheduler's at clockLeadAt
     MonotonicTime clockLeadAt;
     WorkerHealth health;
+    ZoneName zone;
+    bool isEvacuated = false;   ///< the operator has evacuated its zone
     bool isForConfined = false; ///< belongs to the share that is kept for confined queues
 };
 
@@ -73,6 +77,14 @@
     /** Returns the total capacity of a worker. */
     [[nodiscard]] TaskSize capacity(const AgentName &agent) const;
 
+    /** Excludes the workers of evacuated zones from placement. @return a log line for each evacuation that begins or ends */
+    [[nodiscard]] std::vector<LogLine> updateEvacuations(const EvacuationsRead &read);
+
+    [[nodiscard]] bool isEvacuated(const ZoneName &zone) const;
+
+    /** Returns whether workers of @p service are in evacuated zones and none of another zone accepts tasks. */
+    [[nodiscard]] bool isEvacuated(const ServiceName &service) const;
+
     /** Excludes a worker from placement until its guard reports again. */
     void markUnreachable(const AgentName &agent);
 
@@ -138,6 +150,7 @@
     [[nodiscard]] double score(MonotonicTime now, const ScheduledWorker &worker, const TaskNeed &need) const;
 
     std::map<AgentName, ScheduledWorker> m_workers;
+    EvacuatedZones m_evacuated;
 };
 
 } // namespace Sycamoremoor
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -63,6 +63,11 @@
     return d->missesWorkers();
 }
 
+bool SchedulerMachine::isEvacuated(const ZoneName &zone) const
+{
+    return d->isEvacuated(zone);
+}
+
 const QueueSetPointer &SchedulerMachine::queues() const
 {
     return d->queues();
@@ -452,6 +457,11 @@
     return m_missesWorkers;
 }
 
+bool SchedulerMachine::Private::isEvacuated(const ZoneName &zone) const
+{
+    return m_workers.isEvacuated(zone);
+}
+
 const QueueSetPointer &SchedulerMachine::Private::queues() const
 {
     return m_queues;
--- a/core/tests/guard_driver.h
+++ b/core/tests/guard_driver.h
@@ -3,6 +3,8 @@
 
 #include <sycamoremoor/core/guard_machine.h>
 
+#include <algorithm>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -19,15 +21,23 @@
     static constexpr Duration BatchLease = std::chrono::milliseconds(1'100);
     static constexpr Duration JobTime = std::chrono::milliseconds(2'000); ///< from the time at which a batch is sent
 
-    GuardDriver()
-        : m_machine(settings())
+    /** @param evacuateWithin time in which an evacuation of its zone takes effect, zero if it has none */
+    explicit GuardDriver(Duration evacuateWithin = {})
+        : m_machine(settings(evacuateWithin))
     {
         announce(incarnation());
         answerRenewal({}, {});
     }
 
-    /** An announcement of the upstream arrives. @param sequence its number, the next one if empty */
-    void announce(const UpstreamIncarnation &announcing, bool leaving = false, std::optional<std::uint64_t> sequence = std::nullopt)
+    /**
+     * An announcement of the upstream arrives.
+     * @param sequence its number, the next one if empty
+     * @param change changes its other fields, unless empty
+     */
+    void announce(const UpstreamIncarnation &announcing,
+                  bool leaving = false,
+                  std::optional<std::uint64_t> sequence = std::nullopt,
+                  const std::function<void(UpstreamAnnounced &)> &change = {})
     {
         UpstreamAnnounced announced;
         announced.leaving = leaving;
@@ -35,6 +45,9 @@
         announced.service = ServiceName("service");
         announced.capacity = {MilliCores(RunnerCores), Megabytes(1'000), Accelerators(0)};
         announced.sequence = sequence.value_or(++m_sequence);
+        if (change) {
+            change(announced);
+        }
         feed(announced);
     }
 
@@ -80,6 +93,11 @@
         m_now += time;
     }
 
+    void advanceTo(MonotonicTime time)
+    {
+        m_now = std::max(m_now, time);
+    }
+
     /** Sends a batch of one run. @param delay how long the batch is on its way */
     void order(std::uint64_t connection,
                std::uint32_t index,
@@ -130,6 +148,11 @@
         return {"runner", 5};
     }
 
+    static ZoneName zone()
+    {
+        return ZoneName("z");
+    }
+
     static RunId run(std::uint32_t index)
     {
         return {{QueueJobId("job"), 0, index}, 1};
@@ -148,9 +171,11 @@
     }
 
 private:
-    static GuardSettings settings()
+    static GuardSettings settings(Duration evacuateWithin)
     {
         GuardSettings settings;
+        settings.zone = zone();
+        settings.evacuateWithin = evacuateWithin;
         settings.incarnation = GuardIncarnation;
         settings.firstToken = FencingToken(100);
         return settings;
