Add: [net] Other workers are followed instead of those of an evacuated zone

Guards of evacuated zones are treated as silent ones: they are followed as before, and others in their stead. The test with two zones of six guards passes.

--- a/net/include/sycamoremoor/net/room_watcher.h
+++ b/net/include/sycamoremoor/net/room_watcher.h
@@ -21,9 +21,10 @@
 
 /** What a RoomWatcher asks its scheduler. */
 struct RoomWatcherHooks {
-    std::function<Duration()> reportInterval;            ///< shortest time between two reports of a guard
-    std::function<bool(const AgentName &agent)> isUsing; ///< whether tasks of the scheduler are on a worker
-    std::function<bool()> missesWorkers;                 ///< whether the scheduler needs workers of which it follows few
+    std::function<Duration()> reportInterval;                   ///< shortest time between two reports of a guard
+    std::function<bool(const AgentName &agent)> isUsing;        ///< whether tasks of the scheduler are on a worker
+    std::function<bool()> missesWorkers;                        ///< whether the scheduler needs workers of which it follows few
+    std::function<bool(const ZoneName &zone)> isEvacuated = {}; ///< whether nothing is placed in a zone; none is evacuated if empty
 };
 
 /** Holds one streamed exchange with each guard that the scheduler follows, and opens it anew when it breaks or falls silent. */
--- a/net/src/room_watcher.cpp
+++ b/net/src/room_watcher.cpp
@@ -87,6 +87,11 @@
             silent.insert(agent);
         }
     }
+    for (const auto &[agent, record] : candidates) {
+        if (m_hooks.isEvacuated && m_hooks.isEvacuated(record.zone)) {
+            silent.insert(agent); // others are followed as well, since nothing is placed there
+        }
+    }
     const auto chosen = m_subset.choose(candidates, silent);
     for (const auto &agent : chosen) {
         watch(candidates.at(agent));
--- a/net/tests/room_watcher_test.cpp
+++ b/net/tests/room_watcher_test.cpp
@@ -10,6 +10,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -172,6 +173,37 @@
     }
 }
 
+/** Guards against a scheduler that follows mostly workers of its own zone and has too few left when that is evacuated. */
+TEST(RoomWatcherTest, OtherGuardsAreFollowedInsteadOfThoseOfAnEvacuatedZone)
+{
+    constexpr std::size_t Size = 3;
+    EventLoop loop;
+    HttpServer guard(loop, {"127.0.0.1", 0}, {}, [](const HttpExchangePointer &exchange) { exchange->stream(encode(reportOf(1)) + "\n"); });
+    HttpClient client(loop);
+    bool isEvacuated = false;
+    auto asked = hooks();
+    asked.isEvacuated = [&isEvacuated](const ZoneName &zone) {
+        return isEvacuated && zone == ZoneName("z");
+    };
+    RoomWatcher rooms(loop, client, EntryName("S"), GuardSubset(EntryName("S"), ZoneName("z"), Size), asked);
+    std::map<ZoneName, std::set<AgentName>> reported;
+    rooms.signalInput().connect([&reported](const SchedulerInput &input) {
+        if (const auto *report = std::get_if<CapacityReported>(&input)) {
+            reported[report->zone].insert(report->agent);
+        }
+    });
+    GuardSubset::Guards guards;
+    for (int index = 0; index < 12; ++index) {
+        const AgentName agent("W" + std::to_string(index));
+        guards[agent] = {agent, guard.endpoint(), ZoneName(index < 6 ? "z" : "y")};
+    }
+    rooms.setGuards(guards);
+    ASSERT_TRUE(runUntil(loop, [&reported] { return reported[ZoneName("z")].size() + reported[ZoneName("y")].size() == Size; }));
+    EXPECT_LT(reported[ZoneName("y")].size(), Size);
+    isEvacuated = true;
+    EXPECT_TRUE(runUntil(loop, [&reported] { return reported[ZoneName("y")].size() == Size; }));
+}
+
 TEST(RoomWatcherTest, NoticesOfCrashesAreHandedOnAlthoughNewerReportsWereReadWithThem)
 {
     EventLoop loop;
