--- a/daemon/src/daemon.cpp
+++ b/daemon/src/daemon.cpp
@@ -89,6 +89,7 @@
     task.readiness = settings.readiness;
     task.store = settings.platform.front();
     task.followedWorkers = settings.followedWorkers;
+    task.evacuateWithin = settings.evacuateWithin;
     return task;
 }
 
@@ -96,6 +97,8 @@
 {
     GuardTaskSettings task;
     task.machine = settings.guard;
+    task.machine.zone = ZoneName(settings.zone);
+    task.machine.evacuateWithin = settings.evacuateWithin;
     task.machine.incarnation = makeIncarnation();
     // Rises from life to life as long as the clock does; a guard that meets a higher token raises its own.
     task.machine.firstToken = FencingToken(std::chrono::duration_cast<std::chrono::milliseconds>(wallNow().time_since_epoch()).count());
--- a/daemon/src/daemon_settings_type.h
+++ b/daemon/src/daemon_settings_type.h
@@ -52,6 +52,7 @@
     GuardSettings guard;                                    ///< timing only
     std::size_t followedWorkers = GuardSubset::DefaultSize; ///< workers whose capacity a scheduler follows, if there are as many
     SchedulerSettings scheduler;                            ///< timing only
+    Duration evacuateWithin{};                              ///< in which an evacuation of a zone takes effect, zero if none is evacuated
     Severity logLevel = Severity::Info;
     LogFormat logFormat = LogFormat::Text;
     bool checkOnly = false;
--- a/daemon/src/guard_task.cpp
+++ b/daemon/src/guard_task.cpp
@@ -32,6 +32,7 @@
     , m_runnerDoor(loop, m_client, m_metrics)
     , m_announcements(loop, settings.announcements, {}, [this](const HttpExchangePointer &exchange) { m_runnerDoor.take(exchange); })
     , m_publisher(loop, makeStoreHooks(m_client, settings.store), settings.record)
+    , m_evacuations(loop, makeStoreHooks(m_client, settings.store), settings.machine.evacuateWithin)
     , m_stopWatcher(loop, m_server)
     , m_driver(
           loop, GuardMachine(settings.machine), m_metrics, [this] { return m_randomBits(); }, *this)
@@ -40,11 +41,13 @@
     const auto feed = sigc::mem_fun(m_driver, &Driver::feed);
     m_guardServer.signalInput().connect(feed);
     m_runnerDoor.signalInput().connect(feed);
+    m_evacuations.signalRead().connect(feed);
 }
 
 void GuardTask::start()
 {
     m_publisher.start();
+    m_evacuations.start();
     m_driver.feed(Tick{});
 }
 
--- a/daemon/src/guard_task.h
+++ b/daemon/src/guard_task.h
@@ -11,6 +11,7 @@
 #include <sycamoremoor/net/random_bits.h>
 #include <sycamoremoor/net/router.h>
 #include <sycamoremoor/net/stop_watcher.h>
+#include <sycamoremoor/platform/evacuation_watcher.h>
 #include <sycamoremoor/platform/runner_door.h>
 
 #include <sigc++/signal.h>
@@ -64,6 +65,7 @@
     RunnerDoor m_runnerDoor;
     HttpServer m_announcements;
     AgentPublisher m_publisher;
+    EvacuationWatcher m_evacuations;
     StopWatcher m_stopWatcher;
     Driver m_driver;
 };
--- a/daemon/src/scheduler_task.cpp
+++ b/daemon/src/scheduler_task.cpp
@@ -40,6 +40,7 @@
     , m_client(loop)
     , m_frontDoor(m_metrics, [this] { return m_driver.machine().queues(); })
     , m_config(loop, makeStoreHooks(m_client, settings.store), ConfigKey, ConfigTimes)
+    , m_evacuations(loop, makeStoreHooks(m_client, settings.store), settings.evacuateWithin)
     , m_directory(loop, makeStoreHooks(m_client, settings.store))
     , m_rooms(loop,
               m_client,
@@ -47,8 +48,9 @@
               GuardSubset(settings.machine.name, settings.machine.zone, settings.followedWorkers),
               {[this] { return m_driver.machine().reportInterval(); },
                [this](const AgentName &agent) { return m_driver.machine().isUsing(agent); },
-               [this] {
-                   return m_driver.machine().missesWorkers();
+               [this] { return m_driver.machine().missesWorkers(); },
+               [this](const ZoneName &zone) {
+                   return m_driver.machine().isEvacuated(zone);
                }})
     , m_batches(loop, m_client, m_metrics, [this](const AgentName &agent) { return m_rooms.endpoint(agent); })
     , m_stopWatcher(loop, m_callers)
@@ -61,12 +63,14 @@
     m_rooms.signalInput().connect(feed);
     m_batches.signalInput().connect(feed);
     m_config.signalChanged().connect(sigc::mem_fun(*this, &SchedulerTask::takeConfig));
+    m_evacuations.signalRead().connect(feed);
     m_directory.signalChanged().connect(sigc::mem_fun(m_rooms, &RoomWatcher::setGuards));
 }
 
 void SchedulerTask::start()
 {
     m_config.start();
+    m_evacuations.start();
     m_directory.start();
     m_driver.feed(Tick{});
 }
--- a/daemon/src/scheduler_task.h
+++ b/daemon/src/scheduler_task.h
@@ -12,6 +12,7 @@
 #include <sycamoremoor/net/room_watcher.h>
 #include <sycamoremoor/net/router.h>
 #include <sycamoremoor/net/stop_watcher.h>
+#include <sycamoremoor/platform/evacuation_watcher.h>
 #include <sycamoremoor/platform/front_door.h>
 
 #include <sigc++/signal.h>
@@ -29,6 +30,7 @@
     Endpoint readiness; ///< where the balancer asks
     Endpoint store;
     std::size_t followedWorkers = GuardSubset::DefaultSize; ///< workers whose capacity it follows, if there are as many
+    Duration evacuateWithin{};                              ///< in which an evacuation of a zone takes effect, zero if none is evacuated
 };
 
 /** Drives a SchedulerMachine. Belongs to the loop's thread; others talk to it by EventLoop::post(). */
@@ -73,6 +75,7 @@
     HttpClient m_client;
     FrontDoor m_frontDoor;
     PrefixWatcher m_config;
+    EvacuationWatcher m_evacuations;
     AgentDirectory m_directory;
     RoomWatcher m_rooms;
     BatchSender m_batches;
--- a/daemon/src/table/option_table.h
+++ b/daemon/src/table/option_table.h
@@ -55,6 +55,9 @@
               [](const std::string &text, Settings &to) {
                   return text.empty() || readDurationFrom(SchedulerSettings::LeastResubmitAfter, text, to.scheduler.resubmitAfter);
               }, "a whole number of milliseconds from 550 to 86400000, as less leaves no time to renew the lease of runs, or empty for 1300"},
+    OptionRow{"evacuate-within-ms", "MS", "time in which the evacuation of a zone takes effect", SchedulerRole | GuardRole, false,
+              [](const std::string &text, Settings &to) { return text.empty() || readDuration(text, to.evacuateWithin); },
+              "a whole number of milliseconds from 1 to 86400000, or empty if zones are not evacuated"},
     OptionRow{"announcements", "IP:PORT", "where its upstream announces itself", GuardRole, true,
               [](const std::string &text, Settings &to) { return readEndpoint(text, to.announcements); }, EndpointAllowed},
     OptionRow{"entries", "IP:PORT,..", "entries to ask first for the roster", EntryRole | AgentRole, false,
--- a/daemon/tests/option_reader_test.cpp
+++ b/daemon/tests/option_reader_test.cpp
@@ -94,6 +94,11 @@
                  "--resubmit-after-ms: \"549\" is not allowed; it must be a whole number of milliseconds from 550 to 86400000, as less "
                  "leaves no time to renew the lease of runs, or empty for 1300."},
     WrongSetting{"ResubmitTooLate", "--resubmit-after-ms=86400001", "--resubmit-after-ms: \"86400001\" is not allowed"},
+    WrongSetting{"EvacuateNever",
+                 "--evacuate-within-ms=0",
+                 "--evacuate-within-ms: \"0\" is not allowed; it must be a whole number of milliseconds from 1 to 86400000, or empty if "
+                 "zones are not evacuated."},
+    WrongSetting{"EvacuateText", "--evacuate-within-ms=5s", "--evacuate-within-ms: \"5s\" is not allowed"},
     WrongSetting{"LogLevel", "--log-level=loud", "it must be debug, info, warning or error."},
     WrongSetting{"LogFormat", "--log-format=xml", "it must be text or json."},
     WrongSetting{"Unknown", "--colour=red", "--colour=red is no flag"},
@@ -163,6 +168,24 @@
     }
 }
 
+/** Guards against calls of the store in deployments whose settings name no bound for evacuations, and against a role without them. */
+TEST(OptionReaderTest, EvacuationsAreSwitchedOnByTheirBound)
+{
+    for (const auto &flags : {schedulerFlags, guardFlags}) {
+        for (const auto &[flag, within] : std::map<std::string, Duration>{{"", Duration::zero()},
+                                                                          {"--evacuate-within-ms=", Duration::zero()},
+                                                                          {"--evacuate-within-ms=5000", std::chrono::seconds(5)}}) {
+            auto all = flags;
+            if (!flag.empty()) {
+                all.push_back(flag);
+            }
+            DaemonSettings settings;
+            EXPECT_EQ(joined(readArguments(all, {}, settings)), "");
+            EXPECT_EQ(settings.evacuateWithin, within) << flag;
+        }
+    }
+}
+
 TEST(OptionReaderTest, WrongVariableIsRefusedByItsName)
 {
     DaemonSettings settings;
