Change: [core] Runs that make progress go on, and the objective of their job grows

Change: lists of the upstream state how much of its work each run has done. A guard raises the limit of a run that makes progress and tells the scheduler how long it will take; the objective and the expiry of the job are computed anew. The caller's time limit still bounds them. Runs that stand still, or whose progress is not stated, keep their limits. The limit of a batch's exchange follows.

--- a/core/include/sycamoremoor/core/guard_input_type.h
+++ b/core/include/sycamoremoor/core/guard_input_type.h
@@ -97,13 +97,20 @@
 
 using RenewalNumber = StrongType<struct RenewalNumberTag, std::uint64_t>; ///< numbers a guard's renewals from 1
 
+/** How much of its work a running run has done. */
+struct RunProgress {
+    RunId run;
+    std::uint32_t percent = 0;
+};
+
 /** The upstream answered a RenewLease with its running and its ended runs. */
 struct UpstreamListed {
     RenewalNumber renewal;
     UpstreamIncarnation incarnation;
     UpstreamTime clock;
     std::vector<RunId> running;
-    std::vector<EndedRun> ended; ///< ends that are not acknowledged yet; the upstream sends a few hundred at most
+    std::vector<RunProgress> progress; ///< of those running runs for which the upstream states it
+    std::vector<EndedRun> ended;       ///< ends that are not acknowledged yet; the upstream sends a few hundred at most
 };
 
 /** Why a RenewLease brought no lists. */
--- a/core/include/sycamoremoor/core/guard_message_type.h
+++ b/core/include/sycamoremoor/core/guard_message_type.h
@@ -94,6 +94,14 @@
     friend bool operator==(const RunReport &, const RunReport &) = default;
 };
 
+/** Guard to scheduler: a run of the batch makes progress, but its work will take much longer than was expected. */
+struct RunProjection {
+    std::uint32_t order = 0; ///< index in StartBatch::orders
+    Duration runTime{};      ///< from the confirmation of its start to its end, as its progress so far tells
+
+    friend bool operator==(const RunProjection &, const RunProjection &) = default;
+};
+
 /** Guard to schedulers: capacity and free capacity of its upstream. */
 struct CapacityReport {
     Incarnation incarnation; ///< of the guard
--- a/core/include/sycamoremoor/core/guard_output_type.h
+++ b/core/include/sycamoremoor/core/guard_output_type.h
@@ -57,6 +57,12 @@
     RunReport report;
 };
 
+/** Tell the scheduler of its batch that a run will take much longer than expected. */
+struct ProjectRun {
+    ConnectionId connection;
+    RunProjection projection;
+};
+
 /** Every run of the batch or of the recalled batch was reported; close the connection. */
 struct EndBatch {
     ConnectionId connection;
@@ -78,6 +84,7 @@
                                  RenewLease,
                                  ProbeListener,
                                  ReportRun,
+                                 ProjectRun,
                                  EndBatch,
                                  CapacityChanged,
                                  UpstreamCrashed,
--- a/core/include/sycamoremoor/core/scheduler_input_type.h
+++ b/core/include/sycamoremoor/core/scheduler_input_type.h
@@ -66,6 +66,12 @@
     RunReport report;
 };
 
+/** A guard found that a run of a batch will take much longer than expected. */
+struct RunProjected {
+    BatchNumber batch;
+    RunProjection projection;
+};
+
 /** The connection of a batch ended before the guard had reported all of its runs. Answered by RecallBatch if the batch may have arrived. */
 struct BatchInterrupted {
     BatchNumber batch;
@@ -83,6 +89,7 @@
                                     WorkerUnfollowed,
                                     WorkersChosen,
                                     RunReported,
+                                    RunProjected,
                                     BatchInterrupted,
                                     DrainRequested>;
 
--- a/core/include/sycamoremoor/core/step_type.h
+++ b/core/include/sycamoremoor/core/step_type.h
@@ -88,6 +88,7 @@
     ConfigsUnreadable,    ///< versions of the configuration that did not come into force
     ConfigQueuesLeftOut,  ///< queues that could not be read, of versions that came into force
     AnnouncementsRefused, ///< announcements of upstreams that name none to use
+    RunsLengthened,       ///< runs whose limit was raised since they make progress
     End,
 };
 
--- a/core/include/sycamoremoor/core/table/metric_table.h
+++ b/core/include/sycamoremoor/core/table/metric_table.h
@@ -49,6 +49,7 @@
     {"sycamoremoor_configs_unreadable",     "Revisions of configuration that could not be read; the one before stayed in force"},
     {"sycamoremoor_config_queues_left_out", "Queues that could not be read, of revisions of configuration that came into force"},
     {"sycamoremoor_announcements_refused",  "Announcements that name no upstream to use"},
+    {"sycamoremoor_runs_lengthened",         "Runs that make progress and got more time than expected"},
     // clang-format on
 }};
 
--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -147,6 +147,8 @@
     /** The upstream has refused an order for its token. */
     void raiseToken(GuardStep &step);
     void confirmStart(GuardStep &step, GuardedRun &record);
+    /** Lets runs that make progress go on, though they take longer than expected, and tells their schedulers. */
+    void handleProgress(GuardStep &step, const UpstreamListed &listed);
     void handleStartedRuns(GuardStep &step, const UpstreamListed &listed);
     void handleMissingRuns(GuardStep &step, const UpstreamListed &listed);
     void stopUnknownRuns(GuardStep &step, const UpstreamListed &listed);
--- a/core/src/guard/guard_upstream.cpp
+++ b/core/src/guard/guard_upstream.cpp
@@ -1,4 +1,5 @@
 // What a guard knows of its upstream: boots, crashes, renewals of the lease, and the runs that it lists.
+#include "../scheduler/duration_func.h"
 #include "guard_private.h"
 
 #include <algorithm>
@@ -16,7 +17,12 @@
 constexpr Duration ProbeInterval = std::chrono::milliseconds(5);    ///< between probes: a process that restarts at once may listen again
 constexpr std::uint32_t RefusalsOfCrash = 2;                        ///< consecutive probes that nothing listens to, in a crash
 constexpr Duration CrashRetention = std::chrono::seconds(15);       ///< longer than a job is open, with a submission to another scheduler
-constexpr std::size_t MaxRunsInLine = 8;                            ///< limit on the runs that one log line names
+constexpr std::uint32_t MaxPercent = 100;
+constexpr std::uint32_t LeastPercent = 10; ///< of its work: lists state whole percents, so the projection is off by a tenth at most
+constexpr int LongRunFactor = 2;           ///< of the expected run time; declared and estimated times are off by less
+constexpr double ProjectionChange = 1.25;  ///< by which a projection has to grow to be told again
+constexpr double ProjectionLimit = 2;      ///< run limit per projected run time: an upstream that slows down is not hung
+constexpr std::size_t MaxRunsInLine = 8;   ///< limit on the runs that one log line names
 
 Duration millisecondsOf(UpstreamTime time)
 {
@@ -382,6 +388,7 @@
     upstream.clockOffset = millisecondsOf(input.clock) - step.now().time_since_epoch();
     handleEndedRuns(step, input);
     handleStartedRuns(step, input);
+    handleProgress(step, input);
     handleMissingRuns(step, input);
     stopUnknownRuns(step, input);
 }
@@ -421,6 +428,35 @@
     }
 }
 
+void GuardMachine::Private::handleProgress(GuardStep &step, const UpstreamListed &listed)
+{
+    for (const auto &[run, percent] : listed.progress) {
+        auto *record = m_runTable.find(run);
+        if (record == nullptr || record->stage != RunStage::Running || percent <= record->percent) {
+            continue; // a run that stands still keeps its limit
+        }
+        record->percent = percent;
+        const auto projected = (step.now() - record->startedAt) * MaxPercent / percent;
+        const bool isLong = record->expected > Duration::zero() && projected > record->expected * LongRunFactor
+            && projected > scaled(record->projected, ProjectionChange);
+        if (percent < LeastPercent || !isLong) {
+            continue;
+        }
+        record->projected = projected;
+        record->runLimit = std::max(record->runLimit, scaled(projected, ProjectionLimit));
+        record->stopDue = stopTimeOf(*record);
+        auto fields = fieldsOf(run, *record);
+        fields.push_back({"percent", std::to_string(percent)});
+        fields.push_back({"expected_ms", inMilliseconds(record->expected)});
+        fields.push_back({"projected_ms", inMilliseconds(projected)});
+        step.log(Severity::Info, "A run makes progress but takes longer than expected; its limit is raised.", std::move(fields));
+        step.emit(Count{CounterMetric::RunsLengthened, 1});
+        if (const auto receiver = m_batches.find(record->connection)->receiver) {
+            step.emit(ProjectRun{*receiver, {record->order, projected}});
+        }
+    }
+}
+
 void GuardMachine::Private::handleMissingRuns(GuardStep &step, const UpstreamListed &listed)
 {
     const std::set<RunId> running(listed.running.begin(), listed.running.end());
--- a/core/src/guard/run_table.h
+++ b/core/src/guard/run_table.h
@@ -48,6 +48,8 @@
     MonotonicTime latestStart;                    ///< latest start time that meets the objective
     MonotonicTime startBy;                        ///< the run is not started later
     Duration expected{};                          ///< expected run time, zero if not known
+    Duration projected{};                         ///< run time as its progress tells, zero unless it is much longer than expected
+    std::uint32_t percent = 0;                    ///< of its work that is done, as last listed
     Duration runLimit{};                          ///< the run is stopped when it has run this long
     MonotonicTime leaseUntil;                     ///< the run is stopped then, however short it has run; its scheduler extends it
     MonotonicTime expiresAt;                      ///< the run is stopped then, however short it has run
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -271,7 +271,8 @@
     for (const auto &[run, record] : m_runTable.runs()) {
         if (record.stage == RunStage::Running && record.expected > Duration::zero()) {
             ++all;
-            overdue += record.startedAt + record.expected * OverdueFactor + OverdueSlack < step.now() ? 1 : 0;
+            const auto expected = std::max(record.expected, record.projected);
+            overdue += record.startedAt + expected * OverdueFactor + OverdueSlack < step.now() ? 1 : 0;
         }
     }
     const auto before = m_upstream->stall.phase();
--- a/core/src/scheduler/scheduled_job.h
+++ b/core/src/scheduler/scheduled_job.h
@@ -32,6 +32,7 @@
     ScheduledStage stage = ScheduledStage::Blocked;
     std::uint32_t runs = 0;         ///< number of runs that were sent
     std::uint32_t failures = 0;     ///< number of runs that failed
+    bool isLong = false;            ///< its last run took much longer than expected, and made progress
     bool mayHaveRun = false;        ///< a run was reported as started, or its state is unknown
     bool isIsolated = false;        ///< it may have crashed an upstream: its next run has a worker to itself
     bool queuesAtGuard = false;     ///< its last run may wait at the guard for capacity
@@ -51,7 +52,9 @@
     MonotonicTime latestStart;      ///< latest start time that meets the objective
     MonotonicTime expiresAt;        ///< from then on its result has no value for the caller
     MonotonicTime checkAt;          ///< next check whether the job has to be abandoned, unless an input causes one earlier
+    Duration callerTimeout{};       ///< how long its caller waits, zero if it set no limit
     std::vector<Duration> expected; ///< expected run time of a task, by step
+    std::vector<Duration> needed;   ///< the same, or longer if the progress of a run of the step told so
     std::vector<ScheduledTask> tasks;
     std::vector<std::uint32_t> openTasks;                               ///< number of tasks that are not done, by step
     std::size_t waiting = 0;                                            ///< number of tasks in stage Waiting that are not isolated
--- a/core/src/scheduler/scheduler_admission.cpp
+++ b/core/src/scheduler/scheduler_admission.cpp
@@ -82,7 +82,8 @@
               {"left_after_ms", inMilliseconds(step.now() - job.arrivedAt)},
               {"batches", std::to_string(job.batches.size())}});
     job.arrivedAt = step.now() - step.context.lag;
-    setTimes(job, input.callerTimeout);
+    job.callerTimeout = input.callerTimeout;
+    setTimes(job);
     continueJob(step, job);
 }
 
@@ -111,11 +112,13 @@
             job.tasks.back().isIsolated = m_crashes.of({job.spec->id, index, task}).needsIsolation();
         }
     }
-    setTimes(job, input.callerTimeout);
+    job.needed = job.expected;
+    job.callerTimeout = input.callerTimeout;
+    setTimes(job);
     return job;
 }
 
-void SchedulerMachine::Private::setTimes(ScheduledJob &job, Duration callerTimeout) const
+void SchedulerMachine::Private::setTimes(ScheduledJob &job)
 {
     const auto &steps = job.spec->steps;
     std::vector<Duration> chains(steps.size());
@@ -124,14 +127,14 @@
         for (const auto before : steps[index].after) {
             chains[index] = std::max(chains[index], chains[before]);
         }
-        chains[index] += job.expected[index];
+        chains[index] += job.needed[index];
         longest = std::max(longest, chains[index]);
     }
     job.objective = objectiveOf(longest, *job.queue);
     job.latestStart = job.arrivedAt + std::max(job.objective - longest - TransitAllowance, MinSlack);
     job.expiresAt = job.arrivedAt + scaled(job.objective, ExpiryFactor);
-    if (callerTimeout > Duration::zero()) {
-        job.expiresAt = std::min(job.expiresAt, job.arrivedAt + callerTimeout);
+    if (job.callerTimeout > Duration::zero()) {
+        job.expiresAt = std::min(job.expiresAt, job.arrivedAt + job.callerTimeout);
     }
 }
 
--- a/core/src/scheduler/scheduler_placing.cpp
+++ b/core/src/scheduler/scheduler_placing.cpp
@@ -13,6 +13,7 @@
 
 constexpr double RunLimitFactor = 4; ///< run limit per expected run time; declared and estimated times are off by less
 constexpr Duration RunLimitSlack = std::chrono::milliseconds(200); ///< added to the scaled run limit
+constexpr Duration MaxJobTime = std::chrono::hours(24); ///< of a job whose caller sets no limit; its batches end with their leases
 constexpr Duration DeliveryLimit = std::chrono::milliseconds(250); ///< of a batch; a guard that is busier gets no new work
 static_assert(leaseTimesOf(SchedulerSettings::LeastResubmitAfter).lease >= DeliveryLimit + RenewalDelivery);
 constexpr Duration MaxGuardWait = std::chrono::milliseconds(80); ///< a run that waits longer at its guard would start sooner elsewhere
@@ -106,7 +107,9 @@
     const auto guardTime = m_workers.earliestGuardTime(step.now(), agent);
     output.batch.receiveBy = guardTime + GuardTime(DeliveryLimit.count());
     output.batch.leaseUntil = guardTime + GuardTime(m_leaseTimes.lease.count());
-    output.batch.expiresAt = guardTime + GuardTime((job.expiresAt - step.now()).count());
+    // The job expires later if a run turns out to need longer. Until then this scheduler ends its batches.
+    const auto latestExpiry = job.callerTimeout > Duration::zero() ? job.arrivedAt + job.callerTimeout : step.now() + MaxJobTime;
+    output.batch.expiresAt = guardTime + GuardTime((latestExpiry - step.now()).count());
     output.batch.reportInterval = reportInterval();
     output.batch.queue = job.queue->name;
     output.batch.payload = job.spec->payload;
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -42,6 +42,7 @@
     void handle(SchedulerStep &step, const WorkerUnfollowed &input);
     void handle(SchedulerStep &step, const WorkersChosen &input);
     void handle(SchedulerStep &step, const RunReported &input);
+    void handle(SchedulerStep &step, const RunProjected &input);
     void handle(SchedulerStep &step, const BatchInterrupted &input);
     void handle(SchedulerStep &step, const DrainRequested &input);
 
@@ -79,8 +80,8 @@
     };
 
     ScheduledJob makeJob(SchedulerStep &step, const QueueJobSubmitted &input);
-    /** Sets the times of a job that has just arrived. @param callerTimeout how long its caller waits, zero if not stated */
-    void setTimes(ScheduledJob &job, Duration callerTimeout) const;
+    /** Sets the objective of a job, and the times that follow from it and from its arrival. */
+    static void setTimes(ScheduledJob &job);
     /** A caller submits a job again whose callers had left; it goes on. */
     void resume(SchedulerStep &step, ScheduledJob &job, const QueueJobSubmitted &input);
     [[nodiscard]] ErrorKind refusalOf(SchedulerStep &step, const ScheduledJob &job, Duration &retryAfter) const;
--- a/core/src/scheduler/scheduler_runs.cpp
+++ b/core/src/scheduler/scheduler_runs.cpp
@@ -11,6 +11,7 @@
 namespace
 {
 
+constexpr double LongestLearned = 3;   ///< multiple of the expected run time up to which a run that took longer is learned from
 constexpr std::size_t RenewGroups = 8; ///< guards are renewed in groups, so that no step sends to all of them
 
 } // namespace
@@ -147,17 +148,48 @@
     runEnded(step, job, job.tasks[task], agent, input.report);
 }
 
+void SchedulerMachine::Private::handle(SchedulerStep &step, const RunProjected &input)
+{
+    const auto found = m_batches.find(input.batch);
+    const auto &[order, runTime] = input.projection;
+    if (found == m_batches.end() || order >= found->second.tasks.size() || found->second.reported[order]) {
+        return; // the batch was cancelled or has ended, or the run was reported before
+    }
+    auto &job = m_jobs.at(found->second.job);
+    auto &task = job.tasks[found->second.tasks[order]];
+    if (job.connections.empty() || task.stage != ScheduledStage::Sent) {
+        return;
+    }
+    task.isLong = true;
+    job.needed[task.step] = std::max(job.needed[task.step], runTime);
+    const auto before = job.objective;
+    setTimes(job);
+    step.log(Severity::Info,
+             "A task needs longer than expected; the objective of its job grows.",
+             {{"task", nameOf(job, task)},
+              {"worker", found->second.agent.value()},
+              {"expected_ms", inMilliseconds(job.expected[task.step])},
+              {"projected_ms", inMilliseconds(runTime)},
+              {"objective_before_ms", inMilliseconds(before)},
+              {"objective_ms", inMilliseconds(job.objective)}});
+    scheduleCheck(job, deadlineUnreachableAt(job));
+    enqueue(job);
+}
+
 void SchedulerMachine::Private::runEnded(
     SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const AgentName &agent, const RunReport &report)
 {
     --job.placed[task.step][agent];
+    const bool wasLong = std::exchange(task.isLong, false);
     task.mayHaveRun = task.mayHaveRun || report.outcome != RunOutcome::NotStarted;
     switch (report.outcome) {
     case RunOutcome::Done: {
         const auto declared = job.spec->steps[task.step].declaredRunTime;
-        m_workers.recordSuccess(step.now(), agent, job.expected[task.step], report.runTime);
-        m_placement.recordRun(report.runTime);
-        m_runTimes.learn(job.queue->service, TaskKind(job.queue->name.value()), declared, report.runTime);
+        // A single long task says nothing about the worker, and little about the others of its queue.
+        const auto runTime = wasLong ? std::min(report.runTime, scaled(job.expected[task.step], LongestLearned)) : report.runTime;
+        m_workers.recordSuccess(step.now(), agent, job.expected[task.step], runTime);
+        m_placement.recordRun(runTime);
+        m_runTimes.learn(job.queue->service, TaskKind(job.queue->name.value()), declared, runTime);
         task.stage = ScheduledStage::Done;
         if (--job.openTasks[task.step] == 0) {
             unblockSteps(step, job);
--- a/core/tests/guard_driver.h
+++ b/core/tests/guard_driver.h
@@ -87,7 +87,8 @@
                Duration delay = {},
                Duration runLimit = std::chrono::milliseconds(500),
                Incarnation guard = GuardIncarnation,
-               const QueueName &queue = QueueName("queue"))
+               const QueueName &queue = QueueName("queue"),
+               Duration expected = {})
     {
         StartBatch batch;
         batch.queue = queue;
@@ -104,6 +105,7 @@
         order.size = {MilliCores(cores), Megabytes(1), Accelerators(0)};
         order.startWithin = std::chrono::milliseconds(80);
         order.runLimit = runLimit;
+        order.expected = expected;
         batch.orders.push_back(order);
         feed(BatchReceived{ConnectionId(connection), batch});
     }
@@ -135,6 +137,11 @@
         return {{QueueJobId("job"), 0, index}, 1};
     }
 
+    [[nodiscard]] RenewalNumber lastRenewal() const
+    {
+        return m_renewal;
+    }
+
     template<typename Output>
     [[nodiscard]] std::vector<Output> all() const
     {
--- a/net/include/sycamoremoor/net/batch_sender.h
+++ b/net/include/sycamoremoor/net/batch_sender.h
@@ -18,6 +18,7 @@
 
 class EventLoop;
 class MetricRegistry;
+class Timer;
 
 /**
  * One exchange for each batch. It lasts until every run of the batch was reported; closing it stops what is left.
@@ -50,6 +51,8 @@
     void recallEnded(BatchNumber batch);
     void received(BatchNumber batch, std::string_view part);
     void takeLine(BatchNumber batch, std::string_view line);
+    void takeProjection(BatchNumber batch, Exchange &exchange, std::string_view line);
+    void limitPassed(BatchNumber batch);
     void ended(BatchNumber batch, const ClientResult &result);
 
     EventLoop &m_loop;
@@ -58,6 +61,7 @@
     FindGuard m_findGuard;
     sigc::signal<void(SchedulerInput)> m_input;
     std::map<BatchNumber, std::unique_ptr<Exchange>> m_exchanges;
+    std::unique_ptr<Timer> m_passedLimit; ///< of the exchange that was last silent for too long
 };
 
 } // namespace Sycamoremoor
--- a/net/include/sycamoremoor/net/guard_server.h
+++ b/net/include/sycamoremoor/net/guard_server.h
@@ -27,6 +27,7 @@
     sigc::signal<void(GuardInput)> &signalInput();
 
     void carryOut(const ReportRun &output);
+    void carryOut(const ProjectRun &output);
     void carryOut(const EndBatch &output);
     void carryOut(const CapacityChanged &output);
     void carryOut(const UpstreamCrashed &output);
--- a/net/src/batch_sender.cpp
+++ b/net/src/batch_sender.cpp
@@ -22,7 +22,10 @@
 constexpr Duration RenewLimit = std::chrono::milliseconds(300);
 constexpr Duration RecallLimit = std::chrono::milliseconds(600); ///< a guard that answers stops the runs within a tenth of a second
 constexpr Duration RecallInterval = std::chrono::milliseconds(100);
-constexpr Duration ExchangeSlack = std::chrono::seconds(2); ///< beyond the last run's limit, for the guard to report its stop
+constexpr Duration ExchangeSlack = std::chrono::seconds(2);            ///< beyond the last run's limit, for the guard to report its stop
+constexpr Duration ExchangeLimit = std::chrono::hours(24);             ///< of the client; the exchange's own limit ends it sooner
+constexpr int ProjectionSlack = 2;                                     ///< per projected run time, until the exchange counts as silent
+constexpr std::string_view ProjectionStart = R"({"projected_order":)"; ///< tells a projection from a report
 
 } // namespace
 
@@ -32,6 +35,7 @@
     CallNumber call = 0;
     std::size_t unreported = 0;
     LineReader lines;
+    std::unique_ptr<Timer> limit;      ///< the exchange counts as silent then
     std::optional<RecallBatch> recall; ///< what the exchange repeats until every run was reported
     std::unique_ptr<Timer> repeat;     ///< sends the recall again
 };
@@ -65,9 +69,10 @@
     call.path = Path::StartBatch;
     call.body = encode(output.batch);
     call.connectLimit = ConnectLimit;
-    call.timeLimit = ExchangeSlack;
+    call.timeLimit = ExchangeLimit;
+    auto limit = ExchangeSlack;
     for (const auto &order : output.batch.orders) {
-        call.timeLimit = std::max(call.timeLimit, order.startWithin + order.runLimit + ExchangeSlack);
+        limit = std::max(limit, order.startWithin + order.runLimit + ExchangeSlack);
     }
     call.received = [this, number](std::string_view part) {
         received(number, part);
@@ -76,6 +81,8 @@
     auto exchange = std::make_unique<Exchange>();
     exchange->endpoint = *endpoint;
     exchange->unreported = output.batch.orders.size();
+    exchange->limit = std::make_unique<Timer>(m_loop, [this, number] { limitPassed(number); });
+    exchange->limit->start(limit);
     exchange->call = m_client.send(std::move(call), [this, number](const ClientResult &result) { ended(number, result); });
     m_exchanges[number] = std::move(exchange);
 }
@@ -175,6 +182,10 @@
     if (found == m_exchanges.end()) {
         return;
     }
+    if (line.starts_with(ProjectionStart)) {
+        takeProjection(batch, *found->second, line);
+        return;
+    }
     RunReport report;
     if (const auto error = decode(line, report)) {
         writeLog({Severity::Error, "batches", "A report cannot be read: " + error->detail + "."});
@@ -184,6 +195,30 @@
     m_input.emit(RunReported{batch, report});
 }
 
+void BatchSender::takeProjection(BatchNumber batch, Exchange &exchange, std::string_view line)
+{
+    RunProjection projection;
+    if (const auto error = decode(line, projection)) {
+        writeLog({Severity::Error, "batches", "A projection of a run cannot be read: " + error->detail + "."});
+        return;
+    }
+    if (exchange.limit) {
+        exchange.limit->start(projection.runTime * ProjectionSlack + ExchangeSlack);
+    }
+    m_input.emit(RunProjected{batch, projection});
+}
+
+void BatchSender::limitPassed(BatchNumber batch)
+{
+    const auto found = m_exchanges.find(batch);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    m_client.cancel(found->second->endpoint, found->second->call);
+    m_passedLimit = std::move(found->second->limit); // its hook is running
+    ended(batch, {});
+}
+
 void BatchSender::ended(BatchNumber batch, const ClientResult &result)
 {
     const auto found = m_exchanges.find(batch);
--- a/net/src/guard_server.cpp
+++ b/net/src/guard_server.cpp
@@ -194,6 +194,13 @@
     }
 }
 
+void GuardServer::carryOut(const ProjectRun &output)
+{
+    if (const auto found = m_batches.find(output.connection); found != m_batches.end()) {
+        found->second.exchange->stream(encode(output.projection) + "\n");
+    }
+}
+
 void GuardServer::carryOut(const EndBatch &output)
 {
     if (const auto found = m_batches.find(output.connection); found != m_batches.end()) {
--- a/wire/include/sycamoremoor/wire/message_codec.h
+++ b/wire/include/sycamoremoor/wire/message_codec.h
@@ -45,6 +45,7 @@
                                 BatchRenewal,
                                 BatchRecall,
                                 RunReport,
+                                RunProjection,
                                 CapacityReport,
                                 CrashNotice,
                                 AgentRecord>;
--- a/wire/src/describe_func.h
+++ b/wire/src/describe_func.h
@@ -542,6 +542,12 @@
     archive.optional("is_suspect", report.isSuspect);
 }
 
+void describe(auto &archive, Described<RunProjection> auto &projection)
+{
+    archive("projected_order", projection.order);
+    archive("run_time", projection.runTime);
+}
+
 void describe(auto &archive, Described<CrashedRun> auto &run)
 {
     archive("task", run.task);
--- a/wire/src/message_codec.cpp
+++ b/wire/src/message_codec.cpp
@@ -85,6 +85,8 @@
 template std::optional<DecodeError> decode(std::string_view, BatchRecall &);
 template std::string encode(const RunReport &);
 template std::optional<DecodeError> decode(std::string_view, RunReport &);
+template std::string encode(const RunProjection &);
+template std::optional<DecodeError> decode(std::string_view, RunProjection &);
 template std::string encode(const CapacityReport &);
 template std::optional<DecodeError> decode(std::string_view, CapacityReport &);
 template std::string encode(const CrashNotice &);
