--- a/core/include/sycamoremoor/core/step_type.h
+++ b/core/include/sycamoremoor/core/step_type.h
@@ -89,6 +89,7 @@
     ConfigQueuesLeftOut,  ///< queues that could not be read, of versions that came into force
     AnnouncementsRefused, ///< announcements of upstreams that name none to use
     EvacuatedRuns,        ///< runs that a guard did not start because its zone is evacuated
+    RunsLengthened,       ///< runs whose limit was raised since they make progress
     End,
 };
 
