--- a/net/include/sycamoremoor/net/agent_directory.h
+++ b/net/include/sycamoremoor/net/agent_directory.h
@@ -32,6 +32,7 @@
 
     PrefixWatcher m_watcher;
     sigc::signal<void(const Agents &)> m_changed;
+    Agents m_agents;                                      ///< as last told
     std::map<std::string, StoreVersion> m_loggedVersions; ///< of records that were logged, by key
 };
 
--- a/net/src/agent_directory.cpp
+++ b/net/src/agent_directory.cpp
@@ -47,12 +47,18 @@
         Agents agents;
         for (const auto &[key, item] : items) {
             AgentRecord record;
-            if (const auto fault = faultOf(item, record); !fault.empty()) {
-                logOddRecord(item, fault);
-            } else {
+            const auto fault = faultOf(item, record);
+            if (fault.empty()) {
                 agents.emplace(record.agent, record);
+                continue;
+            }
+            logOddRecord(item, fault);
+            // What another writer left in the place of a record says nothing about the worker.
+            if (const auto known = m_agents.find(AgentName(key.substr(AgentPrefix.size()))); known != m_agents.end()) {
+                agents.insert(*known);
             }
         }
+        m_agents = agents;
         m_changed.emit(agents);
     });
 }
--- a/net/tests/agent_directory_test.cpp
+++ b/net/tests/agent_directory_test.cpp
@@ -49,12 +49,12 @@
         return hooks;
     }
 
-    void tell(const StoreItem &item)
+    void tell(const StoreItem &item, bool isRemoved = false)
     {
         StoreChanges changes;
         changes.outcome = StoreChanges::Outcome::Told;
         changes.version = item.version;
-        changes.changes.push_back({false, item});
+        changes.changes.push_back({isRemoved, item});
         watching(changes);
     }
 };
@@ -111,6 +111,10 @@
     store.tell({GetParam().key, GetParam().value, 3});
     EXPECT_TRUE(agents.contains(AgentName("good")));
     EXPECT_EQ(agents.at(AgentName("good")), recordOf("good"));
+    EXPECT_TRUE(agents.contains(AgentName("a"))) << "the odd record has taken the place of one that names a guard";
+    ASSERT_TRUE(runUntil(loop, [&store] { return store.watching != nullptr; }));
+    store.tell({"agents/a", "", 4}, true);
+    EXPECT_EQ(agents, good);
 }
 
 INSTANTIATE_TEST_SUITE_P(Items, OddItemTest, testing::ValuesIn(oddItems()), [](const auto &test) { return std::string(test.param.name); });
