Fix: [guard] A batch that was forgotten may have run

Change: a guard keeps, for each scheduler, the last batch that it has forgotten. A recall up to that one is answered as lapsed, "agent_lost": the run may have run, and does not run now. The record of a batch with open runs is not forgotten when another of the same key is. SchedulerReturnTest has two rows more for what the scheduler answers then.

--- a/core/src/guard/batch_table.cpp
+++ b/core/src/guard/batch_table.cpp
@@ -1,13 +1,16 @@
 // Batches that a guard has received, and those that it will refuse because they were recalled before.
 #include "batch_table.h"
 
+#include <algorithm>
+
 namespace Sycamoremoor
 {
 
 namespace
 {
 
-constexpr Duration Retention = std::chrono::seconds(10); ///< longer than a scheduler waits for a recall, or a batch may be on its way
+/** Longer than a batch may be on its way, and than most cuts last. A recall that comes later is told that the runs may have run. */
+constexpr Duration Retention = std::chrono::seconds(10);
 
 } // namespace
 
@@ -75,12 +78,22 @@
     return m_refused.contains(key);
 }
 
+bool BatchTable::mayBeForgotten(const BatchKey &key) const
+{
+    // Of a scheduler's batches only the last is kept: an earlier one that never arrived counts as forgotten, too.
+    const auto last = m_lastForgotten.find(key.scheduler);
+    return last != m_lastForgotten.end() && std::pair(key.schedulerIncarnation, key.batch) <= last->second;
+}
+
 void BatchTable::forgetOld(MonotonicTime now)
 {
     while (!m_byTime.empty() && m_byTime.front().first + Retention < now) {
         const auto &key = m_byTime.front().second;
         m_refused.erase(key);
-        if (const auto found = m_byKey.find(key); found != m_byKey.end()) {
+        // A batch that was received twice under one key may have runs still.
+        if (const auto found = m_byKey.find(key); found != m_byKey.end() && m_batches.at(found->second).unreported == 0) {
+            auto &last = m_lastForgotten[key.scheduler];
+            last = std::max(last, std::pair(key.schedulerIncarnation, key.batch));
             m_batches.erase(found->second);
             m_byKey.erase(found);
         }
--- a/core/src/guard/batch_table.h
+++ b/core/src/guard/batch_table.h
@@ -62,6 +62,9 @@
 
     [[nodiscard]] bool isRefused(const BatchKey &key) const;
 
+    /** Returns whether a batch that is not known may have been received, and its runs have ended, so long ago that it was forgotten. */
+    [[nodiscard]] bool mayBeForgotten(const BatchKey &key) const;
+
 private:
     void forgetOld(MonotonicTime now);
 
@@ -69,7 +72,8 @@
     std::map<ConnectionId, ConnectionId> m_byReceiver;
     std::map<BatchKey, ConnectionId> m_byKey;
     std::set<BatchKey> m_refused;
-    std::deque<std::pair<MonotonicTime, BatchKey>> m_byTime; ///< ended and refused batches, by when that happened
+    std::deque<std::pair<MonotonicTime, BatchKey>> m_byTime;                  ///< ended and refused batches, by when that happened
+    std::map<EntryName, std::pair<Incarnation, BatchNumber>> m_lastForgotten; ///< highest batch of each scheduler that was forgotten
 };
 
 } // namespace Sycamoremoor
--- a/core/src/guard/guard_batches.cpp
+++ b/core/src/guard/guard_batches.cpp
@@ -145,8 +145,13 @@
         return;
     }
     if (!batch) {
+        const bool mayHaveRun = m_batches.mayBeForgotten(key);
         m_batches.refuse(step.now(), key);
-        answerRecall(step, input.connection, recall, RunOutcome::NotStarted, ErrorKind::Tombstoned);
+        answerRecall(step,
+                     input.connection,
+                     recall,
+                     mayHaveRun ? RunOutcome::Lapsed : RunOutcome::NotStarted,
+                     mayHaveRun ? ErrorKind::AgentLost : ErrorKind::Tombstoned);
         return;
     }
     auto &recalled = *m_batches.find(*batch);
--- a/core/tests/guard_machine_test.cpp
+++ b/core/tests/guard_machine_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -245,6 +247,55 @@
     EXPECT_EQ(guard.all<ReportRun>().front().report.error, ErrorKind::Tombstoned);
 }
 
+namespace
+{
+
+/** A recall after batch 5 has ended, and what it is told. */
+struct LateRecallCase {
+    const char *name;
+    Duration after;      ///< from the end of batch 5, when batch 6 has ended, too
+    std::uint64_t batch; ///< that is recalled
+    RunOutcome outcome;
+    ErrorKind error;
+};
+
+constexpr std::array LateRecalls{
+    LateRecallCase{"EndIsRemembered", std::chrono::seconds(9), 5, RunOutcome::Done, ErrorKind::None},
+    LateRecallCase{"EndIsForgotten", std::chrono::seconds(11), 5, RunOutcome::Lapsed, ErrorKind::AgentLost},
+    LateRecallCase{"EndIsForgottenForLong", std::chrono::hours(1), 5, RunOutcome::Lapsed, ErrorKind::AgentLost},
+    LateRecallCase{"EarlierBatchMayBeForgotten", std::chrono::seconds(11), 4, RunOutcome::Lapsed, ErrorKind::AgentLost},
+    LateRecallCase{"LaterBatchNeverArrived", std::chrono::seconds(11), 7, RunOutcome::NotStarted, ErrorKind::Tombstoned},
+    LateRecallCase{"EarlierBatchNeverArrived", std::chrono::seconds(9), 4, RunOutcome::NotStarted, ErrorKind::Tombstoned},
+};
+
+} // namespace
+
+class GuardLateRecallTest : public testing::TestWithParam<LateRecallCase>
+{
+};
+
+// Guards against a run that a guard has forgotten and that its scheduler takes for not started: it refused a job that had run.
+TEST_P(GuardLateRecallTest, IsNotToldThatARunWasNotStartedUnlessThatIsCertain)
+{
+    GuardDriver guard;
+    guard.order(5, 0, 1'000);
+    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+    guard.answerRenewal({}, {{1, GuardDriver::run(0), RunOutcome::Done}});
+    guard.advance(GetParam().after);
+    guard.order(6, 1, 1'000);
+    guard.feed(RunStartAnswered{GuardDriver::run(1), StartAnswer::Started});
+    guard.answerRenewal({}, {{2, GuardDriver::run(1), RunOutcome::Done}});
+    for (const std::uint64_t connection : {90, 91}) {
+        guard.recall(connection, GetParam().batch);
+        ASSERT_EQ(guard.all<ReportRun>().size(), 1U);
+        EXPECT_EQ(guard.all<ReportRun>().front().report.outcome, GetParam().outcome);
+        EXPECT_EQ(guard.all<ReportRun>().front().report.error, GetParam().error);
+        EXPECT_EQ(guard.all<EndBatch>().size(), 1U);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Recalls, GuardLateRecallTest, testing::ValuesIn(LateRecalls), [](const auto &test) { return test.param.name; });
+
 TEST(GuardMachineTest, ARecallFromAnEarlierIncarnationWaitsUntilItsRunsAreGone)
 {
     GuardDriver guard;
--- a/core/tests/scheduler_machine_test.cpp
+++ b/core/tests/scheduler_machine_test.cpp
@@ -32,6 +32,8 @@
     ReturnCase{"NotStartedTooLate", milliseconds(1000), false, RunOutcome::NotStarted, QueueJobResult::Refused},
     ReturnCase{"StoppedSoon", milliseconds(100), false, RunOutcome::Stopped, std::nullopt},
     ReturnCase{"StoppedTooLate", milliseconds(1000), false, RunOutcome::Stopped, QueueJobResult::Lost},
+    ReturnCase{"ForgottenByItsGuardSoon", milliseconds(100), false, RunOutcome::Lapsed, std::nullopt},
+    ReturnCase{"ForgottenByItsGuardTooLate", milliseconds(1000), false, RunOutcome::Lapsed, QueueJobResult::Lost},
     ReturnCase{"InterruptedSoon", milliseconds(100), true, RunOutcome::End, std::nullopt},
     ReturnCase{"InterruptedTooLate", milliseconds(1000), true, RunOutcome::End, QueueJobResult::Lost},
 };
