Fix: [net] Entries that a step removes are not looked up after it

Cause: GuardServer noted the batches of a scheduler that is gone and fed them to the machine one by one. Change: each batch is dropped only if it is still there. The same kind of fault in loops and functions that hold an iterator, a reference or a list of ids while they emit an input or write: RoomWatcher, BatchSender, AgentSender, ReportExchanges, streams of GuardServer, and Timer, whose hook may destroy it. Result: GuardServerTest.TheBatchesOfASchedulerThatIsGoneMayEndWhileTheyAreDropped failed before with map::at. Tests of net pass.

--- a/net/include/sycamoremoor/net/batch_sender.h
+++ b/net/include/sycamoremoor/net/batch_sender.h
@@ -49,7 +49,8 @@
     void sendRecall(BatchNumber batch);
     void recallEnded(BatchNumber batch);
     void received(BatchNumber batch, std::string_view part);
-    void takeLine(BatchNumber batch, std::string_view line);
+    /** Takes a line of the answer to @p call, unless another call has taken its place. */
+    void takeLine(BatchNumber batch, CallNumber call, std::string_view line);
     void ended(BatchNumber batch, const ClientResult &result);
 
     EventLoop &m_loop;
--- a/net/include/sycamoremoor/net/guard_server.h
+++ b/net/include/sycamoremoor/net/guard_server.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <string>
 
 namespace Sycamoremoor
 {
@@ -55,7 +56,8 @@
     void takeWatch(const RoutedRequest &request);
     void watcherGone(std::uint64_t watcher);
     void tellAll();
-    void tellCrashes(OpenExchange &watcher);
+    /** Returns the lines of the crashes that a scheduler was not told of; they then count as told. */
+    [[nodiscard]] std::string takeUntoldCrashes(OpenExchange &watcher) const;
     /** Tells the schedulers that have heard nothing for a while. */
     void tellQuiet();
     /** Tells the schedulers that have not been told of the last change and whose interval has passed. */
@@ -68,6 +70,8 @@
     void setReportInterval(const EntryName &scheduler, Duration interval);
     [[nodiscard]] bool isWatched(const EntryName &scheduler) const;
     void dropUnwatched();
+    /** Ends all batches of a scheduler that is gone. */
+    void drop(const EntryName &scheduler);
 
     MetricRegistry &m_metrics;
     sigc::signal<void(GuardInput)> m_input;
--- a/net/include/sycamoremoor/net/room_watcher.h
+++ b/net/include/sycamoremoor/net/room_watcher.h
@@ -51,11 +51,13 @@
     /** Watches the guards that are chosen now, and ends watches of others that the scheduler does not use. */
     void follow();
     void watch(const AgentRecord &record);
+    /** Ends the watch of a guard that is not chosen, unless it was until recently or is in use. @return whether a followed guard was left */
+    bool unfollow(const AgentName &agent, MonotonicTime now);
     /** Tells the scheduler whether it follows all workers, if that has changed or more were asked for. */
     void tellChoice(std::size_t chosen, std::size_t all, bool isWidened);
     void open(Watch &watch);
     void received(Watch &watch, std::string_view part);
-    void takeCrash(const Watch &watch, std::string_view line);
+    void takeCrash(const AgentName &agent, std::string_view line);
     /** Hands on the newest report of a guard. Those before it say nothing more. */
     void decodeNewest(Watch &watch);
     void broken(Watch &watch);
--- a/net/src/agent_sender.cpp
+++ b/net/src/agent_sender.cpp
@@ -2,6 +2,7 @@
 #include <sycamoremoor/net/agent_sender.h>
 
 #include <sycamoremoor/net/http_client.h>
+#include <sycamoremoor/net/line_reader.h>
 #include <sycamoremoor/net/log_func.h>
 #include <sycamoremoor/net/metric_registry.h>
 #include <sycamoremoor/net/path_type.h>
@@ -58,7 +59,7 @@
     Incarnation incarnation;
     bool isQuery = false;
     std::vector<TaskId> tasks;
-    std::string pending; ///< bytes of a line that has not ended
+    LineReader lines;
 };
 
 AgentSender::AgentSender(HttpClient &client, MetricRegistry &metrics)
@@ -106,14 +107,14 @@
     if (found == m_exchanges.end()) {
         return;
     }
-    auto &exchange = *found->second;
-    exchange.pending += part;
-    std::size_t begin = 0;
-    for (auto end = exchange.pending.find('\n'); end != std::string::npos; end = exchange.pending.find('\n', begin)) {
-        takeLine(exchange, std::string_view(exchange.pending).substr(begin, end - begin));
-        begin = end + 1;
+    // A report may make the machine send, and its exchanges change.
+    std::vector<std::string> lines;
+    found->second->lines.take(part, [&lines](std::string_view line) { lines.emplace_back(line); });
+    for (const auto &line : lines) {
+        if (const auto open = m_exchanges.find(number); open != m_exchanges.end()) {
+            takeLine(*open->second, line);
+        }
     }
-    exchange.pending.erase(0, begin);
 }
 
 void AgentSender::takeLine(Exchange &exchange, std::string_view line)
--- a/net/src/batch_sender.cpp
+++ b/net/src/batch_sender.cpp
@@ -159,20 +159,21 @@
 
 void BatchSender::received(BatchNumber batch, std::string_view part)
 {
-    // A report may cancel the exchange, and with it the reader of its lines.
+    // A report may cancel the exchange, and with it the reader of its lines, or put the recall of the batch in its place.
     if (const auto found = m_exchanges.find(batch); found != m_exchanges.end()) {
+        const auto call = found->second->call;
         std::vector<std::string> lines;
         found->second->lines.take(part, [&lines](std::string_view line) { lines.emplace_back(line); });
         for (const auto &line : lines) {
-            takeLine(batch, line);
+            takeLine(batch, call, line);
         }
     }
 }
 
-void BatchSender::takeLine(BatchNumber batch, std::string_view line)
+void BatchSender::takeLine(BatchNumber batch, CallNumber call, std::string_view line)
 {
     const auto found = m_exchanges.find(batch);
-    if (found == m_exchanges.end()) {
+    if (found == m_exchanges.end() || found->second->call != call) {
         return;
     }
     RunReport report;
--- a/net/src/guard_server.cpp
+++ b/net/src/guard_server.cpp
@@ -159,29 +159,37 @@
 void GuardServer::dropUnwatched()
 {
     const auto now = monotonicNow();
-    for (auto position = m_unwatchedSince.begin(); position != m_unwatchedSince.end();) {
-        const auto &[scheduler, since] = *position;
-        if (now - since < UnwatchedLimit) {
-            ++position;
-            continue;
+    std::vector<EntryName> gone;
+    for (const auto &[scheduler, since] : m_unwatchedSince) {
+        if (now - since >= UnwatchedLimit) {
+            gone.push_back(scheduler);
         }
-        std::vector<ConnectionId> dropped;
-        for (const auto &[connection, batch] : m_batches) {
-            if (batch.scheduler == scheduler) {
-                dropped.push_back(connection);
-            }
-        }
-        if (!dropped.empty()) {
-            writeLog({Severity::Warning,
-                      "guard",
-                      "Scheduler " + scheduler.value() + " is gone; its " + std::to_string(dropped.size()) + " batches are stopped."});
+    }
+    for (const auto &scheduler : gone) {
+        drop(scheduler);
+    }
+}
+
+void GuardServer::drop(const EntryName &scheduler)
+{
+    std::vector<ConnectionId> dropped;
+    for (const auto &[connection, batch] : m_batches) {
+        if (batch.scheduler == scheduler) {
+            dropped.push_back(connection);
         }
-        m_seen.erase(scheduler);
-        m_reportIntervals.erase(scheduler);
-        position = m_unwatchedSince.erase(position);
-        for (const auto connection : dropped) {
-            m_batches.at(connection).exchange->endStream();
-            m_batches.erase(connection);
+    }
+    if (!dropped.empty()) {
+        writeLog({Severity::Warning,
+                  "guard",
+                  "Scheduler " + scheduler.value() + " is gone; its " + std::to_string(dropped.size()) + " batches are stopped."});
+    }
+    m_seen.erase(scheduler);
+    m_reportIntervals.erase(scheduler);
+    m_unwatchedSince.erase(scheduler);
+    for (const auto connection : dropped) {
+        // The step that follows an earlier one may have ended this batch.
+        if (const auto batch = m_batches.extract(connection); !batch.empty()) {
+            batch.mapped().exchange->endStream();
             m_input.emit(BatchAbandoned{connection});
         }
     }
@@ -230,15 +238,17 @@
     tellAll();
 }
 
-void GuardServer::tellCrashes(OpenExchange &watcher)
+std::string GuardServer::takeUntoldCrashes(OpenExchange &watcher) const
 {
     const auto now = monotonicNow();
+    std::string lines;
     for (const auto &[number, crash] : m_crashes) {
         if (number > watcher.toldCrash && crash.expiresAt > now) {
             watcher.toldCrash = number;
-            watcher.exchange->stream(encode(crash.notice) + "\n");
+            lines += encode(crash.notice) + "\n";
         }
     }
+    return lines;
 }
 
 void GuardServer::setReportInterval(const EntryName &scheduler, Duration interval)
@@ -326,13 +336,15 @@
     if (watcher.isBehind) {
         return; // it reads more slowly than room changes: the next report is newer than all that it misses
     }
-    tellCrashes(watcher);
+    auto lines = takeUntoldCrashes(watcher);
     auto room = m_room;
     if (const auto seen = m_seen.find(watcher.scheduler); seen != m_seen.end()) {
         room.lastCountedBatch = seen->second;
     }
     room.clock = GuardTime(now.time_since_epoch().count());
-    watcher.exchange->stream(encode(room) + "\n");
+    lines += encode(room) + "\n";
+    const auto exchange = watcher.exchange; // if the stream has ended, writing to it may remove the watcher
+    exchange->stream(lines);
 }
 
 } // namespace Sycamoremoor
--- a/net/src/report_exchanges.cpp
+++ b/net/src/report_exchanges.cpp
@@ -63,7 +63,11 @@
     for (const auto &[number, batch] : batches) {
         const auto line = encode(batch) + "\n";
         m_metrics.addMessage(MessageDirection::Out, Path::TaskReports, line.size());
-        m_exchanges.at(number).exchange->stream(line);
+        // Writing may find that the exchange, or another of them, has ended.
+        if (const auto found = m_exchanges.find(number); found != m_exchanges.end()) {
+            const auto exchange = found->second.exchange;
+            exchange->stream(line);
+        }
     }
     for (const auto &[number, batch] : batches) {
         for (const auto &report : batch.reports) {
@@ -115,8 +119,9 @@
     }
     std::erase(found->second.awaited, task);
     if (found->second.awaited.empty()) {
-        found->second.exchange->endStream();
+        const auto exchange = found->second.exchange;
         m_exchanges.erase(found);
+        exchange->endStream();
     }
 }
 
--- a/net/src/room_watcher.cpp
+++ b/net/src/room_watcher.cpp
@@ -10,9 +10,12 @@
 #include <sycamoremoor/net/timer.h>
 #include <sycamoremoor/wire/message_codec.h>
 
+#include <algorithm>
+#include <iterator>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace Sycamoremoor
 {
@@ -91,25 +94,40 @@
     for (const auto &agent : chosen) {
         watch(candidates.at(agent));
     }
-    tellChoice(chosen.size(), candidates.size(), isWidened);
-    std::erase_if(m_watches, [&](const auto &item) {
-        const auto &[agent, watch] = item;
+    std::vector<AgentName> unchosen;
+    for (const auto &[agent, watch] : m_watches) {
         if (chosen.contains(agent)) {
             watch->unchosenSince.reset();
-            return false;
-        }
-        const bool isListed = m_listed.contains(agent);
-        const auto since = watch->unchosenSince.value_or(now);
-        watch->unchosenSince = since;
-        if (isListed && (since + LingerTime > now || m_hooks.isUsing(agent))) {
-            return false; // the choice may soon be as it was, and the guard's clock is needed to renew the leases of batches
-        }
-        m_client.cancel(watch->record.endpoint, watch->call);
-        if (watch->heard) {
-            m_input.emit(WorkerUnfollowed{agent});
+        } else {
+            unchosen.push_back(agent);
         }
-        return true;
-    });
+    }
+    std::vector<AgentName> unfollowed;
+    std::ranges::copy_if(unchosen, std::back_inserter(unfollowed), [&](const auto &agent) { return unfollow(agent, now); });
+    // Inputs come last: what they cause may choose anew.
+    tellChoice(chosen.size(), candidates.size(), isWidened);
+    for (const auto &agent : unfollowed) {
+        m_input.emit(WorkerUnfollowed{agent});
+    }
+}
+
+bool RoomWatcher::unfollow(const AgentName &agent, MonotonicTime now)
+{
+    const bool isUsed = m_hooks.isUsing(agent);
+    const auto found = m_watches.find(agent);
+    if (found == m_watches.end()) {
+        return false;
+    }
+    auto &watch = *found->second;
+    const auto since = watch.unchosenSince.value_or(now);
+    watch.unchosenSince = since;
+    if (m_listed.contains(agent) && (since + LingerTime > now || isUsed)) {
+        return false; // the choice may soon be as it was, and the guard's clock is needed to renew the leases of batches
+    }
+    m_client.cancel(watch.record.endpoint, watch.call);
+    const bool wasHeard = watch.heard;
+    m_watches.erase(found);
+    return wasHeard;
 }
 
 void RoomWatcher::tellChoice(std::size_t chosen, std::size_t all, bool isWidened)
@@ -182,31 +200,37 @@
 void RoomWatcher::received(Watch &watch, std::string_view part)
 {
     const bool isFirst = watch.newestReport.empty();
-    watch.lines.take(part, [this, &watch](std::string_view line) {
+    std::vector<std::string> notices;
+    watch.lines.take(part, [&notices, &watch](std::string_view line) {
         if (line.starts_with(CrashNoticeStart)) {
-            takeCrash(watch, line);
+            notices.emplace_back(line);
         } else {
             watch.newestReport = line;
         }
     });
+    const auto agent = watch.record.agent;
     if (isFirst && !watch.newestReport.empty()) {
         watch.silence->start(SilenceLimit);
-        m_loop.atEndOfRound(RoundPhase::Decode, [this, agent = watch.record.agent] {
+        m_loop.atEndOfRound(RoundPhase::Decode, [this, agent] {
             if (const auto found = m_watches.find(agent); found != m_watches.end()) {
                 decodeNewest(*found->second);
             }
         });
     }
+    // Inputs come last: what they cause may end the watch.
+    for (const auto &line : notices) {
+        takeCrash(agent, line);
+    }
 }
 
-void RoomWatcher::takeCrash(const Watch &watch, std::string_view line)
+void RoomWatcher::takeCrash(const AgentName &agent, std::string_view line)
 {
     CrashNotice notice;
     if (const auto error = decode(line, notice)) {
         writeLog({Severity::Error, "rooms", "A notice of a crash cannot be read: " + error->detail + "."});
         return;
     }
-    m_input.emit(CrashReported{watch.record.agent, std::move(notice)});
+    m_input.emit(CrashReported{agent, std::move(notice)});
 }
 
 void RoomWatcher::decodeNewest(Watch &watch)
@@ -231,16 +255,18 @@
     watch.newestReport.clear();
     watch.silence->stop();
     const auto agent = watch.record.agent;
-    if (std::exchange(watch.heard, false)) {
+    const bool wasHeard = std::exchange(watch.heard, false);
+    if (wasHeard) {
         watch.silentSince = monotonicNow();
-        m_input.emit(WorkerUnreachable{agent});
     }
-    if (!m_listed.contains(agent)) {
-        // The timer that calls this belongs to the watch: it is forgotten when the subset is chosen next.
-        return;
+    // The timer that calls this belongs to the watch: if it is not listed, it is forgotten when the subset is chosen next.
+    if (m_listed.contains(agent)) {
+        watch.reopen->start(watch.reopenDelay);
+        watch.reopenDelay = std::min(watch.reopenDelay * 2, LongestReopenDelay);
+    }
+    if (wasHeard) {
+        m_input.emit(WorkerUnreachable{agent}); // last: what it causes may end the watch
     }
-    watch.reopen->start(watch.reopenDelay);
-    watch.reopenDelay = std::min(watch.reopenDelay * 2, LongestReopenDelay);
 }
 
 } // namespace Sycamoremoor
--- a/net/src/timer.cpp
+++ b/net/src/timer.cpp
@@ -37,7 +37,8 @@
 
 void Timer::fired(int /*socket*/, short /*what*/, void *self)
 {
-    static_cast<Timer *>(self)->m_hook();
+    const auto hook = static_cast<Timer *>(self)->m_hook; // it may destroy the timer, and with it itself
+    hook();
 }
 
 } // namespace Sycamoremoor
--- a/net/tests/guard_server_test.cpp
+++ b/net/tests/guard_server_test.cpp
@@ -8,6 +8,7 @@
 #include <sycamoremoor/net/http_server.h>
 #include <sycamoremoor/net/line_reader.h>
 #include <sycamoremoor/net/metric_registry.h>
+#include <sycamoremoor/net/path_type.h>
 #include <sycamoremoor/net/timer.h>
 #include <sycamoremoor/wire/message_codec.h>
 
@@ -22,6 +23,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace Sycamoremoor
@@ -163,6 +165,52 @@
     EXPECT_TRUE(runUntil(loop, [&] { return told["last"] == refuted; }));
 }
 
+// Guards against an entry that is looked up after a step has removed it: the guard ended by an exception.
+TEST(GuardServerTest, TheBatchesOfASchedulerThatIsGoneMayEndWhileTheyAreDropped)
+{
+    constexpr std::size_t Batches = 3;
+    EventLoop loop;
+    MetricRegistry metrics;
+    Router router(metrics, [] { return std::uint64_t{1}; });
+    HttpServer server(loop, {"127.0.0.1", 0}, {}, [&router](const HttpExchangePointer &exchange) { router.route(exchange); });
+    GuardServer guard(loop, router, metrics);
+    std::vector<ConnectionId> received;
+    std::vector<ConnectionId> abandoned;
+    guard.signalInput().connect([&](const GuardInput &input) {
+        if (const auto *batch = std::get_if<BatchReceived>(&input)) {
+            received.push_back(batch->connection);
+        } else if (const auto *dropped = std::get_if<BatchAbandoned>(&input)) {
+            abandoned.push_back(dropped->connection);
+            for (const auto connection : received) {
+                guard.carryOut(EndBatch{connection}); // as the step does that finds that the leases at the upstream have ended
+            }
+        }
+    });
+    HttpClient client(loop);
+    ClientCall watch;
+    watch.endpoint = server.endpoint();
+    watch.method = RequestMethod::Get;
+    watch.path = "/internal/v1/watch-room?scheduler=S";
+    const auto stream = client.send(std::move(watch), [](const ClientResult & /*result*/) {});
+    std::size_t ended = 0;
+    for (std::size_t number = 1; number <= Batches; ++number) {
+        StartBatch batch;
+        batch.scheduler = EntryName("S");
+        batch.batch = BatchNumber(number);
+        batch.orders.emplace_back();
+        ClientCall call;
+        call.endpoint = server.endpoint();
+        call.path = Path::StartBatch;
+        call.body = encode(batch);
+        call.newConnection = true;
+        client.send(std::move(call), [&ended](const ClientResult & /*result*/) { ++ended; });
+    }
+    ASSERT_TRUE(runUntil(loop, [&] { return received.size() == Batches && server.openExchanges() == Batches + 1; }));
+    client.cancel(server.endpoint(), stream);
+    ASSERT_TRUE(runUntil(loop, [&ended] { return ended == Batches; }));
+    EXPECT_EQ(abandoned.size(), 1U) << "the others had ended";
+}
+
 TEST(GuardServerTest, AStoppingGuardBeginsNoNewStream)
 {
     EventLoop loop;
--- a/net/tests/room_watcher_test.cpp
+++ b/net/tests/room_watcher_test.cpp
@@ -12,6 +12,7 @@
 
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace Sycamoremoor
@@ -141,6 +142,74 @@
     ASSERT_TRUE(runUntil(loop, [&reported] { return reported.size() == Guards; }));
 }
 
+// Guards against the use of a watch that an input of its own has replaced.
+TEST(RoomWatcherTest, AGuardMayMoveWhileItsStreamIsFoundToHaveEnded)
+{
+    EventLoop loop;
+    std::vector<HttpExchangePointer> streams;
+    const auto tell = [&streams](const HttpExchangePointer &exchange) {
+        streams.push_back(exchange);
+        exchange->stream(encode(reportOf(1)) + "\n");
+    };
+    HttpServer before(loop, {"127.0.0.1", 0}, {}, tell);
+    HttpServer after(loop, {"127.0.0.1", 0}, {}, tell);
+    HttpClient client(loop);
+    RoomWatcher rooms(loop, client, EntryName("S"), allGuards(), hooks());
+    const AgentName agent("A");
+    std::size_t reports = 0;
+    std::size_t losses = 0;
+    rooms.signalInput().connect([&](const SchedulerInput &input) {
+        if (std::holds_alternative<CapacityReported>(input)) {
+            ++reports;
+        } else if (std::holds_alternative<WorkerUnreachable>(input)) {
+            ++losses;
+            rooms.setGuards({{agent, AgentRecord{agent, after.endpoint(), ZoneName("z")}}});
+        }
+    });
+    rooms.setGuards({{agent, AgentRecord{agent, before.endpoint(), ZoneName("z")}}});
+    ASSERT_TRUE(runUntil(loop, [&reports] { return reports == 1; }));
+    streams.front()->endStream();
+    ASSERT_TRUE(runUntil(loop, [&reports] { return reports == 2; }));
+    EXPECT_EQ(losses, 1U);
+    EXPECT_EQ(rooms.endpoint(agent), after.endpoint());
+    EXPECT_EQ(after.openExchanges(), 1U);
+}
+
+// Guards against a loop over the watches that an input of its own changes.
+TEST(RoomWatcherTest, TheGuardsMayChangeWhileAnotherIsLeft)
+{
+    EventLoop loop;
+    HttpServer guard(loop, {"127.0.0.1", 0}, {}, [](const HttpExchangePointer &exchange) { exchange->stream(encode(reportOf(1)) + "\n"); });
+    HttpClient client(loop);
+    RoomWatcher rooms(loop, client, EntryName("S"), GuardSubset(EntryName("S"), ZoneName("z"), 1), hooks());
+    const auto recordOf = [&guard](const AgentName &agent) {
+        return AgentRecord{agent, guard.endpoint(), ZoneName("z")};
+    };
+    GuardSubset::Guards others;
+    for (int index = 0; index < 50; ++index) {
+        const AgentName agent("W" + std::to_string(index));
+        others[agent] = recordOf(agent);
+    }
+    const AgentName first("A");
+    std::set<AgentName> reported;
+    std::vector<AgentName> left;
+    rooms.signalInput().connect([&](const SchedulerInput &input) {
+        if (const auto *report = std::get_if<CapacityReported>(&input)) {
+            reported.insert(report->agent);
+        } else if (const auto *unfollowed = std::get_if<WorkerUnfollowed>(&input)) {
+            left.push_back(unfollowed->agent);
+            if (left.size() == 1) {
+                rooms.setGuards(others);
+            }
+        }
+    });
+    rooms.setGuards({{first, recordOf(first)}});
+    ASSERT_TRUE(runUntil(loop, [&reported] { return reported.size() == 1; }));
+    rooms.setGuards(others);
+    EXPECT_EQ(left, std::vector<AgentName>{first});
+    EXPECT_TRUE(runUntil(loop, [&reported] { return reported.size() == 2; }));
+}
+
 TEST(RoomWatcherTest, AnotherGuardIsFollowedInsteadOfASilentOne)
 {
     constexpr std::size_t Size = 2;
