--- a/net/include/sycamoremoor/net/batch_sender.h
+++ b/net/include/sycamoremoor/net/batch_sender.h
@@ -50,7 +50,8 @@
     void sendRecall(BatchNumber batch);
     void recallEnded(BatchNumber batch);
     void received(BatchNumber batch, std::string_view part);
-    void takeLine(BatchNumber batch, std::string_view line);
+    /** Takes a line of the answer to @p call, unless another call has taken its place. */
+    void takeLine(BatchNumber batch, CallNumber call, std::string_view line);
     void takeProjection(BatchNumber batch, Exchange &exchange, std::string_view line);
     void limitPassed(BatchNumber batch);
     void ended(BatchNumber batch, const ClientResult &result);
--- a/net/include/sycamoremoor/net/room_watcher.h
+++ b/net/include/sycamoremoor/net/room_watcher.h
@@ -3,6 +3,7 @@
 
 #include <sycamoremoor/core/guard_subset.h>
 #include <sycamoremoor/core/scheduler_input_type.h>
+#include <sycamoremoor/net/known_guard_type.h>
 #include <sycamoremoor/net/timer.h>
 
 #include <sigc++/signal.h>
@@ -11,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace Sycamoremoor
@@ -46,17 +48,23 @@
     /** Returns where a guard listens. */
     [[nodiscard]] std::optional<Endpoint> endpoint(const AgentName &agent) const;
 
+    /** Returns all guards that are known. */
+    [[nodiscard]] KnownGuards guards() const;
+
 private:
     struct Watch;
 
     /** Watches the guards that are chosen now, and ends watches of others that the scheduler does not use. */
     void follow();
     void watch(const AgentRecord &record);
+    /** Ends the watch of a guard that is not chosen, unless it was until recently or is in use. @return whether a followed guard was left */
+    bool unfollow(const AgentName &agent, MonotonicTime now);
     /** Tells the scheduler whether it follows all workers, if that has changed or more were asked for. */
     void tellChoice(std::size_t chosen, std::size_t all, bool isWidened);
     void open(Watch &watch);
     void received(Watch &watch, std::string_view part);
-    void takeCrash(const Watch &watch, std::string_view line);
+    void takeCrash(const AgentName &agent, std::string_view line);
+    void takeCancellation(const AgentName &agent, std::string line);
     /** Hands on the newest report of a guard. Those before it say nothing more. */
     void decodeNewest(Watch &watch);
     void broken(Watch &watch);
@@ -66,7 +74,9 @@
     EntryName m_scheduler;
     GuardSubset m_subset;
     RoomWatcherHooks m_hooks;
-    GuardSubset::Guards m_listed; ///< in the directory
+    GuardSubset::Guards m_listed;   ///< in the directory
+    std::string m_lastCancellation; ///< line that was handed on last
+    MonotonicTime m_lastCancellationAt;
     bool m_choseAll = true;
     Timer m_followTimer;
     sigc::signal<void(SchedulerInput)> m_input;
--- a/net/src/guard_server.cpp
+++ b/net/src/guard_server.cpp
@@ -28,7 +28,8 @@
 constexpr Duration SteadyInterval = std::chrono::milliseconds(250);  ///< a quarter of the silence that schedulers bear
 constexpr Duration UnwatchedLimit = std::chrono::milliseconds(1200); ///< a scheduler that lives watches anew within a second
 
-constexpr std::size_t MaxCrashes = 16; ///< that are kept for schedulers that connect
+constexpr std::size_t MaxCrashes = 16;        ///< that are kept for schedulers that connect
+constexpr std::size_t MaxCancellations = 256; ///< as well: a scheduler sends some in a second, with up to a thousand jobs each
 
 /** Reads the whole of @p text as a number of microseconds, or nothing. */
 std::optional<Duration> readMicroseconds(std::string_view text)
@@ -51,6 +52,7 @@
     router.add(RequestMethod::Post, Path::StartBatch, [this](const RoutedRequest &request) { takeBatch(request); });
     router.add(RequestMethod::Post, Path::RenewBatches, [this](const RoutedRequest &request) { takeRenewal(request); });
     router.add(RequestMethod::Post, Path::RecallBatch, [this](const RoutedRequest &request) { takeRecall(request); });
+    router.add(RequestMethod::Post, Path::CancelJobs, [this](const RoutedRequest &request) { takeCancellation(request); });
     router.add(RequestMethod::Get, Path::WatchRoom, [this](const RoutedRequest &request) { takeWatch(request); });
     m_steadyTimer.start(SteadyInterval / 2);
 }
@@ -100,6 +102,19 @@
     m_input.emit(RecallReceived{connection, std::move(recall)});
 }
 
+void GuardServer::takeCancellation(const RoutedRequest &request)
+{
+    JobCancellation cancellation;
+    if (!decodeOrRefuse(request, cancellation)) {
+        return;
+    }
+    m_metrics.addMessage(MessageDirection::In, Path::CancelJobs, request.exchange->request().body.size());
+    const ConnectionId connection(++m_lastConnection);
+    m_cancelRequests[connection] = request.exchange;
+    request.exchange->onGone([this, connection] { m_cancelRequests.erase(connection); });
+    m_input.emit(JobsCancelled{connection, std::move(cancellation.jobs)});
+}
+
 ConnectionId GuardServer::openExchange(const EntryName &scheduler, const HttpExchangePointer &exchange)
 {
     const ConnectionId connection(++m_lastConnection);
@@ -159,29 +174,37 @@
 void GuardServer::dropUnwatched()
 {
     const auto now = monotonicNow();
-    for (auto position = m_unwatchedSince.begin(); position != m_unwatchedSince.end();) {
-        const auto &[scheduler, since] = *position;
-        if (now - since < UnwatchedLimit) {
-            ++position;
-            continue;
-        }
-        std::vector<ConnectionId> dropped;
-        for (const auto &[connection, batch] : m_batches) {
-            if (batch.scheduler == scheduler) {
-                dropped.push_back(connection);
-            }
+    std::vector<EntryName> gone;
+    for (const auto &[scheduler, since] : m_unwatchedSince) {
+        if (now - since >= UnwatchedLimit) {
+            gone.push_back(scheduler);
         }
-        if (!dropped.empty()) {
-            writeLog({Severity::Warning,
-                      "guard",
-                      "Scheduler " + scheduler.value() + " is gone; its " + std::to_string(dropped.size()) + " batches are stopped."});
+    }
+    for (const auto &scheduler : gone) {
+        drop(scheduler);
+    }
+}
+
+void GuardServer::drop(const EntryName &scheduler)
+{
+    std::vector<ConnectionId> dropped;
+    for (const auto &[connection, batch] : m_batches) {
+        if (batch.scheduler == scheduler) {
+            dropped.push_back(connection);
         }
-        m_seen.erase(scheduler);
-        m_reportIntervals.erase(scheduler);
-        position = m_unwatchedSince.erase(position);
-        for (const auto connection : dropped) {
-            m_batches.at(connection).exchange->endStream();
-            m_batches.erase(connection);
+    }
+    if (!dropped.empty()) {
+        writeLog({Severity::Warning,
+                  "guard",
+                  "Scheduler " + scheduler.value() + " is gone; its " + std::to_string(dropped.size()) + " batches are stopped."});
+    }
+    m_seen.erase(scheduler);
+    m_reportIntervals.erase(scheduler);
+    m_unwatchedSince.erase(scheduler);
+    for (const auto connection : dropped) {
+        // The step that follows an earlier one may have ended this batch.
+        if (const auto batch = m_batches.extract(connection); !batch.empty()) {
+            batch.mapped().exchange->endStream();
             m_input.emit(BatchAbandoned{connection});
         }
     }
@@ -237,15 +260,43 @@
     tellAll();
 }
 
-void GuardServer::tellCrashes(OpenExchange &watcher)
+void GuardServer::carryOut(const CancellationTaken &output)
+{
+    const auto now = monotonicNow();
+    while (!m_cancellations.empty() && (m_cancellations.begin()->second.expiresAt <= now || m_cancellations.size() >= MaxCancellations)) {
+        m_cancellations.erase(m_cancellations.begin());
+    }
+    m_cancellations.emplace(++m_lastCancellation, ToldCancellation{encode(JobCancellation{output.jobs}) + "\n", output.expiresAt});
+    tellAll();
+    if (const auto request = m_cancelRequests.extract(output.connection); !request.empty()) {
+        request.mapped()->reply({HttpStatus::Ok, encode(JobCancellationReply{output.stopped}), "application/json", {}});
+    }
+}
+
+std::string GuardServer::takeUntoldCancellations(OpenExchange &watcher) const
+{
+    const auto now = monotonicNow();
+    std::string lines;
+    for (auto position = m_cancellations.upper_bound(watcher.toldCancellation); position != m_cancellations.end(); ++position) {
+        if (position->second.expiresAt > now) {
+            lines += position->second.line;
+        }
+    }
+    watcher.toldCancellation = m_lastCancellation;
+    return lines;
+}
+
+std::string GuardServer::takeUntoldCrashes(OpenExchange &watcher) const
 {
     const auto now = monotonicNow();
+    std::string lines;
     for (const auto &[number, crash] : m_crashes) {
         if (number > watcher.toldCrash && crash.expiresAt > now) {
             watcher.toldCrash = number;
-            watcher.exchange->stream(encode(crash.notice) + "\n");
+            lines += encode(crash.notice) + "\n";
         }
     }
+    return lines;
 }
 
 void GuardServer::setReportInterval(const EntryName &scheduler, Duration interval)
@@ -333,13 +384,15 @@
     if (watcher.isBehind) {
         return; // it reads more slowly than room changes: the next report is newer than all that it misses
     }
-    tellCrashes(watcher);
+    auto lines = takeUntoldCancellations(watcher) + takeUntoldCrashes(watcher);
     auto room = m_room;
     if (const auto seen = m_seen.find(watcher.scheduler); seen != m_seen.end()) {
         room.lastCountedBatch = seen->second;
     }
     room.clock = GuardTime(now.time_since_epoch().count());
-    watcher.exchange->stream(encode(room) + "\n");
+    lines += encode(room) + "\n";
+    const auto exchange = watcher.exchange; // if the stream has ended, writing to it may remove the watcher
+    exchange->stream(lines);
 }
 
 } // namespace Sycamoremoor
--- a/net/src/room_watcher.cpp
+++ b/net/src/room_watcher.cpp
@@ -10,9 +10,12 @@
 #include <sycamoremoor/net/timer.h>
 #include <sycamoremoor/wire/message_codec.h>
 
+#include <algorithm>
+#include <iterator>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace Sycamoremoor
 {
@@ -24,11 +27,14 @@
 constexpr Duration ConnectLimit = std::chrono::milliseconds(400);
 constexpr Duration ReopenDelay = std::chrono::milliseconds(150);
 constexpr Duration LongestReopenDelay = std::chrono::milliseconds(1000);
-constexpr std::string_view CrashNoticeStart = R"({"crashed_guard":)"; ///< tells a notice of a crash from a report of room
-constexpr Duration FollowInterval = std::chrono::milliseconds(500);   ///< between choices of the guards to follow
-constexpr Duration SilentTime = std::chrono::seconds(1);              ///< without a report, until another guard is followed instead
-constexpr Duration LingerTime = std::chrono::seconds(10);             ///< for which a guard is followed after it was in the subset
-constexpr Duration WatchLimit = std::chrono::hours(24);               ///< a watch has no end of its own
+constexpr std::string_view CrashNoticeStart = R"({"crashed_guard":)";   ///< tells a notice of a crash from a report of room
+constexpr std::string_view CancellationStart = R"({"cancelled_jobs":)"; ///< tells cancelled jobs from a report of room
+constexpr Duration RepeatTime
+    = std::chrono::seconds(10); ///< in which the guards that a scheduler told of a cancellation have all passed it on
+constexpr Duration FollowInterval = std::chrono::milliseconds(500); ///< between choices of the guards to follow
+constexpr Duration SilentTime = std::chrono::seconds(1);            ///< without a report, until another guard is followed instead
+constexpr Duration LingerTime = std::chrono::seconds(10);           ///< for which a guard is followed after it was in the subset
+constexpr Duration WatchLimit = std::chrono::hours(24);             ///< a watch has no end of its own
 
 } // namespace
 
@@ -96,25 +102,40 @@
     for (const auto &agent : chosen) {
         watch(candidates.at(agent));
     }
-    tellChoice(chosen.size(), candidates.size(), isWidened);
-    std::erase_if(m_watches, [&](const auto &item) {
-        const auto &[agent, watch] = item;
+    std::vector<AgentName> unchosen;
+    for (const auto &[agent, watch] : m_watches) {
         if (chosen.contains(agent)) {
             watch->unchosenSince.reset();
-            return false;
-        }
-        const bool isListed = m_listed.contains(agent);
-        const auto since = watch->unchosenSince.value_or(now);
-        watch->unchosenSince = since;
-        if (isListed && (since + LingerTime > now || m_hooks.isUsing(agent))) {
-            return false; // the choice may soon be as it was, and the guard's clock is needed to renew the leases of batches
-        }
-        m_client.cancel(watch->record.endpoint, watch->call);
-        if (watch->heard) {
-            m_input.emit(WorkerUnfollowed{agent});
+        } else {
+            unchosen.push_back(agent);
         }
-        return true;
-    });
+    }
+    std::vector<AgentName> unfollowed;
+    std::ranges::copy_if(unchosen, std::back_inserter(unfollowed), [&](const auto &agent) { return unfollow(agent, now); });
+    // Inputs come last: what they cause may choose anew.
+    tellChoice(chosen.size(), candidates.size(), isWidened);
+    for (const auto &agent : unfollowed) {
+        m_input.emit(WorkerUnfollowed{agent});
+    }
+}
+
+bool RoomWatcher::unfollow(const AgentName &agent, MonotonicTime now)
+{
+    const bool isUsed = m_hooks.isUsing(agent);
+    const auto found = m_watches.find(agent);
+    if (found == m_watches.end()) {
+        return false;
+    }
+    auto &watch = *found->second;
+    const auto since = watch.unchosenSince.value_or(now);
+    watch.unchosenSince = since;
+    if (m_listed.contains(agent) && (since + LingerTime > now || isUsed)) {
+        return false; // the choice may soon be as it was, and the guard's clock is needed to renew the leases of batches
+    }
+    m_client.cancel(watch.record.endpoint, watch.call);
+    const bool wasHeard = watch.heard;
+    m_watches.erase(found);
+    return wasHeard;
 }
 
 void RoomWatcher::tellChoice(std::size_t chosen, std::size_t all, bool isWidened)
@@ -160,6 +181,18 @@
     return found == m_listed.end() ? std::nullopt : std::optional(found->second.endpoint);
 }
 
+KnownGuards RoomWatcher::guards() const
+{
+    KnownGuards guards;
+    for (const auto &[agent, record] : m_listed) {
+        guards[agent].endpoint = record.endpoint;
+    }
+    for (const auto &[agent, watch] : m_watches) {
+        guards[agent] = {watch->record.endpoint, watch->heard};
+    }
+    return guards;
+}
+
 void RoomWatcher::open(Watch &watch)
 {
     watch.lines = {};
@@ -187,31 +220,59 @@
 void RoomWatcher::received(Watch &watch, std::string_view part)
 {
     const bool isFirst = watch.newestReport.empty();
-    watch.lines.take(part, [this, &watch](std::string_view line) {
+    std::vector<std::string> notices;
+    std::vector<std::string> cancellations;
+    watch.lines.take(part, [&](std::string_view line) {
         if (line.starts_with(CrashNoticeStart)) {
-            takeCrash(watch, line);
+            notices.emplace_back(line);
+        } else if (line.starts_with(CancellationStart)) {
+            cancellations.emplace_back(line);
         } else {
             watch.newestReport = line;
         }
     });
+    const auto agent = watch.record.agent;
     if (isFirst && !watch.newestReport.empty()) {
         watch.silence->start(SilenceLimit);
-        m_loop.atEndOfRound(RoundPhase::Decode, [this, agent = watch.record.agent] {
+        m_loop.atEndOfRound(RoundPhase::Decode, [this, agent] {
             if (const auto found = m_watches.find(agent); found != m_watches.end()) {
                 decodeNewest(*found->second);
             }
         });
     }
+    // Inputs come last: what they cause may end the watch.
+    for (const auto &line : notices) {
+        takeCrash(agent, line);
+    }
+    for (auto &line : cancellations) {
+        takeCancellation(agent, std::move(line));
+    }
 }
 
-void RoomWatcher::takeCrash(const Watch &watch, std::string_view line)
+void RoomWatcher::takeCancellation(const AgentName &agent, std::string line)
+{
+    const auto now = monotonicNow();
+    if (line == m_lastCancellation && now < m_lastCancellationAt + RepeatTime) {
+        return; // each guard passes it on
+    }
+    JobCancellation cancellation;
+    if (const auto error = decode(line, cancellation)) {
+        writeLog({Severity::Error, "rooms", "A cancellation cannot be read: " + error->detail + "."});
+        return;
+    }
+    m_lastCancellation = std::move(line);
+    m_lastCancellationAt = now;
+    m_input.emit(JobsCancelledElsewhere{agent, std::move(cancellation.jobs)});
+}
+
+void RoomWatcher::takeCrash(const AgentName &agent, std::string_view line)
 {
     CrashNotice notice;
     if (const auto error = decode(line, notice)) {
         writeLog({Severity::Error, "rooms", "A notice of a crash cannot be read: " + error->detail + "."});
         return;
     }
-    m_input.emit(CrashReported{watch.record.agent, std::move(notice)});
+    m_input.emit(CrashReported{agent, std::move(notice)});
 }
 
 void RoomWatcher::decodeNewest(Watch &watch)
@@ -236,16 +297,18 @@
     watch.newestReport.clear();
     watch.silence->stop();
     const auto agent = watch.record.agent;
-    if (std::exchange(watch.heard, false)) {
+    const bool wasHeard = std::exchange(watch.heard, false);
+    if (wasHeard) {
         watch.silentSince = monotonicNow();
-        m_input.emit(WorkerUnreachable{agent});
     }
-    if (!m_listed.contains(agent)) {
-        // The timer that calls this belongs to the watch: it is forgotten when the subset is chosen next.
-        return;
+    // The timer that calls this belongs to the watch: if it is not listed, it is forgotten when the subset is chosen next.
+    if (m_listed.contains(agent)) {
+        watch.reopen->start(watch.reopenDelay);
+        watch.reopenDelay = std::min(watch.reopenDelay * 2, LongestReopenDelay);
+    }
+    if (wasHeard) {
+        m_input.emit(WorkerUnreachable{agent}); // last: what it causes may end the watch
     }
-    watch.reopen->start(watch.reopenDelay);
-    watch.reopenDelay = std::min(watch.reopenDelay * 2, LongestReopenDelay);
 }
 
 } // namespace Sycamoremoor
--- a/wire/include/sycamoremoor/wire/message_codec.h
+++ b/wire/include/sycamoremoor/wire/message_codec.h
@@ -48,6 +48,8 @@
                                 RunProjection,
                                 CapacityReport,
                                 CrashNotice,
+                                JobCancellation,
+                                JobCancellationReply,
                                 AgentRecord>;
 
 /**
