Add: [core] Runs that outlast a leaving upstream are stopped, and placed elsewhere

A run that could not end before its upstream did was lost with it, and placed elsewhere only when another boot answered or its lease had ended. Where GuardSettings::drainWithin is set, the guard stops it as soon as the upstream announces its end, if a new run can still end before the job expires; the task is placed again when the upstream has listed the end of the run.

The simulation plays departures, and evacuations with schedulers or guards that do not reach the store.

--- a/core/include/sycamoremoor/core/guard_machine.h
+++ b/core/include/sycamoremoor/core/guard_machine.h
@@ -18,6 +18,7 @@
     std::uint32_t parallelLongPolls = 2;                     ///< long polls in flight at the same time, in case one is lost
     Duration drainTimeout = std::chrono::milliseconds(5000); ///< longest duration of a planned stop
     ZoneName zone;                                           ///< availability zone of its machine
+    Duration drainWithin{};    ///< in which work moves off an upstream that is leaving; zero to leave all of its runs there
     Duration evacuateWithin{}; ///< from the operator's order until nothing is started in an evacuated zone; zero if none is evacuated
 };
 
--- a/core/src/guard/guard_batches.cpp
+++ b/core/src/guard/guard_batches.cpp
@@ -229,7 +229,7 @@
 
 void GuardMachine::Private::sendReport(GuardStep &step, ConnectionId connection, const RunReport &report)
 {
-    if (report.error == ErrorKind::Draining && m_evacuation.isEvacuated()) {
+    if (report.outcome == RunOutcome::NotStarted && report.error == ErrorKind::Draining && m_evacuation.isEvacuated()) {
         step.emit(Count{CounterMetric::EvacuatedRuns, 1});
     }
     auto &batch = *m_batches.find(connection);
--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -4,6 +4,7 @@
 #include "../machine_step.h"
 #include "batch_table.h"
 #include "crash_log.h"
+#include "departure.h"
 #include "evacuation_gate.h"
 #include "recent_runs.h"
 #include "run_table.h"
@@ -83,6 +84,7 @@
         bool hasEnded = false;                         ///< another boot has answered in its place
         std::vector<OpenRun> lapsedRuns;               ///< runs that were taken for ended while it did not answer
         std::map<RunId, MonotonicTime> unknownRuns;    ///< runs of an earlier incarnation of this guard, and when to repeat their stop
+        Departure departure;
         StallDetector stall;
         RecentRuns endedRuns{ListRetention}; ///< runs that it listed as ended recently
     };
@@ -138,6 +140,8 @@
     void stop(GuardStep &step, const RunId &run, GuardedRun &record);
     void sendStop(GuardStep &step, const RunId &run);
     void stopDueRuns(GuardStep &step);
+    /** Stops the runs that would be lost at the end of an upstream that is leaving. */
+    void stopCutOffRuns(GuardStep &step);
     /** Stops all runs if they stand still. */
     void detectStall(GuardStep &step);
     /** Returns the capacity that runs may use: less than that of the upstream while it may still stall or is cold. */
--- a/core/src/guard/guard_upstream.cpp
+++ b/core/src/guard/guard_upstream.cpp
@@ -74,6 +74,7 @@
         step.log(Severity::Info, "The upstream " + announced.incarnation.name + " is leaving; it gets no new work.");
     }
     m_upstream->announced = announced;
+    m_upstream->departure.announced(step.now(), announced);
     m_evacuation.announced(step.now(), announced.coldFor);
 }
 
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -192,6 +192,7 @@
         }
         replaceUpstream(step);
         detectStall(step);
+        stopCutOffRuns(step);
         dropExpired(step);
         startWaiting(step);
         stopDueRuns(step);
@@ -273,6 +274,28 @@
     }
 }
 
+void GuardMachine::Private::stopCutOffRuns(GuardStep &step)
+{
+    if (m_settings.drainWithin == Duration::zero() || !m_upstream->announced.leaving) {
+        return;
+    }
+    std::size_t stopped = 0;
+    for (auto &[run, record] : m_runTable.runs()) {
+        if (m_upstream->departure.cutsOff(step.now(), record)) {
+            record.stopReason = ErrorKind::Draining;
+            stop(step, run, record);
+            ++stopped;
+        }
+    }
+    if (stopped > 0) {
+        step.log(Severity::Info,
+                 "Runs that would outlast the leaving upstream are stopped.",
+                 {{"upstream", m_upstream->announced.incarnation.name},
+                  {"stopped", std::to_string(stopped)},
+                  {"runs", std::to_string(m_runTable.runs().size())}});
+    }
+}
+
 void GuardMachine::Private::detectStall(GuardStep &step)
 {
     std::size_t all = 0;
--- a/core/tests/guard_driver.h
+++ b/core/tests/guard_driver.h
@@ -21,9 +21,9 @@
     static constexpr Duration BatchLease = std::chrono::milliseconds(1'100);
     static constexpr Duration JobTime = std::chrono::milliseconds(2'000); ///< from the time at which a batch is sent
 
-    /** @param evacuateWithin time in which an evacuation of its zone takes effect, zero if it has none */
-    explicit GuardDriver(Duration evacuateWithin = {})
-        : m_machine(settings(evacuateWithin))
+    /** @param evacuateWithin @param drainWithin as in GuardSettings */
+    explicit GuardDriver(Duration evacuateWithin = {}, Duration drainWithin = {})
+        : m_machine(settings(evacuateWithin, drainWithin))
     {
         announce(incarnation());
         answerRenewal({}, {});
@@ -105,7 +105,8 @@
                Duration delay = {},
                Duration runLimit = std::chrono::milliseconds(500),
                Incarnation guard = GuardIncarnation,
-               const QueueName &queue = QueueName("queue"))
+               const QueueName &queue = QueueName("queue"),
+               Duration expected = {})
     {
         StartBatch batch;
         batch.queue = queue;
@@ -121,6 +122,7 @@
         order.run = run(index);
         order.size = {MilliCores(cores), Megabytes(1), Accelerators(0)};
         order.startWithin = std::chrono::milliseconds(80);
+        order.expected = expected;
         order.runLimit = runLimit;
         batch.orders.push_back(order);
         feed(BatchReceived{ConnectionId(connection), batch});
@@ -171,11 +173,12 @@
     }
 
 private:
-    static GuardSettings settings(Duration evacuateWithin)
+    static GuardSettings settings(Duration evacuateWithin, Duration drainWithin)
     {
         GuardSettings settings;
         settings.zone = zone();
         settings.evacuateWithin = evacuateWithin;
+        settings.drainWithin = drainWithin;
         settings.incarnation = GuardIncarnation;
         settings.firstToken = FencingToken(100);
         return settings;
--- a/core/tests/pool_simulation.cpp
+++ b/core/tests/pool_simulation.cpp
@@ -113,6 +113,7 @@
     MonotonicTime pathBrokenUntil;            ///< connections to the runner are reset and refused until then
     MonotonicTime answersLostUntil;           ///< the runner executes orders, but its answers are lost until then
     RenewalNumber lastRenewal;                ///< that the guard sent
+    std::optional<MonotonicTime> leavesAt;    ///< end of the runner, if it has announced one
     FencingToken firstToken;                  ///< of this incarnation of the guard
     std::set<RunId> ownRuns;                  ///< runs that this incarnation of the guard ordered to start
     std::optional<std::int64_t> foreignStart; ///< boot that another writer announced
@@ -295,6 +296,9 @@
     GuardSettings settings;
     settings.incarnation = Incarnation(node.incarnation * m_settings.workers + index + 1);
     settings.firstToken = FencingToken(static_cast<std::int64_t>(node.incarnation * TokenStep));
+    settings.zone = zoneOf(index);
+    settings.evacuateWithin = m_settings.evacuateWithin;
+    settings.drainWithin = m_settings.drainWithin;
     node.firstToken = settings.firstToken;
     node.ownRuns.clear();
     node.receivedBatches.clear();
@@ -304,6 +308,9 @@
     node.highestBatches.clear();
     node.pendingRenewals.clear();
     stepGuard(index, Tick{});
+    if (m_settings.evacuateWithin > Duration::zero() && m_settings.guardsReachStore) {
+        at(m_now - m_start + OrderTimeout, [this, index] { stepGuard(index, m_evacuations); });
+    }
 }
 
 void PoolSimulation::announce(std::uint32_t worker)
@@ -329,6 +336,10 @@
     announced.capacity = node.capacity;
     announced.clock = node.runner.clock(m_now);
     announced.sequence = node.sequence;
+    if (node.leavesAt) {
+        announced.leaving = true;
+        announced.leavesAfter = *node.leavesAt - m_now;
+    }
     return announced;
 }
 
@@ -1252,6 +1263,40 @@
     });
 }
 
+void PoolSimulation::retireRunner(std::uint32_t worker, Duration remaining)
+{
+    auto &node = *m_guards[worker];
+    if (!node.runnerUp || node.leavesAt) {
+        return;
+    }
+    node.leavesAt = m_now + remaining;
+    ++node.sequence;
+    stepGuard(worker, announcementOf(worker));
+    at(*node.leavesAt - m_start, [this, worker] {
+        crashRunner(worker);
+        m_guards[worker]->leavesAt.reset();
+    });
+}
+
+void PoolSimulation::evacuate(const ZoneName &zone, bool isEvacuated)
+{
+    m_evacuations.version = PlatformVersion(m_evacuations.version.value() + 1);
+    if (isEvacuated) {
+        m_evacuations.zones[zone] = m_evacuations.version;
+    } else {
+        m_evacuations.zones.erase(zone);
+    }
+    const auto readAt = [this] {
+        return m_now - m_start + Duration(std::uniform_int_distribution<std::int64_t>(0, m_settings.evacuateWithin.count())(m_random));
+    };
+    for (std::uint32_t worker = 0; worker < m_guards.size() && m_settings.guardsReachStore; ++worker) {
+        at(readAt(), [this, worker] { stepGuard(worker, m_evacuations); });
+    }
+    for (std::uint32_t scheduler = 0; scheduler < m_schedulers.size() && m_settings.schedulersReachStore; ++scheduler) {
+        at(readAt(), [this, scheduler] { stepScheduler(scheduler, m_evacuations); });
+    }
+}
+
 void PoolSimulation::setCapacity(std::uint32_t worker, const TaskSize &capacity)
 {
     auto &node = *m_guards[worker];
--- a/core/tests/pool_simulation.h
+++ b/core/tests/pool_simulation.h
@@ -43,6 +43,10 @@
     bool callersResubmit = false;              ///< callers whose connection broke send their job to another scheduler 1.3 s later
     std::uint32_t followedWorkers = 1'000'000; ///< workers whose capacity a scheduler follows, if there are as many
     std::uint32_t zones = 1;                   ///< workers and schedulers are in them by turns
+    Duration evacuateWithin{};                 ///< in which evacuate() takes effect, zero if it is not used
+    bool guardsReachStore = true;              ///< guards learn of evacuations
+    bool schedulersReachStore = true;          ///< schedulers learn of evacuations
+    Duration drainWithin{};                    ///< as in GuardSettings
     PoolRules rulesOff;                        ///< what the simulation does in their place is said there
     SchedulerCosts schedulerCosts;
     /** Returns the factor on the costs of a scheduler, by its index. If empty, all have the same. */
@@ -128,6 +132,12 @@
     /** Ends a runner with all of its runs; it restarts after 900 ms. */
     void crashRunner(std::uint32_t worker);
 
+    /** A runner announces that it leaves, and ends with all of its runs after @p remaining; it restarts after 900 ms. */
+    void retireRunner(std::uint32_t worker, Duration remaining);
+
+    /** Evacuates a zone, or ends its evacuation. Every process that reaches the store learns of it at a random time within PoolSettings::evacuateWithin. */
+    void evacuate(const ZoneName &zone, bool isEvacuated);
+
     /** Changes the capacity of a runner while it runs; its next announcement says so. */
     void setCapacity(std::uint32_t worker, const TaskSize &capacity);
 
@@ -188,6 +198,9 @@
     /** Disconnects a caller that waits for its answer; it may submit again, see PoolSettings::callersResubmit. */
     void disconnectCaller(ConnectionId connection);
 
+    /** Returns the zone of a worker or scheduler. */
+    [[nodiscard]] ZoneName zoneOf(std::uint32_t index) const;
+
     /** Returns the simulated time from the start. */
     [[nodiscard]] Duration time() const;
 
@@ -214,7 +227,6 @@
     void startScheduler(std::uint32_t index);
     /** Returns whether a scheduler follows the capacity of a worker. */
     [[nodiscard]] bool isFollowed(std::uint32_t worker, std::uint32_t scheduler);
-    [[nodiscard]] ZoneName zoneOf(std::uint32_t index) const;
     void startGuard(std::uint32_t index);
     void announce(std::uint32_t worker);
     [[nodiscard]] UpstreamAnnounced announcementOf(std::uint32_t worker) const;
@@ -305,6 +317,7 @@
     std::vector<std::unique_ptr<SchedulerNode>> m_schedulers;
     std::vector<std::unique_ptr<GuardNode>> m_guards;
     std::vector<std::set<AgentName>> m_followed; ///< workers that each scheduler follows
+    EvacuationsRead m_evacuations;
     std::map<std::uint64_t, Exchange> m_exchanges;
     std::uint64_t m_lastExchange = 0;
     std::map<ConnectionId, Caller> m_callers;
