--- a/daemon/tests/option_reader_test.cpp
+++ b/daemon/tests/option_reader_test.cpp
@@ -99,6 +99,10 @@
                  "--evacuate-within-ms: \"0\" is not allowed; it must be a whole number of milliseconds from 1 to 86400000, or empty if "
                  "zones are not evacuated."},
     WrongSetting{"EvacuateText", "--evacuate-within-ms=5s", "--evacuate-within-ms: \"5s\" is not allowed"},
+    WrongSetting{"DrainNegative",
+                 "--drain-within-ms=-1",
+                 "--drain-within-ms: \"-1\" is not allowed; it must be a whole number of milliseconds from 1 to 86400000, or empty to "
+                 "leave its runs there."},
     WrongSetting{"LogLevel", "--log-level=loud", "it must be debug, info, warning or error."},
     WrongSetting{"LogFormat", "--log-format=xml", "it must be text or json."},
     WrongSetting{"Unknown", "--colour=red", "--colour=red is no flag"},
@@ -186,6 +190,18 @@
     }
 }
 
+/** Guards against runs that are stopped in deployments whose settings name no bound for leaving upstreams. */
+TEST(OptionReaderTest, RunsMoveOffALeavingUpstreamOnlyWhereItsBoundIsSet)
+{
+    for (const auto &[value, within] : std::map<std::string, Duration>{{"", Duration::zero()}, {"3000", std::chrono::seconds(3)}}) {
+        DaemonSettings settings;
+        auto flags = guardFlags;
+        flags.push_back("--drain-within-ms=" + value);
+        EXPECT_EQ(joined(readArguments(flags, {}, settings)), "");
+        EXPECT_EQ(settings.guard.drainWithin, within);
+    }
+}
+
 TEST(OptionReaderTest, WrongVariableIsRefusedByItsName)
 {
     DaemonSettings settings;
