Fix: [net] What clients may make a process hold is bounded

A connection that the HTTP library had refused stayed open and was read for up to ten seconds, since ReceiveLimit referenced it for its timer; and the library reads on while it writes an answer. So a process held everything that a client sent. Now the server hears of every end of a connection, and bounds bytes, fields, unread answers, connections and their sums for each listener; reading stops while an answer is owed. Design: docs/design/client-limits.md.

The limits are settings of schedulers and guards. Refusals are counted, and logged once a second for each kind.

--- a/core/include/sycamoremoor/core/step_type.h
+++ b/core/include/sycamoremoor/core/step_type.h
@@ -88,6 +88,13 @@
     ConfigsUnreadable,    ///< versions of the configuration that did not come into force
     ConfigQueuesLeftOut,  ///< queues that could not be read, of versions that came into force
     AnnouncementsRefused, ///< announcements of upstreams that name none to use
+    HeadsRefused,
+    FieldsRefused,
+    BodiesRefused,
+    SlowRequestsRefused,
+    ConnectionsClosedForMemory,
+    ConnectionsClosedForRoom,
+    AcceptsFailed, ///< for lack of descriptors
     End,
 };
 
--- a/core/include/sycamoremoor/core/table/metric_table.h
+++ b/core/include/sycamoremoor/core/table/metric_table.h
@@ -49,6 +49,13 @@
     {"sycamoremoor_configs_unreadable",     "Revisions of configuration that could not be read; the one before stayed in force"},
     {"sycamoremoor_config_queues_left_out", "Queues that could not be read, of revisions of configuration that came into force"},
     {"sycamoremoor_announcements_refused",  "Announcements that name no upstream to use"},
+    {"sycamoremoor_heads_refused",          "Requests refused for a head that is malformed or too large"},
+    {"sycamoremoor_fields_refused",         "Requests refused for the number of fields of their head"},
+    {"sycamoremoor_bodies_refused",         "Requests refused for the size of their body"},
+    {"sycamoremoor_slow_requests_refused",  "Requests refused since they did not arrive in time"},
+    {"sycamoremoor_connections_closed_for_memory", "Connections closed since all together held too much"},
+    {"sycamoremoor_connections_closed_for_room",   "Connections closed since there were too many"},
+    {"sycamoremoor_accepts_failed",         "Times that no connection could be accepted for lack of descriptors"},
     // clang-format on
 }};
 
--- a/daemon/src/daemon.cpp
+++ b/daemon/src/daemon.cpp
@@ -2,6 +2,7 @@
 #include <sycamoremoor/daemon/daemon.h>
 
 #include "guard_task.h"
+#include "listener_limits_func.h"
 #include "option_reader.h"
 #include "scheduler_task.h"
 
@@ -15,6 +16,7 @@
 
 #include <event2/event.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -77,6 +79,19 @@
     return task;
 }
 
+/** Returns the limits on clients, within what the system allows. */
+ClientLimits effectiveLimits(const DaemonSettings &settings)
+{
+    auto limits = settings.limits;
+    limits.descriptors = std::min(limits.descriptors, systemDescriptors());
+    if (limits.descriptors < settings.limits.descriptors) {
+        writeLog({Severity::Info,
+                  "daemon",
+                  "The system allows " + std::to_string(limits.descriptors) + " descriptors; the limits follow that."});
+    }
+    return limits;
+}
+
 SchedulerTaskSettings schedulerSettings(const DaemonSettings &settings)
 {
     SchedulerTaskSettings task;
@@ -89,6 +104,7 @@
     task.readiness = settings.readiness;
     task.store = settings.platform.front();
     task.followedWorkers = settings.followedWorkers;
+    task.limits = effectiveLimits(settings);
     return task;
 }
 
@@ -102,6 +118,7 @@
     task.record = {AgentName(settings.name), advertisedBy(settings), ZoneName(settings.zone)};
     task.listen = settings.listen;
     task.announcements = settings.announcements;
+    task.limits = effectiveLimits(settings);
     task.store = settings.platform.front();
     return task;
 }
--- a/daemon/src/daemon_settings_type.h
+++ b/daemon/src/daemon_settings_type.h
@@ -1,6 +1,8 @@
 // Settings of one process.
 #pragma once
 
+#include "client_limits_type.h"
+
 #include <sycamoremoor/core/agent_settings_type.h>
 #include <sycamoremoor/core/entry_settings_type.h>
 #include <sycamoremoor/core/guard_machine.h>
@@ -52,6 +54,7 @@
     GuardSettings guard;                                    ///< timing only
     std::size_t followedWorkers = GuardSubset::DefaultSize; ///< workers whose capacity a scheduler follows, if there are as many
     SchedulerSettings scheduler;                            ///< timing only
+    ClientLimits limits;                                    ///< of schedulers and guards
     Severity logLevel = Severity::Info;
     LogFormat logFormat = LogFormat::Text;
     bool checkOnly = false;
--- a/daemon/src/guard_task.cpp
+++ b/daemon/src/guard_task.cpp
@@ -1,6 +1,8 @@
 // A guard as a task: its sockets and its machine on one event loop.
 #include "guard_task.h"
 
+#include "listener_limits_func.h"
+
 #include <sycamoremoor/net/event_loop.h>
 #include <sycamoremoor/net/process_pages_func.h>
 #include <sycamoremoor/platform/store_client.h>
@@ -12,25 +14,21 @@
 namespace Sycamoremoor
 {
 
-namespace
-{
-
-HttpServerSettings schedulerConnections()
-{
-    HttpServerSettings settings;
-    settings.unacknowledgedLimit = std::chrono::seconds(1); // a scheduler that is silent for so long is gone, and its runs stop
-    return settings;
-}
-
-} // namespace
-
 GuardTask::GuardTask(EventLoop &loop, const GuardTaskSettings &settings)
     : m_router(m_metrics, [this] { return m_randomBits(); })
-    , m_server(loop, settings.listen, schedulerConnections(), [this](const HttpExchangePointer &exchange) { m_router.route(exchange); })
+    , m_server(loop,
+               settings.listen,
+               listenerSettings(settings.limits, ListenerKind::GuardPeers),
+               [this](const HttpExchangePointer &exchange) { m_router.route(exchange); })
     , m_client(loop)
     , m_guardServer(loop, m_router, m_metrics)
     , m_runnerDoor(loop, m_client, m_metrics)
-    , m_announcements(loop, settings.announcements, {}, [this](const HttpExchangePointer &exchange) { m_runnerDoor.take(exchange); })
+    , m_announcements(loop,
+                      settings.announcements,
+                      listenerSettings(settings.limits, ListenerKind::Announcements),
+                      [this](const HttpExchangePointer &exchange) { m_runnerDoor.take(exchange); })
+    , m_peerRefusals(m_server, m_metrics, "listen")
+    , m_announcementRefusals(m_announcements, m_metrics, "announcements")
     , m_publisher(loop, makeStoreHooks(m_client, settings.store), settings.record)
     , m_stopWatcher(loop, m_server)
     , m_driver(
--- a/daemon/src/guard_task.h
+++ b/daemon/src/guard_task.h
@@ -1,6 +1,8 @@
 // A guard as a task: its sockets and its machine on one event loop.
 #pragma once
 
+#include "client_limits_type.h"
+
 #include <sycamoremoor/core/guard_machine.h>
 #include <sycamoremoor/net/agent_directory.h>
 #include <sycamoremoor/net/guard_server.h>
@@ -9,6 +11,7 @@
 #include <sycamoremoor/net/machine_driver.h>
 #include <sycamoremoor/net/metric_registry.h>
 #include <sycamoremoor/net/random_bits.h>
+#include <sycamoremoor/net/refusal_reporter.h>
 #include <sycamoremoor/net/router.h>
 #include <sycamoremoor/net/stop_watcher.h>
 #include <sycamoremoor/platform/runner_door.h>
@@ -27,6 +30,7 @@
     Endpoint listen;        ///< where schedulers reach it
     Endpoint announcements; ///< where its upstream announces itself
     Endpoint store;
+    ClientLimits limits;
 };
 
 /** Drives a GuardMachine. Belongs to the loop's thread; others talk to it by EventLoop::post(). */
@@ -63,6 +67,8 @@
     GuardServer m_guardServer;
     RunnerDoor m_runnerDoor;
     HttpServer m_announcements;
+    RefusalReporter m_peerRefusals;
+    RefusalReporter m_announcementRefusals;
     AgentPublisher m_publisher;
     StopWatcher m_stopWatcher;
     Driver m_driver;
--- a/daemon/src/option_reader.cpp
+++ b/daemon/src/option_reader.cpp
@@ -1,6 +1,7 @@
 // Reads settings from flags and environment variables, and checks them.
 #include "option_reader.h"
 
+#include "listener_limits_func.h"
 #include "table/option_table.h"
 
 #include <getopt.h>
@@ -121,6 +122,24 @@
 }
 
 /** Checks settings that only make sense together. */
+/** A single request must fit in the share of its listener, or it would be refused whenever another one arrives. */
+void checkLimits(const DaemonSettings &settings, std::vector<std::string> &errors)
+{
+    const auto check = [&](std::size_t bytes, ListenerKind kind, const char *flag) {
+        const auto most = heldBytesOf(settings.limits, kind);
+        if (bytes > most) {
+            errors.push_back(std::string(flag) + " must be at most " + std::to_string(most) + ", by --memory-limit-mb.");
+        }
+    };
+    if (settings.role == DaemonRole::Scheduler) {
+        check(settings.limits.headBytes, ListenerKind::Callers, "--max-head-bytes");
+        check(settings.limits.bodyBytes, ListenerKind::Callers, "--max-body-bytes");
+    }
+    if (settings.role == DaemonRole::Guard) {
+        check(settings.limits.announcementBytes, ListenerKind::Announcements, "--max-announcement-bytes");
+    }
+}
+
 void checkTogether(const DaemonSettings &settings, std::vector<std::string> &errors)
 {
     const auto &entry = settings.entry;
@@ -136,6 +155,7 @@
                "--ledger-retention-ms must be larger than --start-max-age-ms.",
                errors);
     }
+    checkLimits(settings, errors);
 }
 
 } // namespace
--- a/daemon/src/scheduler_task.cpp
+++ b/daemon/src/scheduler_task.cpp
@@ -1,6 +1,8 @@
 // A scheduler as a task: its sockets and its machine on one event loop.
 #include "scheduler_task.h"
 
+#include "listener_limits_func.h"
+
 #include <sycamoremoor/net/event_loop.h>
 #include <sycamoremoor/net/http_exchange.h>
 #include <sycamoremoor/net/process_pages_func.h>
@@ -23,20 +25,25 @@
 /** A change of configuration is in force within two seconds, even if the watch has gone deaf. */
 constexpr PrefixWatchTimes ConfigTimes{std::chrono::milliseconds(900), std::chrono::seconds(10)};
 
-HttpServerSettings callerConnections()
-{
-    HttpServerSettings settings;
-    settings.maxHeaderBytes = MaxCallerHeaderBytes;
-    return settings;
-}
-
 } // namespace
 
 SchedulerTask::SchedulerTask(EventLoop &loop, const SchedulerTaskSettings &settings)
     : m_router(m_metrics, [this] { return m_randomBits(); })
-    , m_pages(loop, settings.listen, {}, [this](const HttpExchangePointer &exchange) { m_router.route(exchange); })
-    , m_callers(loop, settings.callers, callerConnections(), [this](const HttpExchangePointer &exchange) { m_frontDoor.take(exchange); })
-    , m_readiness(loop, settings.readiness, {}, [this](const HttpExchangePointer &exchange) { answerReadiness(exchange); })
+    , m_pages(loop,
+              settings.listen,
+              listenerSettings(settings.limits, ListenerKind::SchedulerPages),
+              [this](const HttpExchangePointer &exchange) { m_router.route(exchange); })
+    , m_callers(loop,
+                settings.callers,
+                listenerSettings(settings.limits, ListenerKind::Callers),
+                [this](const HttpExchangePointer &exchange) { m_frontDoor.take(exchange); })
+    , m_readiness(loop,
+                  settings.readiness,
+                  listenerSettings(settings.limits, ListenerKind::Readiness),
+                  [this](const HttpExchangePointer &exchange) { answerReadiness(exchange); })
+    , m_pageRefusals(m_pages, m_metrics, "listen")
+    , m_callerRefusals(m_callers, m_metrics, "callers")
+    , m_readinessRefusals(m_readiness, m_metrics, "readiness")
     , m_client(loop)
     , m_frontDoor(m_metrics, [this] { return m_driver.machine().queues(); })
     , m_config(loop, makeStoreHooks(m_client, settings.store), ConfigKey, ConfigTimes)
--- a/daemon/src/scheduler_task.h
+++ b/daemon/src/scheduler_task.h
@@ -1,6 +1,8 @@
 // A scheduler as a task: its sockets and its machine on one event loop.
 #pragma once
 
+#include "client_limits_type.h"
+
 #include <sycamoremoor/core/scheduler_machine.h>
 #include <sycamoremoor/net/agent_directory.h>
 #include <sycamoremoor/net/batch_sender.h>
@@ -9,6 +11,7 @@
 #include <sycamoremoor/net/machine_driver.h>
 #include <sycamoremoor/net/metric_registry.h>
 #include <sycamoremoor/net/random_bits.h>
+#include <sycamoremoor/net/refusal_reporter.h>
 #include <sycamoremoor/net/room_watcher.h>
 #include <sycamoremoor/net/router.h>
 #include <sycamoremoor/net/stop_watcher.h>
@@ -28,6 +31,7 @@
     Endpoint callers;   ///< where jobs arrive
     Endpoint readiness; ///< where the balancer asks
     Endpoint store;
+    ClientLimits limits;
     std::size_t followedWorkers = GuardSubset::DefaultSize; ///< workers whose capacity it follows, if there are as many
 };
 
@@ -70,6 +74,9 @@
     HttpServer m_pages;
     HttpServer m_callers;
     HttpServer m_readiness;
+    RefusalReporter m_pageRefusals;
+    RefusalReporter m_callerRefusals;
+    RefusalReporter m_readinessRefusals;
     HttpClient m_client;
     FrontDoor m_frontDoor;
     PrefixWatcher m_config;
--- a/net/include/sycamoremoor/net/http_server.h
+++ b/net/include/sycamoremoor/net/http_server.h
@@ -1,15 +1,20 @@
 // A server of HTTP on an event loop.
 #pragma once
 
+#include <sycamoremoor/net/client_refusal_type.h>
 #include <sycamoremoor/net/http_type.h>
+#include <sycamoremoor/net/timer.h>
 
 #include <sigc++/signal.h>
 
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 struct bufferevent;
+struct evconnlistener;
+struct event;
 struct event_base;
 struct evhttp;
 struct evhttp_connection;
@@ -20,11 +25,15 @@
 
 class EventLoop;
 class HttpExchange;
-class ReceiveLimit;
+class ServerConnection;
+struct ServerConnectionRules;
 
 using HttpExchangePointer = std::shared_ptr<HttpExchange>;
 
-/** Receives requests whole and hands them on as exchanges. TCP_NODELAY is set on every connection. */
+/**
+ * Receives requests whole and hands them on as exchanges. TCP_NODELAY is set on every connection. What clients may make it hold is bounded, see
+ * docs/design/client-limits.md.
+ */
 class HttpServer
 {
 public:
@@ -55,6 +64,12 @@
     /** Emitted when the last open exchange ended. */
     sigc::signal<void()> &signalIdle();
 
+    /** Emitted when a request was refused or a connection closed for its limits. */
+    sigc::signal<void(ClientRefusal)> &signalRefused();
+
+    /** Returns how many connections are open. */
+    [[nodiscard]] std::size_t connections() const;
+
 private:
     friend class HttpExchange;
 
@@ -62,7 +77,19 @@
     static void requestCompleted(evhttp_request *handle, void *exchange);
     static void idleConnectionClosed(evhttp_connection *connection, void *self);
     static bufferevent *makeConnection(event_base *base, void *self);
+    static void acceptFailed(evconnlistener *listener, void *http);
+    static void tendConnections(int socket, short what, void *self);
     void take(evhttp_request *handle);
+    void answerGiven(const HttpExchange &exchange, evhttp_connection *connection);
+    void refused(ServerConnection &connection, ClientRefusal refusal);
+    void closeSoon(bufferevent *transport);
+    void adoptConnections();
+    void closeRefused();
+    void closeLargest();
+    void closeOldest();
+    void close(ServerConnection &connection, ClientRefusal refusal);
+    void pause();
+    void resume();
     void completed(HttpExchange *exchange, evhttp_connection *connection);
     void closed(HttpExchange *exchange, evhttp_connection *connection);
     void forget(evhttp_connection *connection);
@@ -72,11 +99,21 @@
     HttpServerSettings m_settings;
     Handler m_handler;
     evhttp *m_server;
+    evconnlistener *m_listener = nullptr;
+    event *m_tend; ///< active when connections are to be adopted or closed
+    Timer m_resume;
     Endpoint m_endpoint;
     bool m_draining = false;
+    bool m_isPaused = false;         ///< accepts nothing
+    bool m_lacksDescriptors = false; ///< accepts nothing until m_resume fires
+    std::size_t m_held = 0;
+    std::unique_ptr<ServerConnectionRules> m_rules;
+    std::vector<bufferevent *> m_accepted; ///< not adopted yet, referenced
+    std::vector<bufferevent *> m_refused;  ///< to be closed, referenced
     std::unordered_map<HttpExchange *, HttpExchangePointer> m_exchanges;
-    std::unordered_map<bufferevent *, std::unique_ptr<ReceiveLimit>> m_receiving;
+    std::unordered_map<bufferevent *, std::unique_ptr<ServerConnection>> m_connections;
     sigc::signal<void()> m_idle;
+    sigc::signal<void(ClientRefusal)> m_refusals;
 };
 
 } // namespace Sycamoremoor
--- a/net/src/http_exchange.cpp
+++ b/net/src/http_exchange.cpp
@@ -26,6 +26,12 @@
     evhttp_add_header(evhttp_request_get_output_headers(handle), name, value.c_str());
 }
 
+/** The library reads on whenever it writes, and would hold all that is sent ahead until the answer has left. */
+void stopReading(evhttp_request *handle)
+{
+    bufferevent_disable(evhttp_connection_get_bufferevent(evhttp_request_get_connection(handle)), EV_READ);
+}
+
 } // namespace
 
 HttpExchange::HttpExchange(HttpServer &server, evhttp_request *handle, ServerRequest request)
@@ -69,6 +75,7 @@
     finish();
     evhttp_send_reply(handle, reply.status, nullptr, body);
     evbuffer_free(body);
+    answerGiven(handle);
 }
 
 void HttpExchange::stream(std::string_view part)
@@ -81,6 +88,7 @@
     evbuffer_add(chunk, part.data(), part.size());
     evhttp_send_reply_chunk(m_handle, chunk);
     evbuffer_free(chunk);
+    stopReading(m_handle);
 }
 
 void HttpExchange::endStream()
@@ -92,6 +100,7 @@
     auto *handle = m_handle;
     finish();
     evhttp_send_reply_end(handle);
+    answerGiven(handle);
 }
 
 std::size_t HttpExchange::unsentBytes() const
@@ -111,9 +120,16 @@
         addHeader(m_handle, "Content-Type", "application/x-ndjson");
         addConnectionHeader();
         evhttp_send_reply_start(m_handle, HTTP_OK, nullptr);
+        stopReading(m_handle);
     }
 }
 
+void HttpExchange::answerGiven(evhttp_request *handle)
+{
+    stopReading(handle);
+    m_server.answerGiven(*this, evhttp_request_get_connection(handle));
+}
+
 void HttpExchange::addConnectionHeader()
 {
     if (m_server.isDraining()) {
--- a/net/src/http_server.cpp
+++ b/net/src/http_server.cpp
@@ -1,7 +1,7 @@
 // A server of HTTP on an event loop.
 #include <sycamoremoor/net/http_server.h>
 
-#include "receive_limit.h"
+#include "server_connection.h"
 #include "socket_func.h"
 
 #include <sycamoremoor/net/event_loop.h>
@@ -13,10 +13,13 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstdlib>
+#include <mutex>
 #include <system_error>
 #include <utility>
 
@@ -26,6 +29,11 @@
 namespace
 {
 
+constexpr std::size_t LeastSingleRead = 4'096;
+constexpr std::size_t MostSingleRead = 16'384;                   ///< the library's own default
+constexpr std::size_t ClosedTogether = 16;                       ///< a share of all connections: a search for the oldest passes all of them
+constexpr Duration AcceptPause = std::chrono::milliseconds(100); ///< after descriptors ran out: 10 vain attempts a second
+
 constexpr std::array ReadHeaders{ContentTypeHeader, IdempotencyKeyHeader, RequestIdHeader, HostHeader, DeadlineHeader};
 
 RequestMethod methodOf(evhttp_request *handle)
@@ -106,6 +114,46 @@
             readBody(handle)};
 }
 
+/** Servers by the library's handle: its callback for failures of accept has no other argument. */
+class ServersByHandle
+{
+public:
+    static ServersByHandle &instance()
+    {
+        static ServersByHandle servers;
+        return servers;
+    }
+
+    void set(evhttp *handle, HttpServer *server)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_servers[handle] = server;
+    }
+
+    void forget(evhttp *handle)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_servers.erase(handle);
+    }
+
+    HttpServer *find(evhttp *handle)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_servers.find(handle);
+        return found == m_servers.end() ? nullptr : found->second;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::unordered_map<evhttp *, HttpServer *> m_servers;
+};
+
+/** Returns how much is read at once: one read of every connection together holds no more than the server may, if that is possible. */
+std::size_t singleReadOf(const HttpServerSettings &settings)
+{
+    return std::clamp(settings.maxHeldBytes / std::max<std::size_t>(settings.maxConnections, 1), LeastSingleRead, MostSingleRead);
+}
+
 } // namespace
 
 HttpServer::HttpServer(EventLoop &loop, const Endpoint &endpoint, const HttpServerSettings &settings, Handler handler)
@@ -113,14 +161,38 @@
     , m_settings(settings)
     , m_handler(std::move(handler))
     , m_server(evhttp_new(loop.base()))
+    , m_tend(event_new(loop.base(), -1, EV_PERSIST, &HttpServer::tendConnections, this))
+    , m_resume(loop,
+               [this] {
+                   m_lacksDescriptors = false;
+                   resume();
+               })
     , m_endpoint(endpoint)
+    , m_rules(std::make_unique<ServerConnectionRules>())
 {
     const int listener = listenAt(m_endpoint);
-    if (listener < 0 || evhttp_accept_socket(m_server, listener) != 0) {
+    auto *bound = listener < 0 ? nullptr : evhttp_accept_socket_with_handle(m_server, listener);
+    if (bound == nullptr) {
         const int error = errno;
+        event_free(m_tend);
         evhttp_free(m_server);
         throw std::system_error(error, std::generic_category(), "cannot listen at " + endpointToString(endpoint));
     }
+    m_listener = evhttp_bound_socket_get_listener(bound);
+    ServersByHandle::instance().set(m_server, this);
+    evconnlistener_set_error_cb(m_listener, &HttpServer::acceptFailed);
+    m_rules->receiveLimit = settings.receiveLimit;
+    m_rules->maxHeadFields = settings.maxHeaderFields;
+    m_rules->singleRead = singleReadOf(settings);
+    m_rules->holds = [this](std::ptrdiff_t bytes) {
+        m_held = static_cast<std::size_t>(static_cast<std::ptrdiff_t>(m_held) + bytes);
+        if (bytes > 0 && m_held > m_settings.maxHeldBytes) {
+            event_active(m_tend, EV_READ, 0);
+        }
+    };
+    m_rules->refused = [this](ServerConnection &connection, ClientRefusal refusal) {
+        refused(connection, refusal);
+    };
     evhttp_set_allowed_methods(m_server,
                                EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_DELETE | EVHTTP_REQ_PUT | EVHTTP_REQ_PATCH | EVHTTP_REQ_HEAD
                                    | EVHTTP_REQ_OPTIONS);
@@ -137,7 +209,12 @@
     for (const auto &[key, exchange] : m_exchanges) {
         exchange->onGone(nullptr);
     }
+    adoptConnections();
+    closeRefused();
+    m_isPaused = false; // the listener goes before the connections
+    ServersByHandle::instance().forget(m_server);
     evhttp_free(m_server);
+    event_free(m_tend);
 }
 
 const Endpoint &HttpServer::endpoint() const
@@ -165,6 +242,16 @@
     return m_idle;
 }
 
+sigc::signal<void(ClientRefusal)> &HttpServer::signalRefused()
+{
+    return m_refusals;
+}
+
+std::size_t HttpServer::connections() const
+{
+    return m_connections.size();
+}
+
 void HttpServer::requestReceived(evhttp_request *handle, void *self)
 {
     static_cast<HttpServer *>(self)->take(handle);
@@ -174,16 +261,147 @@
 {
     auto *server = static_cast<HttpServer *>(self);
     auto *connection = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
-    server->m_receiving[connection] = std::make_unique<ReceiveLimit>(server->m_loop, connection, server->m_settings.receiveLimit);
+    bufferevent_incref(connection);
+    server->m_accepted.push_back(connection);
+    server->m_connections[connection] = std::make_unique<ServerConnection>(server->m_loop, connection, *server->m_rules);
+    if (server->m_connections.size() >= server->m_settings.maxConnections) {
+        server->pause();
+    }
+    event_active(server->m_tend, EV_READ, 0); // before anything is read from it
     return connection;
 }
 
+void HttpServer::acceptFailed(evconnlistener * /*listener*/, void *http)
+{
+    const int error = errno;
+    auto *server = ServersByHandle::instance().find(static_cast<evhttp *>(http));
+    if (server == nullptr) {
+        return;
+    }
+    // Other errors concern one connection only, which is gone.
+    if (error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM) {
+        server->pause();
+        server->m_lacksDescriptors = true;
+        server->m_resume.start(AcceptPause);
+        server->m_refusals.emit(ClientRefusal::NoDescriptor);
+        server->closeOldest();
+    }
+}
+
+void HttpServer::tendConnections(int /*socket*/, short /*what*/, void *self)
+{
+    auto *server = static_cast<HttpServer *>(self);
+    server->adoptConnections();
+    server->closeRefused();
+    server->closeLargest();
+    if (server->m_connections.size() >= server->m_settings.maxConnections) {
+        server->closeOldest();
+    }
+    server->resume();
+}
+
+void HttpServer::adoptConnections()
+{
+    for (auto *transport : std::exchange(m_accepted, {})) {
+        bufferevent_event_cb ended = nullptr;
+        void *argument = nullptr;
+        bufferevent_getcb(transport, nullptr, nullptr, &ended, &argument);
+        if (ended == nullptr) {
+            m_connections.erase(transport); // the library gave it up
+        } else if (const auto found = m_connections.find(transport); found != m_connections.end()) {
+            auto *connection = static_cast<evhttp_connection *>(argument);
+            found->second->adopt(connection);
+            evhttp_connection_set_closecb(connection, &HttpServer::idleConnectionClosed, this);
+        }
+        bufferevent_decref(transport);
+    }
+}
+
+void HttpServer::refused(ServerConnection &connection, ClientRefusal refusal)
+{
+    m_refusals.emit(refusal);
+    if (refusal == ClientRefusal::TooManyFields && connection.connection() != nullptr) {
+        closeSoon(evhttp_connection_get_bufferevent(connection.connection()));
+    }
+}
+
+void HttpServer::closeSoon(bufferevent *transport)
+{
+    bufferevent_incref(transport);
+    m_refused.push_back(transport);
+    event_active(m_tend, EV_READ, 0);
+}
+
+void HttpServer::closeRefused()
+{
+    for (auto *transport : std::exchange(m_refused, {})) {
+        if (const auto found = m_connections.find(transport); found != m_connections.end()) {
+            evhttp_connection_free(found->second->connection());
+        }
+        bufferevent_decref(transport);
+    }
+}
+
+void HttpServer::closeLargest()
+{
+    while (m_held > m_settings.maxHeldBytes) {
+        ServerConnection *largest = nullptr;
+        for (const auto &[transport, connection] : m_connections) {
+            if (connection->heldBytes() > (largest == nullptr ? 0 : largest->heldBytes()) && connection->maySpare()) {
+                largest = connection.get();
+            }
+        }
+        if (largest == nullptr) {
+            return; // what is held is on its way to clients that read
+        }
+        close(*largest, ClientRefusal::TooManyBytes);
+    }
+}
+
+void HttpServer::closeOldest()
+{
+    std::vector<ServerConnection *> spared;
+    for (const auto &[transport, connection] : m_connections) {
+        if (connection->maySpare()) {
+            spared.push_back(connection.get());
+        }
+    }
+    const auto count = std::min(spared.size(), std::max<std::size_t>(m_connections.size() / ClosedTogether, 1));
+    const auto end = spared.begin() + static_cast<std::ptrdiff_t>(count);
+    std::ranges::partial_sort(spared, end, {}, &ServerConnection::since);
+    std::for_each(spared.begin(), end, [this](ServerConnection *connection) { close(*connection, ClientRefusal::TooManyConnections); });
+}
+
+void HttpServer::close(ServerConnection &connection, ClientRefusal refusal)
+{
+    m_refusals.emit(refusal);
+    evhttp_connection_free(connection.connection());
+}
+
+void HttpServer::pause()
+{
+    m_isPaused = true;
+    evconnlistener_disable(m_listener);
+}
+
+void HttpServer::resume()
+{
+    if (m_isPaused && !m_lacksDescriptors && m_connections.size() < m_settings.maxConnections) {
+        m_isPaused = false;
+        evconnlistener_enable(m_listener);
+    }
+}
+
 void HttpServer::take(evhttp_request *handle)
 {
     auto *transport = evhttp_connection_get_bufferevent(evhttp_request_get_connection(handle));
     setConnectionOptions(bufferevent_getfd(transport), m_settings.unacknowledgedLimit);
-    if (const auto found = m_receiving.find(transport); found != m_receiving.end()) {
+    if (const auto found = m_connections.find(transport); found != m_connections.end()) {
         found->second->requestReceived();
+        if (found->second->isRefused()) {
+            closeSoon(transport); // it was answered already
+            return;
+        }
     }
     auto exchange = std::make_shared<HttpExchange>(*this, handle, readRequest(handle));
     m_exchanges.emplace(exchange.get(), exchange);
@@ -200,12 +418,19 @@
 void HttpServer::completed(HttpExchange *exchange, evhttp_connection *connection)
 {
     evhttp_connection_set_closecb(connection, &HttpServer::idleConnectionClosed, this);
-    if (const auto found = m_receiving.find(evhttp_connection_get_bufferevent(connection)); found != m_receiving.end()) {
+    if (const auto found = m_connections.find(evhttp_connection_get_bufferevent(connection)); found != m_connections.end()) {
         found->second->requestAnswered();
     }
     release(exchange);
 }
 
+void HttpServer::answerGiven(const HttpExchange &exchange, evhttp_connection *connection)
+{
+    if (const auto found = m_connections.find(evhttp_connection_get_bufferevent(connection)); found != m_connections.end()) {
+        found->second->answerGiven(exchange.request().body.size());
+    }
+}
+
 void HttpServer::idleConnectionClosed(evhttp_connection *connection, void *self)
 {
     static_cast<HttpServer *>(self)->forget(connection);
@@ -219,10 +444,8 @@
 
 void HttpServer::forget(evhttp_connection *connection)
 {
-    if (const auto found = m_receiving.find(evhttp_connection_get_bufferevent(connection)); found != m_receiving.end()) {
-        found->second->detach();
-        m_receiving.erase(found);
-    }
+    m_connections.erase(evhttp_connection_get_bufferevent(connection));
+    resume();
 }
 
 void HttpServer::release(HttpExchange *exchange)
--- a/net/src/line_budget.h
+++ b/net/src/line_budget.h
@@ -4,6 +4,7 @@
 #include <sycamoremoor/core/time_type.h>
 
 #include <cstdint>
+#include <utility>
 
 namespace Sycamoremoor
 {
@@ -40,6 +41,12 @@
         return leftOut;
     }
 
+    /** Returns how many lines were not let through since the last call. */
+    std::uint64_t takeSkipped()
+    {
+        return std::exchange(m_leftOut, 0);
+    }
+
 private:
     std::uint32_t m_linesPerSecond;
     std::uint32_t m_taken = 0;
--- a/net/src/socket_func.cpp
+++ b/net/src/socket_func.cpp
@@ -114,4 +114,10 @@
     return poll(&state, 1, 0) == 1;
 }
 
+bool isWritable(int socket)
+{
+    pollfd state{socket, POLLOUT, 0};
+    return poll(&state, 1, 0) == 1;
+}
+
 } // namespace Sycamoremoor
--- a/net/src/socket_func.h
+++ b/net/src/socket_func.h
@@ -29,4 +29,7 @@
 /** Returns whether the other end closed or reset the connection, or it broke; unread bytes do not matter. */
 [[nodiscard]] bool hasHungUp(int socket);
 
+/** Returns whether the socket takes bytes now. */
+bool isWritable(int socket);
+
 } // namespace Sycamoremoor
