Add: [net] Tests of the server's limits; Change: newcomers get 250 ms before they count as idle

A burst of connections that fills a listener closed some whose request was on its way. A connection is now closed for others only after 250 ms without progress of its phase; until then newcomers wait in the backlog. The end of a stream of HTTP/1.0 may free the connection at once; what the server notes of it is noted before.

--- a/daemon/src/listener_limits_func.cpp
+++ b/daemon/src/listener_limits_func.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t BytesPerMegabyte = std::size_t{1} << 20U;
 constexpr std::size_t ConnectionShare
     = 6; ///< of the memory, for all connections: buffers grow to twice what they hold, and tables need the rest
-constexpr std::size_t LeastConnections = 4;
+constexpr std::size_t LeastConnections = 32; ///< of a listener: 128 newcomers a second pass it while idle ones take all of it
 
 /** Shares of one listener, as divisors. Those of one process leave a fifth of its descriptors to its own calls, at least. */
 struct ListenerShare {
--- a/daemon/tests/clients/client_limits_test.cpp
+++ b/daemon/tests/clients/client_limits_test.cpp
@@ -109,7 +109,7 @@
     std::size_t memoryBound;                ///< by how much the most resident memory may grow
 };
 
-const std::array Crowds{
+const std::array crowds{
     // Guards against heads that are refused only after all of them is held.
     CrowdKind{"HeadAboveLimit",
               CrowdConnections,
@@ -199,7 +199,7 @@
 std::vector<CrowdCase> allCases()
 {
     std::vector<CrowdCase> cases;
-    for (const auto &crowd : Crowds) {
+    for (const auto &crowd : crowds) {
         for (int door = 0; door < static_cast<int>(Door::End); ++door) {
             cases.push_back({&crowd, static_cast<Door>(door)});
         }
--- a/daemon/tests/clients/daemon_process.cpp
+++ b/daemon/tests/clients/daemon_process.cpp
@@ -30,6 +30,7 @@
 std::vector<char *> pointersTo(std::vector<std::string> &texts)
 {
     std::vector<char *> pointers;
+    pointers.reserve(texts.size() + 1);
     for (auto &text : texts) {
         pointers.push_back(text.data());
     }
@@ -50,7 +51,7 @@
         environment.emplace_back(*variable);
     }
     for (const auto &[name, value] : variables) {
-        environment.push_back(name + "=" + value);
+        environment.emplace_back(name).append("=").append(value);
     }
     const auto argumentPointers = pointersTo(arguments);
     const auto environmentPointers = pointersTo(environment);
--- a/daemon/tests/option_reader_test.cpp
+++ b/daemon/tests/option_reader_test.cpp
@@ -163,6 +163,63 @@
     }
 }
 
+TEST(OptionReaderTest, LimitsOnClientsAreReadAndMayBeEmptyWhereADeploymentDoesNotSay)
+{
+    for (auto flags : {schedulerFlags, guardFlags}) {
+        flags.insert(flags.end(), {"--memory-limit-mb=", "--descriptor-limit="});
+        DaemonSettings settings;
+        EXPECT_EQ(joined(readArguments(flags, {}, settings)), "");
+        EXPECT_EQ(settings.limits.memoryMegabytes, 120U);
+        EXPECT_EQ(settings.limits.descriptors, 3'075U);
+        flags.insert(flags.end(), {"--memory-limit-mb=512", "--descriptor-limit=20000", "--max-head-bytes=16384", "--max-head-fields=100"});
+        EXPECT_EQ(joined(readArguments(flags, {}, settings)), "");
+        EXPECT_EQ(settings.limits.memoryMegabytes, 512U);
+        EXPECT_EQ(settings.limits.descriptors, 20'000U);
+        EXPECT_EQ(settings.limits.headBytes, 16'384U);
+        EXPECT_EQ(settings.limits.headFields, 100U);
+    }
+}
+
+struct WrongLimit {
+    const char *name;
+    const std::vector<std::string> &flags; ///< of the role
+    std::vector<std::string> limits;
+    const char *message; ///< part of what is told
+};
+
+class WrongLimitTest : public testing::TestWithParam<WrongLimit>
+{
+};
+
+// Guards against limits that no request fits in, or that the machine cannot hold.
+TEST_P(WrongLimitTest, IsRefusedByName)
+{
+    auto flags = GetParam().flags;
+    flags.insert(flags.end(), GetParam().limits.begin(), GetParam().limits.end());
+    DaemonSettings settings;
+    const auto errors = joined(readArguments(flags, {}, settings));
+    EXPECT_NE(errors.find(GetParam().message), std::string::npos) << errors;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Limits,
+    WrongLimitTest,
+    testing::Values(WrongLimit{"Memory", schedulerFlags, {"--memory-limit-mb=47"}, "--memory-limit-mb: \"47\" is not allowed"},
+                    WrongLimit{"Descriptors", guardFlags, {"--descriptor-limit=many"}, "--descriptor-limit: \"many\" is not allowed"},
+                    WrongLimit{"Head", guardFlags, {"--max-head-bytes=0"}, "--max-head-bytes: \"0\" is not allowed"},
+                    WrongLimit{"Fields", schedulerFlags, {"--max-head-fields="}, "--max-head-fields: \"\" is not allowed"},
+                    WrongLimit{"HeadBeyondMemory",
+                               schedulerFlags,
+                               {"--memory-limit-mb=60", "--max-head-bytes=8000000"},
+                               "--max-head-bytes must be at most 5242880, by --memory-limit-mb."},
+                    WrongLimit{
+                        "BodyBeyondMemory", schedulerFlags, {"--max-body-bytes=60000000"}, "--max-body-bytes must be at most 10485760"},
+                    WrongLimit{"AnnouncementBeyondMemory",
+                               guardFlags,
+                               {"--max-announcement-bytes=60000000"},
+                               "--max-announcement-bytes must be at most 10485760"}),
+    [](const auto &test) { return test.param.name; });
+
 TEST(OptionReaderTest, WrongVariableIsRefusedByItsName)
 {
     DaemonSettings settings;
--- a/net/include/sycamoremoor/net/http_exchange.h
+++ b/net/include/sycamoremoor/net/http_exchange.h
@@ -53,7 +53,6 @@
     void watchHangUpOfStream();
     void hangUp();
     void finish();
-    void answerGiven(evhttp_request *handle);
     static void checkHangUp(int socket, short what, void *self);
     static void connectionClosed(evhttp_connection *connection, void *self);
 
--- a/net/include/sycamoremoor/net/http_server.h
+++ b/net/include/sycamoremoor/net/http_server.h
@@ -83,6 +83,7 @@
     void answerGiven(const HttpExchange &exchange, evhttp_connection *connection);
     void refused(ServerConnection &connection, ClientRefusal refusal);
     void closeSoon(bufferevent *transport);
+    void tend();
     void adoptConnections();
     void closeRefused();
     void closeLargest();
@@ -101,11 +102,11 @@
     evhttp *m_server;
     evconnlistener *m_listener = nullptr;
     event *m_tend; ///< active when connections are to be adopted or closed
-    Timer m_resume;
+    Timer m_retry;
     Endpoint m_endpoint;
     bool m_draining = false;
     bool m_isPaused = false;         ///< accepts nothing
-    bool m_lacksDescriptors = false; ///< accepts nothing until m_resume fires
+    bool m_lacksDescriptors = false; ///< accepts nothing until m_retry fires
     std::size_t m_held = 0;
     std::unique_ptr<ServerConnectionRules> m_rules;
     std::vector<bufferevent *> m_accepted; ///< not adopted yet, referenced
--- a/net/include/sycamoremoor/net/refusal_reporter.h
+++ b/net/include/sycamoremoor/net/refusal_reporter.h
@@ -3,8 +3,10 @@
 
 #include <sycamoremoor/net/client_refusal_type.h>
 
+#include <sigc++/trackable.h>
+
 #include <array>
-#include <cstdint>
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -16,7 +18,7 @@
 class MetricRegistry;
 
 /** Counts every refusal of a server, and logs one of each kind a second. */
-class RefusalReporter
+class RefusalReporter : public sigc::trackable
 {
 public:
     /** @param listener name of the server in the log */
--- a/net/src/http_exchange.cpp
+++ b/net/src/http_exchange.cpp
@@ -75,7 +75,8 @@
     finish();
     evhttp_send_reply(handle, reply.status, nullptr, body);
     evbuffer_free(body);
-    answerGiven(handle);
+    stopReading(handle);
+    m_server.answerGiven(*this, evhttp_request_get_connection(handle));
 }
 
 void HttpExchange::stream(std::string_view part)
@@ -99,8 +100,8 @@
     startStream();
     auto *handle = m_handle;
     finish();
-    evhttp_send_reply_end(handle);
-    answerGiven(handle);
+    m_server.answerGiven(*this, evhttp_request_get_connection(handle));
+    evhttp_send_reply_end(handle); // may end the connection, and this exchange
 }
 
 std::size_t HttpExchange::unsentBytes() const
@@ -124,12 +125,6 @@
     }
 }
 
-void HttpExchange::answerGiven(evhttp_request *handle)
-{
-    stopReading(handle);
-    m_server.answerGiven(*this, evhttp_request_get_connection(handle));
-}
-
 void HttpExchange::addConnectionHeader()
 {
     if (m_server.isDraining()) {
--- a/net/src/http_server.cpp
+++ b/net/src/http_server.cpp
@@ -4,6 +4,7 @@
 #include "server_connection.h"
 #include "socket_func.h"
 
+#include <sycamoremoor/net/clock_func.h>
 #include <sycamoremoor/net/event_loop.h>
 #include <sycamoremoor/net/http_exchange.h>
 #include <sycamoremoor/wire/text_codec.h>
@@ -30,9 +31,10 @@
 {
 
 constexpr std::size_t LeastSingleRead = 4'096;
-constexpr std::size_t MostSingleRead = 16'384;                   ///< the library's own default
-constexpr std::size_t ClosedTogether = 16;                       ///< a share of all connections: a search for the oldest passes all of them
-constexpr Duration AcceptPause = std::chrono::milliseconds(100); ///< after descriptors ran out: 10 vain attempts a second
+constexpr std::size_t MostSingleRead = 16'384; ///< the library's own default
+constexpr std::size_t ClosedTogether = 16;     ///< a share of all connections: a search for the oldest passes all of them
+constexpr Duration RetryInterval = std::chrono::milliseconds(50); ///< while descriptors or room lack: 20 vain attempts a second
+constexpr Duration NewcomerTime = std::chrono::milliseconds(250); ///< the request of a connection may come so much later, as on late rounds
 
 constexpr std::array ReadHeaders{ContentTypeHeader, IdempotencyKeyHeader, RequestIdHeader, HostHeader, DeadlineHeader};
 
@@ -162,11 +164,11 @@
     , m_handler(std::move(handler))
     , m_server(evhttp_new(loop.base()))
     , m_tend(event_new(loop.base(), -1, EV_PERSIST, &HttpServer::tendConnections, this))
-    , m_resume(loop,
-               [this] {
-                   m_lacksDescriptors = false;
-                   resume();
-               })
+    , m_retry(loop,
+              [this] {
+                  m_lacksDescriptors = false;
+                  tend();
+              })
     , m_endpoint(endpoint)
     , m_rules(std::make_unique<ServerConnectionRules>())
 {
@@ -282,7 +284,7 @@
     if (error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM) {
         server->pause();
         server->m_lacksDescriptors = true;
-        server->m_resume.start(AcceptPause);
+        server->m_retry.start(RetryInterval);
         server->m_refusals.emit(ClientRefusal::NoDescriptor);
         server->closeOldest();
     }
@@ -290,14 +292,21 @@
 
 void HttpServer::tendConnections(int /*socket*/, short /*what*/, void *self)
 {
-    auto *server = static_cast<HttpServer *>(self);
-    server->adoptConnections();
-    server->closeRefused();
-    server->closeLargest();
-    if (server->m_connections.size() >= server->m_settings.maxConnections) {
-        server->closeOldest();
+    static_cast<HttpServer *>(self)->tend();
+}
+
+void HttpServer::tend()
+{
+    adoptConnections();
+    closeRefused();
+    closeLargest();
+    if (m_connections.size() >= m_settings.maxConnections) {
+        closeOldest();
     }
-    server->resume();
+    if (m_connections.size() >= m_settings.maxConnections) {
+        m_retry.start(RetryInterval);
+    }
+    resume();
 }
 
 void HttpServer::adoptConnections()
@@ -360,9 +369,10 @@
 
 void HttpServer::closeOldest()
 {
+    const auto latest = monotonicNow() - NewcomerTime;
     std::vector<ServerConnection *> spared;
     for (const auto &[transport, connection] : m_connections) {
-        if (connection->maySpare()) {
+        if (connection->since() <= latest && connection->maySpare()) {
             spared.push_back(connection.get());
         }
     }
