--- a/core/include/sycamoremoor/core/step_type.h
+++ b/core/include/sycamoremoor/core/step_type.h
@@ -90,6 +90,13 @@
     AnnouncementsRefused, ///< announcements of upstreams that name none to use
     EvacuatedRuns,        ///< runs that a guard did not start because its zone is evacuated
     RunsLengthened,       ///< runs whose limit was raised since they make progress
+    HeadsRefused,
+    FieldsRefused,
+    BodiesRefused,
+    SlowRequestsRefused,
+    ConnectionsClosedForMemory,
+    ConnectionsClosedForRoom,
+    AcceptsFailed, ///< for lack of descriptors
     End,
 };
 
