Add: [scheduler] A cancellation reaches the job at whatever scheduler has it

Cause: a scheduler looked at its own jobs alone. A scheduler tells all guards that it knows of which jobs were cancelled, those of a burst in one message. A guard refuses and stops runs of these jobs and tells all schedulers on their streams of capacity reports; the scheduler that has the job ends it. A DELETE of a job that is not open where it arrives is answered when each guard with contact has confirmed: 200 or 410, else 503. Without a cancellation there is no message, timer or record.

--- a/bench/scheduler_load.cpp
+++ b/bench/scheduler_load.cpp
@@ -211,6 +211,7 @@
         }
     }
 
+    void carryOut(const SpreadCancel & /*output*/) { }
     void carryOut(const AnswerCancel & /*output*/) { }
 
     void carryOut(const Stopped & /*output*/) { }
--- a/core/include/sycamoremoor/core/guard_input_type.h
+++ b/core/include/sycamoremoor/core/guard_input_type.h
@@ -61,6 +61,12 @@
     BatchRecall recall;
 };
 
+/** A scheduler tells that jobs were cancelled: their runs are stopped, and none is started any more. Answered once by CancellationTaken. */
+struct JobsCancelled {
+    ConnectionId connection;
+    std::vector<QueueJobId> jobs;
+};
+
 /** The upstream's answer to a StartRun. */
 enum class StartAnswer {
     Started,              ///< the run is running, or has already run
@@ -133,6 +139,7 @@
                                 BatchAbandoned,
                                 BatchesRenewed,
                                 RecallReceived,
+                                JobsCancelled,
                                 RunStartAnswered,
                                 RunStopAnswered,
                                 UpstreamListed,
--- a/core/include/sycamoremoor/core/guard_message_type.h
+++ b/core/include/sycamoremoor/core/guard_message_type.h
@@ -110,6 +110,20 @@
     friend bool operator==(const CapacityReport &, const CapacityReport &) = default;
 };
 
+/** Scheduler to guard, and guard to its schedulers: callers have cancelled these jobs, at whatever scheduler. */
+struct JobCancellation {
+    std::vector<QueueJobId> jobs;
+
+    friend bool operator==(const JobCancellation &, const JobCancellation &) = default;
+};
+
+/** Guard to scheduler: nothing of the jobs of a JobCancellation is started here any more, and their runs are being stopped. */
+struct JobCancellationReply {
+    std::vector<QueueJobId> stopped; ///< jobs of which there were runs
+
+    friend bool operator==(const JobCancellationReply &, const JobCancellationReply &) = default;
+};
+
 /** Entry of a guard in the agent directory, by which schedulers find it. */
 struct AgentRecord {
     AgentName agent;
--- a/core/include/sycamoremoor/core/guard_output_type.h
+++ b/core/include/sycamoremoor/core/guard_output_type.h
@@ -73,6 +73,14 @@
     MonotonicTime expiresAt; ///< from then on no scheduler has use for it
 };
 
+/** Cancelled jobs are refused and stopped from now on. Answer the scheduler that told so, and tell all schedulers, and those that connect soon. */
+struct CancellationTaken {
+    ConnectionId connection;
+    std::vector<QueueJobId> jobs;
+    std::vector<QueueJobId> stopped; ///< those of which there were runs
+    MonotonicTime expiresAt;         ///< from then on schedulers that connect need not be told
+};
+
 using GuardOutput = std::variant<StartRun,
                                  StopRun,
                                  RenewLease,
@@ -81,6 +89,7 @@
                                  EndBatch,
                                  CapacityChanged,
                                  UpstreamCrashed,
+                                 CancellationTaken,
                                  SetTimer,
                                  LogLine,
                                  Observation,
--- a/core/include/sycamoremoor/core/queue_job_type.h
+++ b/core/include/sycamoremoor/core/queue_job_type.h
@@ -58,7 +58,7 @@
     Done,       ///< the upstream reported success
     Failed,     ///< the upstream reported a failure
     Stopped,    ///< stopped by an order
-    Lapsed,     ///< its lease or its upstream ended
+    Lapsed,     ///< its lease or its upstream ended, or its guard has forgotten it: it may have run, and does not run now
     NotStarted, ///< certainly not started, and it never will be
     End,
 };
--- a/core/include/sycamoremoor/core/scheduler_input_type.h
+++ b/core/include/sycamoremoor/core/scheduler_input_type.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <memory>
 #include <variant>
+#include <vector>
 
 namespace Sycamoremoor
 {
@@ -31,6 +32,19 @@
     QueueJobId job;
 };
 
+/** The guards were told of a cancelled job. */
+struct CancelSpread {
+    QueueJobId job;
+    bool isConfirmed = false; ///< all guards with contact have confirmed that they start nothing of it any more
+    bool hadRuns = false;     ///< a guard had runs of it
+};
+
+/** A guard tells that jobs were cancelled, at this scheduler or another one. It may tell so again. */
+struct JobsCancelledElsewhere {
+    AgentName agent;
+    std::vector<QueueJobId> jobs;
+};
+
 /** A guard reported the free capacity of its worker. */
 struct CapacityReported {
     AgentName agent;
@@ -76,6 +90,8 @@
                                     QueuesRead,
                                     QueueJobSubmitted,
                                     QueueJobCancelled,
+                                    CancelSpread,
+                                    JobsCancelledElsewhere,
                                     CallerDisconnected,
                                     CapacityReported,
                                     CrashReported,
--- a/core/include/sycamoremoor/core/scheduler_output_type.h
+++ b/core/include/sycamoremoor/core/scheduler_output_type.h
@@ -54,10 +54,23 @@
     Duration retryAfter{};             ///< when to submit again, for Refused and Lost
 };
 
+/** Tell all guards that a job was cancelled. Answered once by CancelSpread. */
+struct SpreadCancel {
+    QueueJobId job;
+};
+
+/** What became of a cancellation. */
+enum class CancelOutcome {
+    Cancelled,   ///< the job was open here, or had runs at a guard, or was cancelled here before
+    NotFound,    ///< no guard with contact had runs of it; they start none, and neither does this scheduler
+    Unconfirmed, ///< a guard with contact has not confirmed in time that it starts none
+    End,
+};
+
 /** Answer a cancellation and end its exchange. */
 struct AnswerCancel {
     ConnectionId connection;
-    bool isKnown = false; ///< the job was open at this scheduler, or was cancelled here before
+    CancelOutcome outcome = CancelOutcome::Unconfirmed;
 };
 
 using SchedulerOutput = std::variant<SendBatch,
@@ -65,6 +78,7 @@
                                      RecallBatch,
                                      CancelBatch,
                                      AnswerQueueJob,
+                                     SpreadCancel,
                                      AnswerCancel,
                                      SetTimer,
                                      LogLine,
--- a/core/src/scheduler/cancelled_jobs.cpp
+++ b/core/src/cancelled_jobs.cpp
@@ -7,14 +7,19 @@
 namespace
 {
 
-constexpr Duration Retention = std::chrono::minutes(2); ///< callers submit again after seconds
-constexpr std::size_t MaxJobs = 50'000;                 ///< some megabytes
+constexpr Duration Retention = std::chrono::minutes(2);       ///< callers submit again after seconds
+constexpr std::size_t MaxJobs = 50'000;                       ///< some megabytes
+constexpr Duration RefreshInterval = std::chrono::seconds(1); ///< many guards tell of one cancellation, within some milliseconds
 
 } // namespace
 
 void CancelledJobs::add(MonotonicTime now, const QueueJobId &job)
 {
-    m_cancelledAt[job] = now;
+    const auto [known, isNew] = m_cancelledAt.try_emplace(job, now);
+    if (!isNew && now < known->second + RefreshInterval) {
+        return;
+    }
+    known->second = now;
     m_byTime.emplace_back(now, job);
     if (m_byTime.size() > MaxJobs) {
         forgetFirst();
--- a/core/src/guard/guard_batches.cpp
+++ b/core/src/guard/guard_batches.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+constexpr Duration ToldTime = std::chrono::seconds(5); ///< longer than bounds.cancel_ms, 4 s, and than a stream is opened anew in
+
 MonotonicTime toMonotonicTime(GuardTime time)
 {
     return MonotonicTime(Duration(time.value()));
@@ -67,6 +69,9 @@
 
 ErrorKind GuardMachine::Private::refusalOf(const RunOrder &order) const
 {
+    if (m_cancelled.contains(order.run.task.job)) {
+        return ErrorKind::Cancelled;
+    }
     if (m_drainUntil || (m_upstream && m_upstream->announced.leaving)) {
         return ErrorKind::Draining;
     }
@@ -170,6 +175,33 @@
     }
 }
 
+void GuardMachine::Private::handle(GuardStep &step, const JobsCancelled &input)
+{
+    const std::set<QueueJobId> jobs(input.jobs.begin(), input.jobs.end());
+    for (const auto &job : jobs) {
+        m_cancelled.add(step.now(), job);
+    }
+    std::set<QueueJobId> stopped;
+    std::vector<RunId> waiting;
+    for (auto &[run, record] : m_runTable.runs()) {
+        if (!jobs.contains(run.task.job)) {
+            continue;
+        }
+        stopped.insert(run.task.job);
+        if (record.stage == RunStage::Waiting) {
+            waiting.push_back(run);
+        } else if (record.stage != RunStage::Stopping) {
+            step.log(Severity::Info, "The job of a run was cancelled; the run is stopped.", fieldsOf(run, record));
+            record.stopReason = ErrorKind::Cancelled;
+            stop(step, run, record);
+        }
+    }
+    for (const auto &run : waiting) {
+        report(step, run, RunOutcome::NotStarted, ErrorKind::Cancelled);
+    }
+    step.emit(CancellationTaken{input.connection, input.jobs, {stopped.begin(), stopped.end()}, step.now() + ToldTime});
+}
+
 void GuardMachine::Private::answerRecall(
     GuardStep &step, ConnectionId connection, const BatchRecall &recall, RunOutcome outcome, ErrorKind error)
 {
--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -1,6 +1,7 @@
 // State and private functions of a guard.
 #pragma once
 
+#include "../cancelled_jobs.h"
 #include "../machine_step.h"
 #include "batch_table.h"
 #include "crash_log.h"
@@ -32,6 +33,7 @@
     void handle(GuardStep &step, const BatchAbandoned &input);
     void handle(GuardStep &step, const BatchesRenewed &input);
     void handle(GuardStep &step, const RecallReceived &input);
+    void handle(GuardStep &step, const JobsCancelled &input);
     void handle(GuardStep &step, const RunStartAnswered &input);
     void handle(GuardStep &step, const RunStopAnswered &input);
     void handle(GuardStep &step, const UpstreamListed &input);
@@ -164,6 +166,7 @@
     std::uint64_t m_lastRenewal = 0;
     RunTable m_runTable;
     BatchTable m_batches;
+    CancelledJobs m_cancelled;
     CrashLog m_crashes;
     std::map<ConnectionId, BatchRecall> m_earlierRecalls; ///< recalls of batches of earlier incarnations of this guard
     CapacityReport m_lastReported;                        ///< capacity as last reported
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -167,6 +167,7 @@
 
 void GuardMachine::Private::processDue(GuardStep &step)
 {
+    m_cancelled.forgetOld(step.now());
     if (m_upstream) {
         const bool leasesEnded
             = m_upstream->unansweredRenewals >= UnansweredRenewalLimit && step.now() >= m_upstream->leaseUntil + LapseBound;
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -1,10 +1,10 @@
 // State and private functions of a scheduler.
 #pragma once
 
+#include "../cancelled_jobs.h"
 #include "../dispatch/run_time_estimator.h"
 #include "../machine_step.h"
 #include "bulkhead.h"
-#include "cancelled_jobs.h"
 #include "crash_record.h"
 #include "job_order.h"
 #include "lag_meter.h"
@@ -35,6 +35,8 @@
     void handle(SchedulerStep &step, const QueuesRead &input);
     void handle(SchedulerStep &step, const QueueJobSubmitted &input);
     void handle(SchedulerStep &step, const QueueJobCancelled &input);
+    void handle(SchedulerStep &step, const CancelSpread &input);
+    void handle(SchedulerStep &step, const JobsCancelledElsewhere &input);
     void handle(SchedulerStep &step, const CallerDisconnected &input);
     void handle(SchedulerStep &step, const CapacityReported &input);
     void handle(SchedulerStep &step, const CrashReported &input);
@@ -72,6 +74,12 @@
         bool recalled = false;
     };
 
+    /** A cancellation of a job that is not open here, until the guards have been told. */
+    struct SpreadingCancel {
+        std::vector<ConnectionId> connections; ///< of those who cancelled it
+        bool wasKnown = false;                 ///< it was cancelled here before
+    };
+
     /** Tasks of one job that were placed on one worker during one input. */
     struct PlacedBatch {
         BatchNumber number;
@@ -107,6 +115,8 @@
     [[nodiscard]] static MonotonicTime deadlineUnreachableAt(const ScheduledJob &job);
     void abandon(SchedulerStep &step, ScheduledJob &job);
     void recall(SchedulerStep &step, ScheduledJob &job, BatchNumber number, OpenBatch &batch);
+    /** Ends a job that was cancelled, and remembers its id. @return whether it was open here */
+    bool cancel(SchedulerStep &step, const QueueJobId &id);
     /** Recalls all batches of a job that has no callers any more, and keeps it until its runs have ended. */
     void endRuns(SchedulerStep &step, ScheduledJob &job);
     void runEnded(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const AgentName &agent, const RunReport &report);
@@ -149,6 +159,7 @@
     std::map<QueueJobId, JobNumber> m_byId;
     std::map<BatchNumber, OpenBatch> m_batches;
     CancelledJobs m_cancelled;
+    std::map<QueueJobId, SpreadingCancel> m_spreadingCancels;
     MonotonicTime m_renewAt;             ///< when the leases of a group of guards are renewed next
     std::size_t m_renewGroup = 0;        ///< the group that is renewed next
     JobOrder m_order;                    ///< jobs of queues that are not confined
--- a/core/src/scheduler/scheduler_runs.cpp
+++ b/core/src/scheduler/scheduler_runs.cpp
@@ -136,11 +136,21 @@
     const auto agent = found->second.agent;
     const CrashKey crash{agent, found->second.guard, input.report.crash};
     const auto task = found->second.tasks[order];
+    // The runs of a recalled batch are reported as cancelled, too.
+    const bool wasCutShort = input.report.outcome != RunOutcome::Done && input.report.outcome != RunOutcome::Failed;
+    const bool isCancelled = wasCutShort && input.report.error == ErrorKind::Cancelled && !found->second.recalled;
     if (std::ranges::find(found->second.reported, false) == found->second.reported.end()) {
         job.batches.erase(input.batch);
         m_batches.erase(found);
     }
     m_workers.removeTasks(agent, 1);
+    if (isCancelled) {
+        --job.placed[job.tasks[task].step][agent];
+        setWaiting(step, job, job.tasks[task]);
+        step.emit(Count{CounterMetric::JobsCancelled, 1});
+        cancel(step, job.spec->id);
+        return;
+    }
     if (input.report.crash != CrashNumber() && runCrashed(step, job, job.tasks[task], crash, input.report.isSuspect)) {
         return;
     }
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -141,22 +141,39 @@
 }
 
 void SchedulerMachine::Private::handle(SchedulerStep &step, const QueueJobCancelled &input)
+{
+    const bool wasKnown = m_cancelled.contains(input.job);
+    const bool wasOpen = cancel(step, input.job);
+    step.emit(Count{CounterMetric::JobsCancelled, wasOpen || wasKnown ? 1U : 0U});
+    // Also when it was open here: its caller may have submitted it to another scheduler, too.
+    step.emit(SpreadCancel{input.job});
+    if (wasOpen) {
+        step.emit(AnswerCancel{input.connection, CancelOutcome::Cancelled});
+        return;
+    }
+    step.log(Severity::Info,
+             "A job is cancelled that is not open here; the guards are told.",
+             {{"job", input.job.value()}, {"outcome", wasKnown ? "cancelled_before" : "not_known"}});
+    auto &spreading = m_spreadingCancels[input.job];
+    spreading.connections.push_back(input.connection);
+    spreading.wasKnown = spreading.wasKnown || wasKnown;
+}
+
+bool SchedulerMachine::Private::cancel(SchedulerStep &step, const QueueJobId &id)
 {
     std::vector<JobNumber> open; // several if jobs of the same id but other contents were submitted
     for (const auto &[number, job] : m_jobs) {
-        if (job.spec->id == input.job) {
+        if (job.spec->id == id) {
             open.push_back(number);
         }
     }
-    const bool isKnown = !open.empty() || m_cancelled.contains(input.job);
     // Also a job that is not known: its submission may still be on its way.
-    m_cancelled.add(step.now(), input.job);
-    step.emit(Count{CounterMetric::JobsCancelled, isKnown ? 1U : 0U});
+    m_cancelled.add(step.now(), id);
     for (const auto number : open) {
         auto &job = m_jobs.at(number);
         step.log(Severity::Info,
                  "A job is cancelled; its runs are stopped.",
-                 {{"job", input.job.value()},
+                 {{"job", id.value()},
                   {"held_ms", inMilliseconds(step.now() - job.arrivedAt)},
                   {"callers", std::to_string(job.connections.size())},
                   {"batches", std::to_string(job.batches.size())}});
@@ -166,12 +183,33 @@
         }
         endRuns(step, job);
     }
-    if (open.empty()) {
-        step.log(Severity::Info,
-                 "A job is cancelled that is not open here.",
-                 {{"job", input.job.value()}, {"outcome", isKnown ? "cancelled_before" : "not_known"}});
+    return !open.empty();
+}
+
+void SchedulerMachine::Private::handle(SchedulerStep &step, const CancelSpread &input)
+{
+    const auto spreading = m_spreadingCancels.extract(input.job);
+    if (spreading.empty()) {
+        return; // the job was open here, and its cancellation was answered then
+    }
+    const bool isKnown = input.hadRuns || spreading.mapped().wasKnown;
+    const auto outcome = !input.isConfirmed ? CancelOutcome::Unconfirmed : isKnown ? CancelOutcome::Cancelled : CancelOutcome::NotFound;
+    if (!input.isConfirmed) {
+        step.log(Severity::Warning, "Not all guards have confirmed in time that a job is cancelled.", {{"job", input.job.value()}});
+    }
+    for (const auto connection : spreading.mapped().connections) {
+        step.emit(AnswerCancel{connection, outcome});
+    }
+}
+
+void SchedulerMachine::Private::handle(SchedulerStep &step, const JobsCancelledElsewhere &input)
+{
+    for (const auto &job : input.jobs) {
+        // Nothing of a job that was cancelled here before is open: its submissions are refused.
+        if (!m_cancelled.contains(job) && cancel(step, job)) {
+            step.emit(Count{CounterMetric::JobsCancelled, 1});
+        }
     }
-    step.emit(AnswerCancel{input.connection, isKnown});
 }
 
 void SchedulerMachine::Private::endRuns(SchedulerStep &step, ScheduledJob &job)
--- a/core/tests/guard_machine_test.cpp
+++ b/core/tests/guard_machine_test.cpp
@@ -114,6 +114,41 @@
     EXPECT_EQ(guard.all<RenewLease>()[0].incarnation.name, "good");
 }
 
+// Guards against runs of a job that go on, or start, although it was cancelled at a scheduler that has none of them.
+TEST(GuardMachineTest, ACancelledJobIsStoppedAndRefused)
+{
+    GuardDriver guard;
+    guard.order(1, 0, 6'000);
+    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+    guard.order(2, 1, 6'000);
+    ASSERT_TRUE(guard.all<StartRun>().empty()) << "it waits for capacity";
+    guard.feed(JobsCancelled{ConnectionId(9), {QueueJobId("other"), QueueJobId("job")}});
+    ASSERT_EQ(guard.all<StopRun>().size(), 1U);
+    EXPECT_EQ(guard.all<StopRun>().front().run, GuardDriver::run(0));
+    ASSERT_EQ(guard.all<ReportRun>().size(), 1U);
+    EXPECT_EQ(guard.all<ReportRun>().front().connection, ConnectionId(2));
+    EXPECT_EQ(guard.all<ReportRun>().front().report.outcome, RunOutcome::NotStarted);
+    EXPECT_EQ(guard.all<ReportRun>().front().report.error, ErrorKind::Cancelled);
+    ASSERT_EQ(guard.all<CancellationTaken>().size(), 1U);
+    EXPECT_EQ(guard.all<CancellationTaken>().front().connection, ConnectionId(9));
+    EXPECT_EQ(guard.all<CancellationTaken>().front().jobs, (std::vector{QueueJobId("other"), QueueJobId("job")}));
+    EXPECT_EQ(guard.all<CancellationTaken>().front().stopped, std::vector{QueueJobId("job")});
+    guard.answerRenewal({}, {{1, GuardDriver::run(0), RunOutcome::Stopped}});
+    ASSERT_EQ(guard.all<ReportRun>().size(), 1U);
+    EXPECT_EQ(guard.all<ReportRun>().front().connection, ConnectionId(1));
+    EXPECT_EQ(guard.all<ReportRun>().front().report.error, ErrorKind::Cancelled);
+    for (const auto wait : {std::chrono::seconds(0), std::chrono::seconds(60)}) {
+        guard.advance(wait);
+        guard.order(3 + static_cast<std::uint64_t>(wait.count()), 2, 1'000);
+        EXPECT_TRUE(guard.all<StartRun>().empty());
+        ASSERT_EQ(guard.all<ReportRun>().size(), 1U);
+        EXPECT_EQ(guard.all<ReportRun>().front().report.error, ErrorKind::Cancelled);
+    }
+    guard.feed(JobsCancelled{ConnectionId(10), {QueueJobId("job")}});
+    ASSERT_EQ(guard.all<CancellationTaken>().size(), 1U);
+    EXPECT_TRUE(guard.all<CancellationTaken>().front().stopped.empty()) << "it has no runs any more";
+}
+
 TEST(GuardMachineTest, AnAbandonedBatchStopsItsRuns)
 {
     GuardDriver driver;
--- a/daemon/src/scheduler_task.cpp
+++ b/daemon/src/scheduler_task.cpp
@@ -51,6 +51,7 @@
                    return m_driver.machine().missesWorkers();
                }})
     , m_batches(loop, m_client, m_metrics, [this](const AgentName &agent) { return m_rooms.endpoint(agent); })
+    , m_cancels(loop, m_client, m_metrics, [this] { return m_rooms.guards(); })
     , m_stopWatcher(loop, m_callers)
     , m_driver(
           loop, SchedulerMachine(settings.machine), m_metrics, [this] { return m_randomBits(); }, *this)
@@ -60,6 +61,7 @@
     m_frontDoor.signalInput().connect(feed);
     m_rooms.signalInput().connect(feed);
     m_batches.signalInput().connect(feed);
+    m_cancels.signalInput().connect(feed);
     m_config.signalChanged().connect(sigc::mem_fun(*this, &SchedulerTask::takeConfig));
     m_directory.signalChanged().connect(sigc::mem_fun(m_rooms, &RoomWatcher::setGuards));
 }
@@ -112,6 +114,11 @@
     m_frontDoor.carryOut(output);
 }
 
+void SchedulerTask::carryOut(const SpreadCancel &output)
+{
+    m_cancels.carryOut(output);
+}
+
 void SchedulerTask::carryOut(const AnswerCancel &output)
 {
     m_frontDoor.carryOut(output);
--- a/daemon/src/scheduler_task.h
+++ b/daemon/src/scheduler_task.h
@@ -4,6 +4,7 @@
 #include <sycamoremoor/core/scheduler_machine.h>
 #include <sycamoremoor/net/agent_directory.h>
 #include <sycamoremoor/net/batch_sender.h>
+#include <sycamoremoor/net/cancel_sender.h>
 #include <sycamoremoor/net/http_client.h>
 #include <sycamoremoor/net/http_server.h>
 #include <sycamoremoor/net/machine_driver.h>
@@ -59,6 +60,7 @@
     void carryOut(const RecallBatch &output);
     void carryOut(const CancelBatch &output);
     void carryOut(const AnswerQueueJob &output);
+    void carryOut(const SpreadCancel &output);
     void carryOut(const AnswerCancel &output);
     void carryOut(const Stopped &output);
     void takeConfig(const PrefixWatcher::Items &items);
@@ -76,6 +78,7 @@
     AgentDirectory m_directory;
     RoomWatcher m_rooms;
     BatchSender m_batches;
+    CancelSender m_cancels;
     StopWatcher m_stopWatcher;
     Driver m_driver;
 };
--- a/net/include/sycamoremoor/net/path_type.h
+++ b/net/include/sycamoremoor/net/path_type.h
@@ -29,6 +29,7 @@
 inline constexpr std::string_view StartBatch = "/internal/v1/start-batch";
 inline constexpr std::string_view RenewBatches = "/internal/v1/renew-batches";
 inline constexpr std::string_view RecallBatch = "/internal/v1/recall-batch";
+inline constexpr std::string_view CancelJobs = "/internal/v1/cancel-jobs";
 inline constexpr std::string_view WatchRoom = "/internal/v1/watch-room";
 
 /** Of the upstream's own interface. */
--- a/net/include/sycamoremoor/net/room_watcher.h
+++ b/net/include/sycamoremoor/net/room_watcher.h
@@ -3,6 +3,7 @@
 
 #include <sycamoremoor/core/guard_subset.h>
 #include <sycamoremoor/core/scheduler_input_type.h>
+#include <sycamoremoor/net/known_guard_type.h>
 #include <sycamoremoor/net/timer.h>
 
 #include <sigc++/signal.h>
@@ -11,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace Sycamoremoor
@@ -45,6 +47,9 @@
     /** Returns where a guard listens. */
     [[nodiscard]] std::optional<Endpoint> endpoint(const AgentName &agent) const;
 
+    /** Returns all guards that are known. */
+    [[nodiscard]] KnownGuards guards() const;
+
 private:
     struct Watch;
 
@@ -58,6 +63,7 @@
     void open(Watch &watch);
     void received(Watch &watch, std::string_view part);
     void takeCrash(const AgentName &agent, std::string_view line);
+    void takeCancellation(const AgentName &agent, std::string line);
     /** Hands on the newest report of a guard. Those before it say nothing more. */
     void decodeNewest(Watch &watch);
     void broken(Watch &watch);
@@ -67,7 +73,9 @@
     EntryName m_scheduler;
     GuardSubset m_subset;
     RoomWatcherHooks m_hooks;
-    GuardSubset::Guards m_listed; ///< in the directory
+    GuardSubset::Guards m_listed;   ///< in the directory
+    std::string m_lastCancellation; ///< line that was handed on last
+    MonotonicTime m_lastCancellationAt;
     bool m_choseAll = true;
     Timer m_followTimer;
     sigc::signal<void(SchedulerInput)> m_input;
--- a/net/src/guard_server.cpp
+++ b/net/src/guard_server.cpp
@@ -28,7 +28,8 @@
 constexpr Duration SteadyInterval = std::chrono::milliseconds(250);  ///< a quarter of the silence that schedulers bear
 constexpr Duration UnwatchedLimit = std::chrono::milliseconds(1200); ///< a scheduler that lives watches anew within a second
 
-constexpr std::size_t MaxCrashes = 16; ///< that are kept for schedulers that connect
+constexpr std::size_t MaxCrashes = 16;        ///< that are kept for schedulers that connect
+constexpr std::size_t MaxCancellations = 256; ///< as well: a scheduler sends some in a second, with up to a thousand jobs each
 
 /** Reads the whole of @p text as a number of microseconds, or nothing. */
 std::optional<Duration> readMicroseconds(std::string_view text)
@@ -51,6 +52,7 @@
     router.add(RequestMethod::Post, Path::StartBatch, [this](const RoutedRequest &request) { takeBatch(request); });
     router.add(RequestMethod::Post, Path::RenewBatches, [this](const RoutedRequest &request) { takeRenewal(request); });
     router.add(RequestMethod::Post, Path::RecallBatch, [this](const RoutedRequest &request) { takeRecall(request); });
+    router.add(RequestMethod::Post, Path::CancelJobs, [this](const RoutedRequest &request) { takeCancellation(request); });
     router.add(RequestMethod::Get, Path::WatchRoom, [this](const RoutedRequest &request) { takeWatch(request); });
     m_steadyTimer.start(SteadyInterval / 2);
 }
@@ -100,6 +102,19 @@
     m_input.emit(RecallReceived{connection, std::move(recall)});
 }
 
+void GuardServer::takeCancellation(const RoutedRequest &request)
+{
+    JobCancellation cancellation;
+    if (!decodeOrRefuse(request, cancellation)) {
+        return;
+    }
+    m_metrics.addMessage(MessageDirection::In, Path::CancelJobs, request.exchange->request().body.size());
+    const ConnectionId connection(++m_lastConnection);
+    m_cancelRequests[connection] = request.exchange;
+    request.exchange->onGone([this, connection] { m_cancelRequests.erase(connection); });
+    m_input.emit(JobsCancelled{connection, std::move(cancellation.jobs)});
+}
+
 ConnectionId GuardServer::openExchange(const EntryName &scheduler, const HttpExchangePointer &exchange)
 {
     const ConnectionId connection(++m_lastConnection);
@@ -238,6 +253,32 @@
     tellAll();
 }
 
+void GuardServer::carryOut(const CancellationTaken &output)
+{
+    const auto now = monotonicNow();
+    while (!m_cancellations.empty() && (m_cancellations.begin()->second.expiresAt <= now || m_cancellations.size() >= MaxCancellations)) {
+        m_cancellations.erase(m_cancellations.begin());
+    }
+    m_cancellations.emplace(++m_lastCancellation, ToldCancellation{encode(JobCancellation{output.jobs}) + "\n", output.expiresAt});
+    tellAll();
+    if (const auto request = m_cancelRequests.extract(output.connection); !request.empty()) {
+        request.mapped()->reply({HttpStatus::Ok, encode(JobCancellationReply{output.stopped}), "application/json", {}});
+    }
+}
+
+std::string GuardServer::takeUntoldCancellations(OpenExchange &watcher) const
+{
+    const auto now = monotonicNow();
+    std::string lines;
+    for (auto position = m_cancellations.upper_bound(watcher.toldCancellation); position != m_cancellations.end(); ++position) {
+        if (position->second.expiresAt > now) {
+            lines += position->second.line;
+        }
+    }
+    watcher.toldCancellation = m_lastCancellation;
+    return lines;
+}
+
 std::string GuardServer::takeUntoldCrashes(OpenExchange &watcher) const
 {
     const auto now = monotonicNow();
@@ -336,7 +377,7 @@
     if (watcher.isBehind) {
         return; // it reads more slowly than room changes: the next report is newer than all that it misses
     }
-    auto lines = takeUntoldCrashes(watcher);
+    auto lines = takeUntoldCancellations(watcher) + takeUntoldCrashes(watcher);
     auto room = m_room;
     if (const auto seen = m_seen.find(watcher.scheduler); seen != m_seen.end()) {
         room.lastCountedBatch = seen->second;
--- a/net/src/room_watcher.cpp
+++ b/net/src/room_watcher.cpp
@@ -27,11 +27,14 @@
 constexpr Duration ConnectLimit = std::chrono::milliseconds(400);
 constexpr Duration ReopenDelay = std::chrono::milliseconds(150);
 constexpr Duration LongestReopenDelay = std::chrono::milliseconds(1000);
-constexpr std::string_view CrashNoticeStart = R"({"crashed_guard":)"; ///< tells a notice of a crash from a report of room
-constexpr Duration FollowInterval = std::chrono::milliseconds(500);   ///< between choices of the guards to follow
-constexpr Duration SilentTime = std::chrono::seconds(1);              ///< without a report, until another guard is followed instead
-constexpr Duration LingerTime = std::chrono::seconds(10);             ///< for which a guard is followed after it was in the subset
-constexpr Duration WatchLimit = std::chrono::hours(24);               ///< a watch has no end of its own
+constexpr std::string_view CrashNoticeStart = R"({"crashed_guard":)";   ///< tells a notice of a crash from a report of room
+constexpr std::string_view CancellationStart = R"({"cancelled_jobs":)"; ///< tells cancelled jobs from a report of room
+constexpr Duration RepeatTime
+    = std::chrono::seconds(10); ///< in which the guards that a scheduler told of a cancellation have all passed it on
+constexpr Duration FollowInterval = std::chrono::milliseconds(500); ///< between choices of the guards to follow
+constexpr Duration SilentTime = std::chrono::seconds(1);            ///< without a report, until another guard is followed instead
+constexpr Duration LingerTime = std::chrono::seconds(10);           ///< for which a guard is followed after it was in the subset
+constexpr Duration WatchLimit = std::chrono::hours(24);             ///< a watch has no end of its own
 
 } // namespace
 
@@ -173,6 +176,18 @@
     return found == m_listed.end() ? std::nullopt : std::optional(found->second.endpoint);
 }
 
+KnownGuards RoomWatcher::guards() const
+{
+    KnownGuards guards;
+    for (const auto &[agent, record] : m_listed) {
+        guards[agent].endpoint = record.endpoint;
+    }
+    for (const auto &[agent, watch] : m_watches) {
+        guards[agent] = {watch->record.endpoint, watch->heard};
+    }
+    return guards;
+}
+
 void RoomWatcher::open(Watch &watch)
 {
     watch.lines = {};
@@ -201,9 +216,12 @@
 {
     const bool isFirst = watch.newestReport.empty();
     std::vector<std::string> notices;
-    watch.lines.take(part, [&notices, &watch](std::string_view line) {
+    std::vector<std::string> cancellations;
+    watch.lines.take(part, [&](std::string_view line) {
         if (line.starts_with(CrashNoticeStart)) {
             notices.emplace_back(line);
+        } else if (line.starts_with(CancellationStart)) {
+            cancellations.emplace_back(line);
         } else {
             watch.newestReport = line;
         }
@@ -221,6 +239,25 @@
     for (const auto &line : notices) {
         takeCrash(agent, line);
     }
+    for (auto &line : cancellations) {
+        takeCancellation(agent, std::move(line));
+    }
+}
+
+void RoomWatcher::takeCancellation(const AgentName &agent, std::string line)
+{
+    const auto now = monotonicNow();
+    if (line == m_lastCancellation && now < m_lastCancellationAt + RepeatTime) {
+        return; // each guard passes it on
+    }
+    JobCancellation cancellation;
+    if (const auto error = decode(line, cancellation)) {
+        writeLog({Severity::Error, "rooms", "A cancellation cannot be read: " + error->detail + "."});
+        return;
+    }
+    m_lastCancellation = std::move(line);
+    m_lastCancellationAt = now;
+    m_input.emit(JobsCancelledElsewhere{agent, std::move(cancellation.jobs)});
 }
 
 void RoomWatcher::takeCrash(const AgentName &agent, std::string_view line)
--- a/wire/include/sycamoremoor/wire/message_codec.h
+++ b/wire/include/sycamoremoor/wire/message_codec.h
@@ -47,6 +47,8 @@
                                 RunReport,
                                 CapacityReport,
                                 CrashNotice,
+                                JobCancellation,
+                                JobCancellationReply,
                                 AgentRecord>;
 
 /**
--- a/wire/src/describe_func.h
+++ b/wire/src/describe_func.h
@@ -577,6 +577,16 @@
     archive.optional("clock", room.clock);
 }
 
+void describe(auto &archive, Described<JobCancellation> auto &cancellation)
+{
+    archive("cancelled_jobs", cancellation.jobs);
+}
+
+void describe(auto &archive, Described<JobCancellationReply> auto &reply)
+{
+    archive("stopped", reply.stopped);
+}
+
 void describe(auto &archive, Described<AgentRecord> auto &record)
 {
     archive("agent", record.agent);
--- a/wire/src/message_codec.cpp
+++ b/wire/src/message_codec.cpp
@@ -89,6 +89,10 @@
 template std::optional<DecodeError> decode(std::string_view, CapacityReport &);
 template std::string encode(const CrashNotice &);
 template std::optional<DecodeError> decode(std::string_view, CrashNotice &);
+template std::string encode(const JobCancellation &);
+template std::optional<DecodeError> decode(std::string_view, JobCancellation &);
+template std::string encode(const JobCancellationReply &);
+template std::optional<DecodeError> decode(std::string_view, JobCancellationReply &);
 template std::string encode(const AgentRecord &);
 template std::optional<DecodeError> decode(std::string_view, AgentRecord &);
 
