Fix: [guard] The lease of the upstream follows the leases of its batches

Cause: a guard renewed the lease of its upstream for 0.9 s ahead without regard to the leases of the batches that have runs there. Change: the lease of the upstream is renewed no further than 125 ms after the earliest end of the leases of batches with runs there; 75 ms of the 200 ms for a stop are left for 2% of the upstream's clock and its own stop. A run whose stop is confirmed bounds it no longer. If a batch is renewed shortly before its end, one renewal is sent at once. A batch that arrives after the end of its lease is refused, and nothing is started while a run outlasts its batch by more than the 125 ms.

--- a/core/src/guard/guard_batches.cpp
+++ b/core/src/guard/guard_batches.cpp
@@ -64,7 +64,9 @@
     if (batch.guard != m_settings.incarnation) {
         return ErrorKind::WrongIncarnation;
     }
-    return now > toMonotonicTime(batch.receiveBy) ? ErrorKind::StaleMessage : ErrorKind::None;
+    // A run of a batch whose lease has ended would bound the lease of the upstream to the past.
+    const bool isLate = now > toMonotonicTime(batch.receiveBy) || now >= toMonotonicTime(batch.leaseUntil);
+    return isLate ? ErrorKind::StaleMessage : ErrorKind::None;
 }
 
 ErrorKind GuardMachine::Private::refusalOf(const RunOrder &order) const
--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -156,7 +156,9 @@
     void reportCapacity(GuardStep &step);
     void setTimer(GuardStep &step);
     [[nodiscard]] TaskSize freeCapacity() const;
-    [[nodiscard]] UpstreamTime leaseEnd(MonotonicTime now) const;
+    /** Returns until when a lease that is sent now may last: as long as every run there may use it, and one term at most. */
+    [[nodiscard]] MonotonicTime leaseEnd(MonotonicTime now) const;
+    [[nodiscard]] UpstreamTime toUpstreamTime(MonotonicTime time) const;
 
     GuardSettings m_settings;
     FencingToken m_token;
--- a/core/src/guard/guard_upstream.cpp
+++ b/core/src/guard/guard_upstream.cpp
@@ -1,4 +1,5 @@
 // What a guard knows of its upstream: boots, crashes, renewals of the lease, and the runs that it lists.
+#include "../scheduler/lease_times_func.h"
 #include "guard_private.h"
 
 #include <algorithm>
@@ -16,7 +17,13 @@
 constexpr Duration ProbeInterval = std::chrono::milliseconds(5);    ///< between probes: a process that restarts at once may listen again
 constexpr std::uint32_t RefusalsOfCrash = 2;                        ///< consecutive probes that nothing listens to, in a crash
 constexpr Duration CrashRetention = std::chrono::seconds(15);       ///< longer than a job is open, with a submission to another scheduler
-constexpr std::size_t MaxRunsInLine = 8;                            ///< limit on the runs that one log line names
+/**
+ * For which the lease of the upstream outlasts that of a batch, so that the guard can stop its runs and renew the lease of the others.
+ * A run then ends within StopTime all the same: 2% of a lease of one second for the upstream's clock and 50 ms for a stop are left.
+ */
+constexpr Duration LeaseOverhang = StopTime - std::chrono::milliseconds(75);
+constexpr Duration LeaseMargin = std::chrono::milliseconds(100); ///< in which three orders without an answer are repeated
+constexpr std::size_t MaxRunsInLine = 8;                         ///< limit on the runs that one log line names
 
 Duration millisecondsOf(UpstreamTime time)
 {
@@ -498,6 +505,11 @@
 void GuardMachine::Private::renew(GuardStep &step)
 {
     auto &upstream = *m_upstream;
+    // A batch was renewed shortly before its end: the next long poll may come too late for the lease that it bounded.
+    const bool endsSoon = upstream.unansweredRenewals == 0 && upstream.leaseUntil < step.now() + m_settings.renewWait + LeaseMargin;
+    if (!m_runTable.runs().empty() && endsSoon && leaseEnd(step.now()) > upstream.leaseUntil + LeaseMargin) {
+        upstream.immediateRenewalWanted = true;
+    }
     if (upstream.immediateRenewalWanted && !upstream.immediateRenewal) {
         upstream.immediateRenewalWanted = false;
         upstream.immediateRenewal = sendRenewal(step, Duration::zero());
@@ -520,9 +532,10 @@
     renewal.token = m_token;
     renewal.acknowledged = upstream.acknowledged;
     // The leases of an unresponsive upstream are not renewed, so that its runs have certainly ended soon.
-    if (!m_runTable.runs().empty() && upstream.unansweredRenewals < UnansweredRenewalLimit) {
-        upstream.leaseUntil = step.now() + m_settings.leaseTerm;
-        renewal.leaseUntil = leaseEnd(step.now());
+    const auto until = leaseEnd(step.now());
+    if (!m_runTable.runs().empty() && upstream.unansweredRenewals < UnansweredRenewalLimit && until > step.now()) {
+        upstream.leaseUntil = std::max(upstream.leaseUntil, until);
+        renewal.leaseUntil = toUpstreamTime(until);
     }
     renewal.wait = wait;
     const auto number = renewal.number;
@@ -530,10 +543,23 @@
     return number;
 }
 
-UpstreamTime GuardMachine::Private::leaseEnd(MonotonicTime now) const
+MonotonicTime GuardMachine::Private::leaseEnd(MonotonicTime now) const
+{
+    // The upstream has one lease for all runs, so the run whose batch ends first bounds it. Runs that wait may start before the next renewal.
+    auto leaseUntil = now + m_settings.leaseTerm - LeaseOverhang;
+    for (const auto &[run, record] : m_runTable.runs()) {
+        const bool isEnding = record.stage == RunStage::Stopping && record.confirmedAfter;
+        if (!isEnding) {
+            leaseUntil = std::min(leaseUntil, record.leaseUntil);
+        }
+    }
+    return leaseUntil + LeaseOverhang;
+}
+
+UpstreamTime GuardMachine::Private::toUpstreamTime(MonotonicTime time) const
 {
-    const auto end = now.time_since_epoch() + m_upstream->clockOffset + m_settings.leaseTerm;
-    return UpstreamTime(std::chrono::duration_cast<std::chrono::milliseconds>(end).count());
+    const auto upstreamTime = time.time_since_epoch() + m_upstream->clockOffset;
+    return UpstreamTime(std::chrono::duration_cast<std::chrono::milliseconds>(upstreamTime).count());
 }
 
 } // namespace Sycamoremoor
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -216,6 +216,9 @@
     if (!isAccepting() || m_upstream->replacement) {
         return; // another boot of the same name would execute an order to the known one
     }
+    if (leaseEnd(step.now()) <= step.now()) {
+        return; // a run whose batch has ended is being stopped; the lease of another would prolong it
+    }
     std::vector<RunId> startable;
     auto free = usableCapacity() - m_runTable.reserved();
     std::size_t tried = 0;
@@ -242,8 +245,10 @@
     const auto &batch = *m_batches.find(record.connection);
     m_crashes.runStarted(step.now(), batch.queue);
     auto &upstream = *m_upstream;
-    upstream.leaseUntil = step.now() + m_settings.leaseTerm;
-    step.emit(StartRun{upstream.announced.endpoint, upstream.announced.incarnation, run, batch.payload, leaseEnd(step.now()), m_token});
+    const auto leaseUntil = leaseEnd(step.now());
+    upstream.leaseUntil = std::max(upstream.leaseUntil, leaseUntil);
+    step.emit(
+        StartRun{upstream.announced.endpoint, upstream.announced.incarnation, run, batch.payload, toUpstreamTime(leaseUntil), m_token});
 }
 
 void GuardMachine::Private::stopDueRuns(GuardStep &step)
--- a/core/tests/guard_machine_test.cpp
+++ b/core/tests/guard_machine_test.cpp
@@ -436,6 +436,166 @@
     EXPECT_EQ(guard.all<StopRun>().size(), 1U);
 }
 
+namespace
+{
+
+constexpr Duration StopTime = milliseconds(200);        ///< from the end of a batch's lease until its runs have certainly ended
+constexpr Duration UpstreamStopTime = milliseconds(50); ///< in which an upstream ends runs whose lease has ended
+constexpr double SlowestClock = 1.02;                   ///< of an upstream, relative to that of its guard
+
+} // namespace
+
+// Guards against a run that goes on when its scheduler and its guard are gone, while its caller has submitted the job elsewhere.
+TEST(GuardLeaseTest, TheLeaseOfTheUpstreamEndsSoonAfterThatOfABatch)
+{
+    GuardDriver guard;
+    guard.order(1, 0, 1'000, {}, std::chrono::seconds(10));
+    const auto batchEndsAt = GuardDriver::BatchLease;
+    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+    Duration elapsed{};
+    Duration latestEnd{};
+    std::size_t renewals = 0;
+    for (; elapsed < batchEndsAt - milliseconds(100); elapsed += milliseconds(100)) {
+        for (const auto &renewal : guard.all<RenewLease>()) {
+            ++renewals;
+            ASSERT_NE(renewal.leaseUntil, UpstreamTime()) << "at " << elapsed.count() << " us";
+            const auto left = milliseconds(renewal.leaseUntil.value()); // the clock of the upstream is zero in each list
+            EXPECT_LE(left, std::chrono::seconds(1)) << "the upstream takes no longer ones";
+            latestEnd = std::max(latestEnd, elapsed + std::chrono::duration_cast<Duration>(Duration(left) * SlowestClock));
+        }
+        guard.advance(milliseconds(100));
+        guard.answerRenewal({GuardDriver::run(0)}, {});
+    }
+    EXPECT_GE(renewals, 8U);
+    EXPECT_GE(latestEnd, batchEndsAt) << "the run may use it until then";
+    EXPECT_LE(latestEnd + UpstreamStopTime, batchEndsAt + StopTime);
+}
+
+// Guards against a batch that has ended and takes the lease from the runs of others.
+TEST(GuardLeaseTest, TheOtherRunsGoOnWhenOneIsStoppedAtTheEndOfItsBatch)
+{
+    GuardDriver guard;
+    guard.order(1, 0, 1'000, {}, std::chrono::seconds(10));
+    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+    guard.order(2, 1, 1'000, {}, std::chrono::seconds(10));
+    guard.feed(RunStartAnswered{GuardDriver::run(1), StartAnswer::Started});
+    const std::vector<RunId> both{GuardDriver::run(0), GuardDriver::run(1)};
+    for (int step = 0; step < 10; ++step) {
+        guard.advance(milliseconds(100));
+        guard.renew(2);
+        guard.answerRenewal(both, {});
+    }
+    guard.advance(milliseconds(100));
+    guard.feed(Tick{});
+    ASSERT_EQ(guard.all<StopRun>().size(), 1U);
+    EXPECT_EQ(guard.all<StopRun>().front().run, GuardDriver::run(0));
+    guard.feed(RunStopAnswered{GuardDriver::run(0), true});
+    ASSERT_EQ(guard.all<RenewLease>().size(), 1U) << "at once, since the lease ends soon";
+    EXPECT_GE(milliseconds(guard.all<RenewLease>().front().leaseUntil.value()), milliseconds(100 + 800)) << "100 ms after the last list";
+    guard.answerRenewal({GuardDriver::run(1)}, {{1, GuardDriver::run(0), RunOutcome::Stopped}});
+    EXPECT_EQ(guard.all<ReportRun>().size(), 1U);
+}
+
+// Guards against renewals that shorter leases might need: two long polls of 200 ms are 10 renewals a second.
+TEST(GuardLeaseTest, ALeaseThatFollowsItsBatchNeedsNoMoreRenewals)
+{
+    constexpr std::size_t Steps = 19; // of 100 ms; the job expires after 2 s
+    GuardDriver guard;
+    guard.order(1, 0, 1'000, {}, std::chrono::seconds(60));
+    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+    std::size_t renewals = 0;
+    milliseconds shortest = std::chrono::seconds(1);
+    const auto count = [&] {
+        for (const auto &renewal : guard.all<RenewLease>()) {
+            ++renewals;
+            shortest = std::min(shortest, milliseconds(renewal.leaseUntil.value()));
+        }
+    };
+    for (std::size_t step = 1; step <= Steps; ++step) {
+        guard.advance(milliseconds(100));
+        guard.feed(Tick{});
+        count();
+        if (step % 4 == 0) {
+            guard.renew(1); // as its scheduler does
+            count();
+        }
+        guard.answerRenewal({GuardDriver::run(0)}, {});
+        count();
+    }
+    EXPECT_EQ(renewals, Steps);
+    EXPECT_GE(shortest, milliseconds(3 * 200)) << "it survives two lost renewals";
+}
+
+// Guards against runs that lapse since their batch was renewed after the last long poll before its end.
+TEST(GuardLeaseTest, ALeaseThatIsAboutToEndIsRenewedAtOnceWhenItsBatchIs)
+{
+    GuardDriver guard;
+    guard.order(1, 0, 1'000, {}, std::chrono::seconds(10));
+    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+    for (int step = 0; step < 10; ++step) {
+        guard.advance(milliseconds(100));
+        guard.answerRenewal({GuardDriver::run(0)}, {});
+    }
+    guard.advance(milliseconds(50));
+    guard.feed(Tick{});
+    EXPECT_TRUE(guard.all<RenewLease>().empty()) << "it cannot be renewed for longer";
+    guard.renew(1);
+    ASSERT_EQ(guard.all<RenewLease>().size(), 1U);
+    EXPECT_EQ(guard.all<RenewLease>().front().wait, Duration::zero());
+    EXPECT_EQ(milliseconds(guard.all<RenewLease>().front().leaseUntil.value()), milliseconds(50 + 900)) << "50 ms after the last list";
+    guard.renew(1);
+    EXPECT_TRUE(guard.all<RenewLease>().empty());
+}
+
+// Guards against a run that starts although its scheduler has been gone for as long as its batch may last.
+TEST(GuardLeaseTest, ABatchWhoseLeaseHasEndedIsRefused)
+{
+    GuardDriver guard;
+    StartBatch batch;
+    batch.scheduler = EntryName("S");
+    batch.schedulerIncarnation = Incarnation(4);
+    batch.batch = BatchNumber(1);
+    batch.guard = GuardDriver::GuardIncarnation;
+    batch.receiveBy = GuardDriver::guardTime(MonotonicTime::max());
+    batch.expiresAt = batch.receiveBy;
+    RunOrder order;
+    order.run = GuardDriver::run(0);
+    order.size = {MilliCores(1'000), Megabytes(1), Accelerators(0)};
+    order.startWithin = milliseconds(80);
+    order.runLimit = milliseconds(500);
+    batch.orders.push_back(order);
+    guard.feed(BatchReceived{ConnectionId(1), batch});
+    EXPECT_TRUE(guard.all<StartRun>().empty());
+    ASSERT_EQ(guard.all<ReportRun>().size(), 1U);
+    EXPECT_EQ(guard.all<ReportRun>().front().report.outcome, RunOutcome::NotStarted);
+    EXPECT_EQ(guard.all<ReportRun>().front().report.error, ErrorKind::StaleMessage);
+    guard.order(2, 1, 1'000);
+    EXPECT_EQ(guard.all<StartRun>().size(), 1U) << "other batches are served";
+}
+
+// Guards against a lease that is prolonged for a new run while another whose batch has ended cannot be stopped.
+TEST(GuardLeaseTest, NothingIsStartedWhileARunOutlastsItsBatch)
+{
+    GuardDriver guard;
+    guard.order(1, 0, 1'000, {}, std::chrono::seconds(10));
+    guard.feed(RunStartAnswered{GuardDriver::run(0), StartAnswer::Started});
+    for (int step = 0; step < 11; ++step) {
+        guard.advance(milliseconds(100));
+        guard.answerRenewal({GuardDriver::run(0)}, {});
+    }
+    ASSERT_EQ(guard.all<StopRun>().size(), 1U);
+    guard.advance(milliseconds(130));
+    guard.feed(RunStopAnswered{GuardDriver::run(0), false});
+    guard.order(2, 1, 1'000);
+    EXPECT_TRUE(guard.all<StartRun>().empty());
+    for (const auto &renewal : guard.all<RenewLease>()) {
+        EXPECT_EQ(renewal.leaseUntil, UpstreamTime());
+    }
+    guard.answerRenewal({}, {{1, GuardDriver::run(0), RunOutcome::Lapsed}});
+    ASSERT_EQ(guard.all<StartRun>().size(), 1U);
+    EXPECT_NE(guard.all<StartRun>().front().leaseUntil, UpstreamTime());
+}
+
 TEST(GuardMachineTest, AnUnansweredStartIsStoppedWhenNoListConfirmsIt)
 {
     GuardDriver guard;
--- a/core/tests/pool_once_faults.h
+++ b/core/tests/pool_once_faults.h
@@ -112,6 +112,17 @@
               [](PoolSimulation &simulation, std::uint32_t, std::uint32_t scheduler) {
                   simulation.killSchedulerUnseenByGuards(scheduler);
               }},
+    OnceFault{"JobSentToOtherSchedulerAfterFirstVanishedAndGuardsFroze",
+              0,
+              [](PoolSimulation &simulation, std::uint32_t worker, std::uint32_t scheduler) {
+                  simulation.killSchedulerUnseenByGuards(scheduler);
+                  // Shortly before the leases of its batches end.
+                  simulation.at(simulation.time() + std::chrono::milliseconds(800), [&simulation, worker] {
+                      for (std::uint32_t number = 0; number < 3; ++number) {
+                          simulation.freezeGuard((worker + number) % Workers, std::chrono::milliseconds(1'500));
+                      }
+                  });
+              }},
     OnceFault{"JobSentToOtherSchedulerWhileCancelIsHeldUp",
               0,
               [](PoolSimulation &simulation, std::uint32_t worker, std::uint32_t scheduler) {
--- a/core/tests/pool_once_rule_test.cpp
+++ b/core/tests/pool_once_rule_test.cpp
@@ -108,7 +108,11 @@
 };
 
 const std::array ruleRows{
-    RuleRow{"ReceiveBy", {PoolRule::ReceiveBy}, "JobSentToOtherSchedulerWhileCancelIsHeldUp"},
+    RuleRow{"ReceiveBy",
+            {PoolRule::ReceiveBy},
+            "JobSentToOtherSchedulerWhileCancelIsHeldUp",
+            RuleEffect::None,
+            "BatchLease: a batch whose lease has ended starts nothing"},
     RuleRow{"BatchLease", {PoolRule::BatchLease}, "JobSentToOtherSchedulerAfterFirstVanished"},
     RuleRow{"RenewalTime", {PoolRule::RenewalTime}, "JobSentToOtherSchedulerAfterFirstVanished"},
     RuleRow{"ReportClock", {PoolRule::ReportClock}, "JobSentToOtherSchedulerAfterFirstVanished"},
