Add: [core, wire] Guards measure the speed of their upstream

Cause: a scheduler learns the slowness of a worker from its own few runs and forgets it within seconds. Change: a guard takes the midmean of the logarithms of run time by reference, the run time that the schedulers expect on a usual worker, over the last runs, and reports it with its standard error. Runs before a significant change are dropped. RunOrder::reference, CapacityReport::runTimeRatio and ratioError are optional on the wire; no scheduler sends a reference yet.

--- a/core/include/sycamoremoor/core/guard_message_type.h
+++ b/core/include/sycamoremoor/core/guard_message_type.h
@@ -17,6 +17,8 @@
 
 using GuardTime = StrongAmount<struct GuardTimeTag, std::int64_t>; ///< microseconds by the monotonic clock of one incarnation of a guard
 
+using RunTimeRatio = StrongAmount<struct RunTimeRatioTag, std::int64_t>; ///< run time divided by the expected one, in thousandths
+
 /** Priority of a run. Of the runs that wait for capacity, the one with the lesser value starts first. */
 struct Urgency {
     bool isOrdinary = true; ///< false for runs of a queue of priority 0, which are started before all others
@@ -31,8 +33,9 @@
     TaskSize size;
     Urgency urgency;        ///< when the batch was sent
     Duration startWithin{}; ///< from receipt by the guard; the run is not started later, nor after StartBatch::expiresAt
-    Duration expected{};    ///< run time that the scheduler expects, zero if not stated
+    Duration expected{};    ///< run time that the scheduler expects on this worker, zero if not stated
     Duration runLimit{};    ///< from its start; a run that has not ended by then is considered hung and is stopped
+    Duration reference{};   ///< run time expected on a worker of usual speed, zero if the run tells nothing about the worker's speed
 
     friend bool operator==(const RunOrder &, const RunOrder &) = default;
 };
@@ -106,6 +109,8 @@
     std::vector<std::string> labels;                                ///< labels of the upstream's machine, including its rack
     BatchNumber lastCountedBatch;                                   ///< highest batch of the receiving scheduler that @c free accounts for
     GuardTime clock;                                                ///< when the report was sent, zero if not stated
+    RunTimeRatio runTimeRatio; ///< measured run time divided by RunOrder::reference, zero if too few runs were measured
+    RunTimeRatio ratioError;   ///< standard error of the logarithm of runTimeRatio, in thousandths
 
     friend bool operator==(const CapacityReport &, const CapacityReport &) = default;
 };
--- a/core/src/guard/batch_table.h
+++ b/core/src/guard/batch_table.h
@@ -33,6 +33,7 @@
     QueueName queue;
     std::string payload;
     std::uint32_t unreported = 0;         ///< number of runs without a report
+    bool isMeasured = false;              ///< a run of it has counted for the speed of the upstream
     std::vector<RunReport> reports;       ///< in the order in which they were made
     std::optional<ConnectionId> receiver; ///< connection that takes the reports, none if it was lost
 };
--- a/core/src/guard/guard_batches.cpp
+++ b/core/src/guard/guard_batches.cpp
@@ -47,6 +47,7 @@
         record.latestStart = step.now() + order.urgency.slack;
         record.startBy = std::min(step.now() + order.startWithin, expiresAt);
         record.expected = order.expected;
+        record.reference = order.reference;
         record.runLimit = order.runLimit;
         record.leaseUntil = toMonotonicTime(batch.leaseUntil);
         record.expiresAt = expiresAt;
@@ -215,9 +216,21 @@
         report.runTime = step.now() - record.startedAt;
         step.emit(Observation{HistogramMetric::TaskRunSeconds, toSeconds(report.runTime)});
     }
+    if (outcome == RunOutcome::Done) {
+        measure(step, record);
+    }
     sendReport(step, record.connection, report);
 }
 
+void GuardMachine::Private::measure(const GuardStep &step, const GuardedRun &record)
+{
+    // Tasks of one job run for about the same time: more than one of a batch would add weight, but little knowledge.
+    auto &batch = *m_batches.find(record.connection);
+    if (m_upstream && record.started && record.reference > Duration::zero() && !std::exchange(batch.isMeasured, true)) {
+        m_upstream->speed.runEnded(step.now(), step.now() - record.startedAt, record.reference);
+    }
+}
+
 void GuardMachine::Private::refuse(GuardStep &step, ConnectionId connection, std::uint32_t order, ErrorKind error)
 {
     step.emit(Count{CounterMetric::TasksRefused, 1});
--- a/core/src/guard/guard_private.h
+++ b/core/src/guard/guard_private.h
@@ -7,6 +7,7 @@
 #include "recent_runs.h"
 #include "run_table.h"
 #include "stall_detector.h"
+#include "upstream_speed.h"
 
 #include <sycamoremoor/core/guard_machine.h>
 
@@ -82,6 +83,7 @@
         std::vector<OpenRun> lapsedRuns;               ///< runs that were taken for ended while it did not answer
         std::map<RunId, MonotonicTime> unknownRuns;    ///< runs of an earlier incarnation of this guard, and when to repeat their stop
         StallDetector stall;
+        UpstreamSpeed speed;
         RecentRuns endedRuns{ListRetention}; ///< runs that it listed as ended recently
     };
 
@@ -121,6 +123,8 @@
     /** Returns the runs that the upstream was told to start and that have not ended. */
     [[nodiscard]] std::vector<OpenRun> openRuns(const std::set<RunId> &except = {}) const;
     void report(GuardStep &step, const RunId &run, RunOutcome outcome, ErrorKind error, const CrashNotice *crash = nullptr);
+    /** Records the run time of a run that ended as done, for the speed of the upstream. */
+    void measure(const GuardStep &step, const GuardedRun &record);
     void refuse(GuardStep &step, ConnectionId connection, std::uint32_t order, ErrorKind error);
     void sendReport(GuardStep &step, ConnectionId connection, const RunReport &report);
     /** Ends the runs of a batch. */
--- a/core/src/guard/run_table.h
+++ b/core/src/guard/run_table.h
@@ -48,6 +48,7 @@
     MonotonicTime latestStart;                    ///< latest start time that meets the objective
     MonotonicTime startBy;                        ///< the run is not started later
     Duration expected{};                          ///< expected run time, zero if not known
+    Duration reference{};                         ///< run time expected on a worker of usual speed, zero if it tells nothing
     Duration runLimit{};                          ///< the run is stopped when it has run this long
     MonotonicTime leaseUntil;                     ///< the run is stopped then, however short it has run; its scheduler extends it
     MonotonicTime expiresAt;                      ///< the run is stopped then, however short it has run
--- a/core/src/guard_machine.cpp
+++ b/core/src/guard_machine.cpp
@@ -324,6 +324,8 @@
         report.free = freeCapacity();
         report.waiting = static_cast<std::uint32_t>(m_runTable.waiting().size());
         report.labels = m_upstream->announced.labels;
+        report.runTimeRatio = m_upstream->speed.ratio();
+        report.ratioError = m_upstream->speed.error();
     }
     return report;
 }
--- a/core/tests/guard_driver.h
+++ b/core/tests/guard_driver.h
@@ -80,6 +80,22 @@
         m_now += time;
     }
 
+    /** Sends a batch of small runs. @param reference run time expected on a worker of usual speed */
+    void order(std::uint64_t connection, const std::vector<RunId> &runs, Duration reference)
+    {
+        auto batch = batchOf(connection);
+        for (const auto &run : runs) {
+            RunOrder order;
+            order.run = run;
+            order.size = {MilliCores(1), Megabytes(1), Accelerators(0)};
+            order.startWithin = std::chrono::milliseconds(80);
+            order.runLimit = std::chrono::milliseconds(500);
+            order.reference = reference;
+            batch.orders.push_back(order);
+        }
+        feed(BatchReceived{ConnectionId(connection), batch});
+    }
+
     /** Sends a batch of one run. @param delay how long the batch is on its way */
     void order(std::uint64_t connection,
                std::uint32_t index,
@@ -89,15 +105,9 @@
                Incarnation guard = GuardIncarnation,
                const QueueName &queue = QueueName("queue"))
     {
-        StartBatch batch;
+        auto batch = batchOf(connection);
         batch.queue = queue;
-        batch.scheduler = EntryName("S");
-        batch.batch = BatchNumber(connection);
-        batch.schedulerIncarnation = Incarnation(4);
         batch.guard = guard;
-        batch.receiveBy = guardTime(m_now + std::chrono::milliseconds(250));
-        batch.leaseUntil = guardTime(m_now + BatchLease);
-        batch.expiresAt = guardTime(m_now + JobTime);
         m_now += delay;
         RunOrder order;
         order.run = run(index);
@@ -148,6 +158,21 @@
     }
 
 private:
+    /** Returns a batch without runs that is sent now. */
+    [[nodiscard]] StartBatch batchOf(std::uint64_t connection) const
+    {
+        StartBatch batch;
+        batch.queue = QueueName("queue");
+        batch.scheduler = EntryName("S");
+        batch.batch = BatchNumber(connection);
+        batch.schedulerIncarnation = Incarnation(4);
+        batch.guard = GuardIncarnation;
+        batch.receiveBy = guardTime(m_now + std::chrono::milliseconds(250));
+        batch.leaseUntil = guardTime(m_now + BatchLease);
+        batch.expiresAt = guardTime(m_now + JobTime);
+        return batch;
+    }
+
     static GuardSettings settings()
     {
         GuardSettings settings;
--- a/wire/src/describe_func.h
+++ b/wire/src/describe_func.h
@@ -498,6 +498,7 @@
     archive("start_within", order.startWithin);
     archive.optional("expected", order.expected);
     archive("run_limit", order.runLimit);
+    archive.optional("reference", order.reference);
 }
 
 void describe(auto &archive, Described<StartBatch> auto &batch)
@@ -575,6 +576,8 @@
     archive("labels", room.labels);
     archive("seen", room.lastCountedBatch);
     archive.optional("clock", room.clock);
+    archive.optional("run_time_ratio", room.runTimeRatio);
+    archive.optional("ratio_error", room.ratioError);
 }
 
 void describe(auto &archive, Described<AgentRecord> auto &record)
