Add: [core] Schedulers place by the measured speeds of workers

Cause: a task that misses its objective on a slow worker was sent there again when the scheduler had forgotten its slowness. Change: run time factors relative to the median of the service, from 15 % and five standard errors on; used in the choice of workers, expected run times, objectives, orders and the short-term slowness.

--- a/core/include/sycamoremoor/core/step_type.h
+++ b/core/include/sycamoremoor/core/step_type.h
@@ -83,6 +83,7 @@
     FencedStarts, ///< starts refused because of an outdated fencing token
     StaleStarts,  ///< starts refused because the message was too old
     WorkersEjected,
+    WorkersFoundSlow, ///< workers on which runs take longer than on the usual worker of their service
     RosterChanges,
     ConfigChanges,
     ConfigsUnreadable,    ///< versions of the configuration that did not come into force
--- a/core/include/sycamoremoor/core/table/metric_table.h
+++ b/core/include/sycamoremoor/core/table/metric_table.h
@@ -44,6 +44,7 @@
     {"sycamoremoor_fenced_starts",     "Starts refused for an old token"},
     {"sycamoremoor_stale_starts",      "Starts refused for their age"},
     {"sycamoremoor_workers_ejected",   "Workers set aside"},
+    {"sycamoremoor_workers_found_slow", "Workers found to be slower than the usual one of their service"},
     {"sycamoremoor_roster_changes",    "Changes of the roster"},
     {"sycamoremoor_config_changes",    "Revisions of configuration that came into force"},
     {"sycamoremoor_configs_unreadable",     "Revisions of configuration that could not be read; the one before stayed in force"},
--- a/core/src/scheduler/placement.cpp
+++ b/core/src/scheduler/placement.cpp
@@ -121,6 +121,9 @@
     auto &ofStep = job.placed[task.step];
     auto need = needOf(context, job, task);
     need.queueShare = queueShare;
+    if (queueShare > 0) {
+        need.tolerance = 0; // its wait at the guard takes of its slack, and is shorter where runs end sooner
+    }
     const auto *agent = m_workers.choose(context.now, need, task.avoided, ofStep, context.entropy + index);
     if (agent == nullptr && !task.avoided.empty()) {
         agent = m_workers.choose(context.now, need, {}, ofStep, context.entropy + index);
@@ -161,6 +164,7 @@
     const auto expected = std::max(secondsOf(job.expected[task.step]), MinExpectedSeconds);
     const auto left = secondsOf((job.started ? job.expiresAt : job.arrivedAt + job.objective) - context.now);
     need.slowestAllowed = std::max(1.0, left / expected);
+    need.tolerance = secondsOf(job.arrivedAt + job.objective - context.now) / expected;
     return need;
 }
 
--- a/core/src/scheduler/scheduler_admission.cpp
+++ b/core/src/scheduler/scheduler_admission.cpp
@@ -127,7 +127,9 @@
         chains[index] += job.expected[index];
         longest = std::max(longest, chains[index]);
     }
-    job.objective = objectiveOf(longest, *job.queue);
+    // Expected run times are those on the usual worker, while callers know those on the mean of all workers.
+    const auto factor = m_workers.meanRunTimeFactor(job.queue->service);
+    job.objective = objectiveOf(factor == 1 ? longest : scaled(longest, factor), *job.queue);
     job.latestStart = job.arrivedAt + std::max(job.objective - longest - TransitAllowance, MinSlack);
     job.expiresAt = job.arrivedAt + scaled(job.objective, ExpiryFactor);
     if (callerTimeout > Duration::zero()) {
--- a/core/src/scheduler/scheduler_placing.cpp
+++ b/core/src/scheduler/scheduler_placing.cpp
@@ -110,6 +110,7 @@
     output.batch.reportInterval = reportInterval();
     output.batch.queue = job.queue->name;
     output.batch.payload = job.spec->payload;
+    const auto runTimeFactor = m_workers.runTimeFactor(agent);
     for (const auto index : batch.tasks) {
         auto &task = job.tasks[index];
         task.stage = ScheduledStage::Sent;
@@ -130,10 +131,14 @@
         order.size = m_placement.sizeOn(agent, job, task);
         order.urgency = {job.queue->priority > 0, job.latestStart - step.now()};
         const bool waitsShortly = !task.queuesAtGuard && task.runs <= MaxShortWaits;
-        order.startWithin = std::clamp(
-            job.expiresAt - job.expected[task.step] - step.now(), Duration::zero(), waitsShortly ? ShortGuardWait : MaxGuardWait);
-        order.expected = job.expected[task.step];
-        order.runLimit = scaled(job.expected[task.step], RunLimitFactor) + RunLimitSlack;
+        order.expected = scaled(job.expected[task.step], runTimeFactor);
+        order.startWithin
+            = std::clamp(job.expiresAt - order.expected - step.now(), Duration::zero(), waitsShortly ? ShortGuardWait : MaxGuardWait);
+        order.runLimit = scaled(order.expected, RunLimitFactor) + RunLimitSlack;
+        // A run that is far from its data, or alone on its worker, tells nothing about the speed of the worker.
+        const auto &rack = job.spec->steps[task.step].dataRack;
+        const bool isUsual = !task.isIsolated && (rack.empty() || m_workers.isInRack(agent, rack));
+        order.reference = isUsual ? job.expected[task.step] : Duration::zero();
         output.batch.orders.push_back(std::move(order));
     }
     if (!std::exchange(job.started, true)) {
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -120,6 +120,8 @@
     bool judge(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task);
     [[nodiscard]] bool hasGivenUpTask(const ScheduledJob &job) const;
     void updateBulkhead(SchedulerStep &step);
+    /** Logs that a worker was found to be slow, or no longer so. */
+    void logSpeed(SchedulerStep &step, const AgentName &agent);
     [[nodiscard]] JobOrder &orderOf(const ScheduledJob &job);
     [[nodiscard]] std::size_t waitingCount() const;
     void runFailed(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const AgentName &agent);
--- a/core/src/scheduler/scheduler_runs.cpp
+++ b/core/src/scheduler/scheduler_runs.cpp
@@ -155,9 +155,10 @@
     switch (report.outcome) {
     case RunOutcome::Done: {
         const auto declared = job.spec->steps[task.step].declaredRunTime;
-        m_workers.recordSuccess(step.now(), agent, job.expected[task.step], report.runTime);
+        const auto factor = m_workers.runTimeFactor(agent);
+        m_workers.recordSuccess(step.now(), agent, scaled(job.expected[task.step], factor), report.runTime);
         m_placement.recordRun(report.runTime);
-        m_runTimes.learn(job.queue->service, TaskKind(job.queue->name.value()), declared, report.runTime);
+        m_runTimes.learn(job.queue->service, TaskKind(job.queue->name.value()), declared, scaled(report.runTime, 1 / factor));
         task.stage = ScheduledStage::Done;
         if (--job.openTasks[task.step] == 0) {
             unblockSteps(step, job);
--- a/core/src/scheduler/worker_table.cpp
+++ b/core/src/scheduler/worker_table.cpp
@@ -1,10 +1,13 @@
 // Workers as a scheduler knows them: free capacity, health, and the choice of a worker for a task.
 #include "worker_table.h"
 
+#include "worker_speed_func.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Sycamoremoor
 {
@@ -21,6 +24,10 @@
 constexpr double DataLocalityBonus = 1.5; ///< factor by which a run takes longer on another rack than that of its data
 constexpr double ScorePower = 4;          ///< of the free share in the weight of a worker: most of the choices are among the freest
 
+constexpr double MaxStragglerRatio
+    = 2; ///< that one run counts for where guards measure the speed: a straggler says little about the worker
+constexpr Duration SlowLogInterval = std::chrono::seconds(10); ///< shortest time between two log lines about the speed of one worker
+
 constexpr std::int64_t ClockDriftDivisor = 50; ///< two clocks drift apart by at most 2%
 
 /** Returns a number above 0 and up to 1 that depends on @p entropy and @p index. */
@@ -89,8 +96,13 @@
         worker.uncountedSize = ZeroTaskSize;
         worker.health = {};
     }
+    const bool isComparedAnew
+        = !worker.isReporting || worker.report.service != input.report.service || worker.report.runTimeRatio != input.report.runTimeRatio;
     worker.report = input.report;
     worker.isReporting = true;
+    if (isComparedAnew) {
+        updateRunTimeFactors(input.report.service);
+    }
     while (!worker.uncountedBatches.empty() && worker.uncountedBatches.begin()->first <= input.report.lastCountedBatch) {
         worker.uncountedSize -= worker.uncountedBatches.begin()->second;
         worker.uncountedBatches.erase(worker.uncountedBatches.begin());
@@ -113,7 +125,88 @@
         found->second.isReporting = false;
         found->second.uncountedBatches.clear();
         found->second.uncountedSize = ZeroTaskSize;
+        updateRunTimeFactors(found->second.report.service);
+    }
+}
+
+void WorkerTable::updateRunTimeFactors(const ServiceName &service)
+{
+    std::vector<ScheduledWorker *> peers;
+    std::vector<RunTimeRatio> ratios;
+    for (auto &[agent, worker] : m_workers) {
+        if (!worker.isReporting || worker.report.service != service) {
+            continue;
+        }
+        peers.push_back(&worker);
+        if (worker.report.runTimeRatio > RunTimeRatio(0)) {
+            ratios.push_back(worker.report.runTimeRatio);
+        }
+    }
+    // The usual ratio of a few workers, as when the first of them report, may be far off: what was derived from it is not kept.
+    const bool isSameSet = std::exchange(m_measuredWorkers[service], ratios.size()) == ratios.size();
+    const auto usual = usualRatio(std::move(ratios));
+    bool isUnequal = false;
+    for (auto *worker : peers) {
+        const auto before = worker->runTimeFactor;
+        worker->runTimeFactor = runTimeFactorOf(worker->report, usual, isSameSet ? before : 1);
+        isUnequal = isUnequal || worker->runTimeFactor != 1;
+        if (worker->runTimeFactor != before) {
+            // The short-term measure has seen the part of the slowness that the factor covers from now on.
+            worker->health.slowness = std::max(1.0, worker->health.slowness * before / worker->runTimeFactor);
+            m_hasSpeedChanges = true;
+        }
+    }
+    for (auto *worker : peers) {
+        worker->hasUnequalPeer = isUnequal;
+    }
+}
+
+double WorkerTable::runTimeFactor(const AgentName &agent) const
+{
+    const auto found = m_workers.find(agent);
+    return found == m_workers.end() ? 1 : found->second.runTimeFactor;
+}
+
+double WorkerTable::meanRunTimeFactor(const ServiceName &service) const
+{
+    double all = 0;
+    double speed = 0;
+    for (const auto &[agent, worker] : m_workers) {
+        if (serves(worker, service)) {
+            const auto cores = static_cast<double>(worker.report.capacity.cores.value());
+            all += cores;
+            speed += cores / worker.runTimeFactor;
+        }
+    }
+    return speed > 0 ? all / speed : 1;
+}
+
+std::vector<AgentName> WorkerTable::takeSpeedChanges(MonotonicTime now)
+{
+    std::vector<AgentName> changed;
+    if (!m_hasSpeedChanges) {
+        return changed;
+    }
+    m_hasSpeedChanges = false;
+    for (auto &[agent, worker] : m_workers) {
+        const bool isSlow = worker.runTimeFactor > 1;
+        if (isSlow == worker.isLoggedAsSlow) {
+            continue;
+        }
+        if (worker.slowLoggedAt != MonotonicTime() && now < worker.slowLoggedAt + SlowLogInterval) {
+            m_hasSpeedChanges = true;
+            continue;
+        }
+        worker.isLoggedAsSlow = isSlow;
+        worker.slowLoggedAt = now;
+        changed.push_back(agent);
     }
+    return changed;
+}
+
+bool WorkerTable::isInRack(const AgentName &agent, const std::string &rack) const
+{
+    return hasLabel(m_workers.at(agent).report, rack);
 }
 
 void WorkerTable::keepForConfined(std::size_t count)
@@ -159,13 +252,14 @@
         return 0;
     }
     const auto slowness = currentSlowness(now, health);
-    if (slowness > need.slowestAllowed) {
+    if (slowness * worker.runTimeFactor > need.slowestAllowed) {
         return 0;
     }
     const auto share
         = static_cast<double>(offered.cores.value()) / static_cast<double>(std::max<std::int64_t>(1, worker.report.capacity.cores.value()));
     const auto near = !need.rack.empty() && hasLabel(worker.report, need.rack) ? DataLocalityBonus : 1;
-    return share * near / (slowness * slowness);
+    const auto preference = speedPreference(worker.runTimeFactor, need.tolerance);
+    return share * near * preference / (slowness * slowness);
 }
 
 const AgentName *WorkerTable::choose(
@@ -221,11 +315,13 @@
 
 void WorkerTable::recordSuccess(MonotonicTime now, const AgentName &agent, Duration expected, Duration runTime)
 {
-    auto &health = m_workers[agent].health;
+    auto &worker = m_workers[agent];
+    auto &health = worker.health;
     health.failures = 0;
     health.ejections = 0;
     health.ejectedUntil.reset();
-    const auto ratio = static_cast<double>(runTime.count()) / static_cast<double>(std::max<std::int64_t>(1, expected.count()));
+    const auto observed = static_cast<double>(runTime.count()) / static_cast<double>(std::max<std::int64_t>(1, expected.count()));
+    const auto ratio = worker.hasUnequalPeer ? std::min(observed, MaxStragglerRatio) : observed;
     const auto before = currentSlowness(now, health);
     health.slowness = std::clamp(before + SlownessWeight * (ratio - before), 1.0, MaxSlowness);
     health.slownessAt = now;
--- a/core/src/scheduler/worker_table.h
+++ b/core/src/scheduler/worker_table.h
@@ -33,6 +33,10 @@
     Duration clockLead{};                             ///< least by which the guard's clock is ahead of this scheduler's at clockLeadAt
     MonotonicTime clockLeadAt;
     WorkerHealth health;
+    double runTimeFactor = 1;    ///< of run times there, relative to the usual worker of the service; 1 if that is equal or not known
+    bool hasUnequalPeer = false; ///< workers of its service have different factors
+    bool isLoggedAsSlow = false;
+    MonotonicTime slowLoggedAt; ///< when isLoggedAsSlow changed last
     bool isForConfined = false; ///< belongs to the share that is kept for confined queues
 };
 
@@ -43,7 +47,8 @@
     std::string label;               ///< label that the worker must have, empty if any will do
     std::string rack;                ///< preferred rack, empty for none
     std::uint32_t mostPerWorker = 0; ///< most tasks of the step on one worker, zero for no limit
-    double slowestAllowed = 0;       ///< highest WorkerHealth::slowness with which the task can end in time
+    double slowestAllowed = 0;       ///< highest factor on its expected run time with which the task can end in time
+    double tolerance = 0;            ///< highest factor on its expected run time with which the job meets its objective
     double queueShare = 0;           ///< of a worker's cores that the task may take beyond what is free, and wait for at the guard
     bool isConfined = false;         ///< only the share of the workers that is kept for confined queues may be used, else only the others
     bool isIsolated = false;         ///< the worker must have no other tasks
@@ -58,6 +63,21 @@
     /** Stores the report of a guard. */
     void handleReport(MonotonicTime now, const CapacityReported &input);
 
+    /**
+     * Returns the factor on run times at a worker, relative to the usual worker of its service.
+     * It is 1 unless the worker is known to differ by 15 % or more.
+     */
+    [[nodiscard]] double runTimeFactor(const AgentName &agent) const;
+
+    /** Returns the factor on run times at the mean speed of the cores of @p service, relative to the usual worker; 1 if all are equal. */
+    [[nodiscard]] double meanRunTimeFactor(const ServiceName &service) const;
+
+    /** Returns the workers that were found to be slow, or no longer so, since they were last logged, and records them as logged. */
+    [[nodiscard]] std::vector<AgentName> takeSpeedChanges(MonotonicTime now);
+
+    /** Returns whether a worker is in a rack. */
+    [[nodiscard]] bool isInRack(const AgentName &agent, const std::string &rack) const;
+
     /** Returns a time that the clock of a worker's guard has certainly reached. */
     [[nodiscard]] GuardTime earliestGuardTime(MonotonicTime now, const AgentName &agent) const;
 
@@ -95,7 +115,7 @@
     /** Adds a batch that was not sent, or whose connection was lost, back to the free capacity of a worker. */
     void forgetBatch(const AgentName &agent, BatchNumber batch);
 
-    /** Updates the health of a worker after a successful run. */
+    /** Updates the health of a worker after a successful run. @param expected the run time that was expected on this worker */
     void recordSuccess(MonotonicTime now, const AgentName &agent, Duration expected, Duration runTime);
 
     /** Updates the health of a worker after a run that failed or hung. @return whether the worker is ejected for it */
@@ -135,9 +155,13 @@
     [[nodiscard]] std::optional<MonotonicTime> nextReadmission(MonotonicTime now) const;
 
 private:
+    /** Compares the speeds of the workers of a service. */
+    void updateRunTimeFactors(const ServiceName &service);
     [[nodiscard]] double score(MonotonicTime now, const ScheduledWorker &worker, const TaskNeed &need) const;
 
     std::map<AgentName, ScheduledWorker> m_workers;
+    std::map<ServiceName, std::size_t> m_measuredWorkers; ///< whose run time ratio is known, by service
+    bool m_hasSpeedChanges = false;                       ///< a factor has changed since takeSpeedChanges()
 };
 
 } // namespace Sycamoremoor
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -5,6 +5,7 @@
 #include "scheduler/scheduler_private.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace Sycamoremoor
@@ -304,6 +305,22 @@
 void SchedulerMachine::Private::handle(SchedulerStep &step, const CapacityReported &input)
 {
     m_workers.handleReport(step.now(), input);
+    for (const auto &agent : m_workers.takeSpeedChanges(step.now())) {
+        logSpeed(step, agent);
+    }
+}
+
+void SchedulerMachine::Private::logSpeed(SchedulerStep &step, const AgentName &agent)
+{
+    constexpr double Percent = 100;
+    const auto factor = m_workers.runTimeFactor(agent);
+    const bool isSlow = factor > 1;
+    if (isSlow) {
+        step.emit(Count{CounterMetric::WorkersFoundSlow, 1});
+    }
+    step.log(Severity::Info,
+             isSlow ? "A worker is slower than the usual one of its service." : "A worker is no longer slower than the usual one.",
+             {{"worker", agent.value()}, {"run_time_percent", std::to_string(std::lround(factor * Percent))}});
 }
 
 void SchedulerMachine::Private::handle(SchedulerStep &step, const WorkerUnreachable &input)
--- a/core/tests/pool_simulation.cpp
+++ b/core/tests/pool_simulation.cpp
@@ -951,6 +951,9 @@
     if (const auto lastCountedBatch = guard.highestBatches.find(scheduler); lastCountedBatch != guard.highestBatches.end()) {
         report.lastCountedBatch = lastCountedBatch->second;
     }
+    if (!m_settings.reportsSpeed) {
+        report.runTimeRatio = report.ratioError = RunTimeRatio(0);
+    }
     const auto incarnation = m_schedulers[scheduler]->incarnation;
     // A constant delay, so that the reports of one guard stay in order.
     deliver(scheduler, worker, m_now + Duration(1'200), [this, worker, scheduler, incarnation, report](bool /*wasHeldUp*/) {
@@ -1100,6 +1103,10 @@
     step.size = {MilliCores(std::llround(static_cast<double>(load.cores.value()) * coresFactor)), Megabytes(64), Accelerators(0)};
     const auto error = load.estimateError * std::uniform_real_distribution<double>(-1, 1)(m_loadRandom);
     step.declaredRunTime = scaled(runTime, 1 + error);
+    if (load.estimateDeviation > 0) {
+        step.declaredRunTime
+            = scaled(step.declaredRunTime, std::exp(std::normal_distribution<double>(0, load.estimateDeviation)(m_loadRandom)));
+    }
     spec->steps.push_back(step);
     Caller caller;
     caller.queue = load.queue;
--- a/core/tests/pool_simulation.h
+++ b/core/tests/pool_simulation.h
@@ -43,6 +43,7 @@
     bool callersResubmit = false;              ///< callers whose connection broke send their job to another scheduler 1.3 s later
     std::uint32_t followedWorkers = 1'000'000; ///< workers whose capacity a scheduler follows, if there are as many
     std::uint32_t zones = 1;                   ///< workers and schedulers are in them by turns
+    bool reportsSpeed = true;                  ///< guards report the measured speed of their runners
     PoolRules rulesOff;                        ///< what the simulation does in their place is said there
     SchedulerCosts schedulerCosts;
     /** Returns the factor on the costs of a scheduler, by its index. If empty, all have the same. */
@@ -60,9 +61,10 @@
     MilliCores cores{3'100};
     Duration runTime = std::chrono::milliseconds(60); ///< of a task, the median if logDeviation is not zero
     double jobsPerSecond = 10;
-    double estimateError = 0;  ///< largest error of the declared run time, as a share of the real one
-    double coresDeviation = 0; ///< standard deviation, between jobs, of the logarithm of their cores
-    double logDeviation = 0;   ///< standard deviation, between jobs, of the logarithms of their number of tasks and of their run time
+    double estimateError = 0;     ///< largest error of the declared run time, as a share of the real one
+    double estimateDeviation = 0; ///< standard deviation of the logarithm of a further error of the declared run time
+    double coresDeviation = 0;    ///< standard deviation, between jobs, of the logarithm of their cores
+    double logDeviation = 0;      ///< standard deviation, between jobs, of the logarithms of their number of tasks and of their run time
 };
 
 /** Number of jobs of a queue by result. */
--- a/core/tests/scheduler_driver.h
+++ b/core/tests/scheduler_driver.h
@@ -69,6 +69,15 @@
         return sum;
     }
 
+    /** Returns how many log lines with a text were written since the last input. */
+    [[nodiscard]] std::size_t countLines(const std::string &text) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(m_outputs, [&text](const auto &output) {
+            const auto *line = std::get_if<LogLine>(&output);
+            return line != nullptr && line->text == text;
+        }));
+    }
+
     [[nodiscard]] bool missesWorkers() const
     {
         return m_machine.missesWorkers();
--- /dev/null
+++ b/core/tests/scheduler_speed_test.cpp
@@ -0,0 +1,107 @@
+// What a scheduler does with the speed of workers that their guards report.
+#include "scheduler_driver.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <string>
+
+namespace Sycamoremoor
+{
+
+using std::chrono::milliseconds;
+
+namespace
+{
+
+/** A worker of 32 cores reports. @param ratio measured run time by expected one, in thousandths */
+void report(SchedulerDriver &scheduler, const std::string &worker, std::int64_t ratio, std::int64_t freeCores)
+{
+    CapacityReport report;
+    report.incarnation = Incarnation(1);
+    report.accepting = true;
+    report.service = ServiceName("service");
+    report.capacity = report.free = {MilliCores(32'000), Megabytes(1'000), Accelerators(0)};
+    report.free.cores = MilliCores(freeCores);
+    report.runTimeRatio = RunTimeRatio(ratio);
+    report.ratioError = RunTimeRatio(30);
+    scheduler.feed(CapacityReported{AgentName(worker), ZoneName("z"), report});
+}
+
+/** Only a worker that takes twice as long as the two others has free capacity. */
+void reportSlowWorkerFree(SchedulerDriver &scheduler)
+{
+    report(scheduler, "A", 1'000, 0);
+    report(scheduler, "C", 1'000, 0);
+    report(scheduler, "B", 2'000, 32'000);
+}
+
+std::size_t speedLines(const SchedulerDriver &scheduler)
+{
+    return scheduler.countLines("A worker is slower than the usual one of its service.");
+}
+
+} // namespace
+
+// Guards against run limits and stalls that take the runs of a slow worker for hung ones.
+TEST(SchedulerSpeedTest, OrdersStateTheRunTimeOnTheirWorker)
+{
+    SchedulerDriver scheduler;
+    reportSlowWorkerFree(scheduler);
+    scheduler.submit();
+    const auto sent = scheduler.last<SendBatch>();
+    ASSERT_TRUE(sent);
+    EXPECT_EQ(sent->agent, AgentName("B"));
+    const auto &order = sent->batch.orders.front();
+    EXPECT_EQ(order.reference, SchedulerDriver::RunTime);
+    EXPECT_EQ(order.expected, SchedulerDriver::RunTime * 2);
+    EXPECT_EQ(order.runLimit, SchedulerDriver::RunTime * 2 * 4 + milliseconds(200));
+}
+
+// Guards against expected run times that depend on the workers that a queue happened to run on.
+TEST(SchedulerSpeedTest, ExpectedRunTimesAreThoseOnTheUsualWorker)
+{
+    constexpr int Jobs = 30;
+    SchedulerDriver scheduler;
+    reportSlowWorkerFree(scheduler);
+    for (int job = 0; job < Jobs; ++job) {
+        const auto batch = scheduler.submit("job-" + std::to_string(job));
+        RunReport run;
+        run.outcome = RunOutcome::Done;
+        run.runTime = SchedulerDriver::RunTime * 2;
+        scheduler.feed(RunReported{batch, run});
+    }
+    scheduler.submit("last");
+    const auto reference = scheduler.last<SendBatch>()->batch.orders.front().reference;
+    EXPECT_NEAR(static_cast<double>(reference.count()), static_cast<double>(SchedulerDriver::RunTime.count()), 1'000);
+}
+
+// Guards against a measure that takes the distance from a job's data for slowness of the worker.
+TEST(SchedulerSpeedTest, RunsFarFromTheirDataAreNotMeasured)
+{
+    SchedulerDriver scheduler;
+    reportSlowWorkerFree(scheduler);
+    auto submission = scheduler.submission("job");
+    auto spec = std::make_shared<QueueJobSpec>(*submission.spec);
+    spec->steps.front().dataRack = "rack-of-no-worker";
+    submission.spec = spec;
+    scheduler.feed(submission);
+    ASSERT_TRUE(scheduler.last<SendBatch>());
+    EXPECT_EQ(scheduler.last<SendBatch>()->batch.orders.front().reference, Duration::zero());
+}
+
+// Guards against an operator who cannot see why a worker gets less work, and against a line for each report.
+TEST(SchedulerSpeedTest, ASlowWorkerIsLoggedOnce)
+{
+    SchedulerDriver scheduler;
+    reportSlowWorkerFree(scheduler);
+    EXPECT_EQ(speedLines(scheduler), 1U);
+    EXPECT_EQ(scheduler.counted(CounterMetric::WorkersFoundSlow), 1U);
+    report(scheduler, "B", 2'100, 32'000);
+    EXPECT_EQ(speedLines(scheduler), 0U);
+    scheduler.advance(milliseconds(11'000));
+    report(scheduler, "B", 1'000, 32'000);
+    EXPECT_EQ(scheduler.countLines("A worker is no longer slower than the usual one."), 1U);
+}
+
+} // namespace Sycamoremoor
