Fix: [core] Runs far from their data do not teach the reference run time

Cause: they were not measured, but made the reference longer, so that workers near the data of many jobs would have looked faster. Change: the rule for both is one, tellsSpeed().

--- a/core/src/scheduler/scheduler_placing.cpp
+++ b/core/src/scheduler/scheduler_placing.cpp
@@ -95,6 +95,13 @@
     enqueue(job);
 }
 
+bool SchedulerMachine::Private::tellsSpeed(const ScheduledJob &job, const ScheduledTask &task, const AgentName &agent) const
+{
+    // A run that is far from its data takes longer, and one that has the worker to itself may take less.
+    const auto &rack = job.spec->steps[task.step].dataRack;
+    return !task.wasSentIsolated && (rack.empty() || m_workers.isInRack(agent, rack));
+}
+
 void SchedulerMachine::Private::send(SchedulerStep &step, ScheduledJob &job, const AgentName &agent, const PlacedBatch &batch)
 {
     SendBatch output;
@@ -135,11 +142,8 @@
         order.startWithin
             = std::clamp(job.expiresAt - order.expected - step.now(), Duration::zero(), waitsShortly ? ShortGuardWait : MaxGuardWait);
         order.runLimit = scaled(order.expected, RunLimitFactor) + RunLimitSlack;
-        // A run that is far from its data, or alone on its worker, tells nothing about the speed of the worker.
-        const auto &rack = job.spec->steps[task.step].dataRack;
-        const bool isUsual = !task.isIsolated && (rack.empty() || m_workers.isInRack(agent, rack));
         const auto declared = job.spec->steps[task.step].declaredRunTime;
-        order.reference = isUsual ? m_references.reference(job.queue->name, declared) : Duration::zero();
+        order.reference = tellsSpeed(job, task, agent) ? m_references.reference(job.queue->name, declared) : Duration::zero();
         output.batch.orders.push_back(std::move(order));
     }
     if (!std::exchange(job.started, true)) {
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -127,6 +127,8 @@
     [[nodiscard]] std::size_t waitingCount() const;
     void runFailed(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const AgentName &agent);
     void handleDueChecks(SchedulerStep &step);
+    /** Returns whether the run time of a task that was sent to a worker tells about the speed of the worker. */
+    [[nodiscard]] bool tellsSpeed(const ScheduledJob &job, const ScheduledTask &task, const AgentName &agent) const;
     void renewBatches(SchedulerStep &step);
     void place(SchedulerStep &step);
     /** Places jobs of one order. @return whether it stopped at a limit before all jobs or all capacity were used */
--- a/core/src/scheduler/scheduler_runs.cpp
+++ b/core/src/scheduler/scheduler_runs.cpp
@@ -160,7 +160,8 @@
         m_workers.recordSuccess(step.now(), agent, scaled(job.expected[task.step], factor), report.runTime);
         m_placement.recordRun(report.runTime);
         m_runTimes.learn(job.queue->service, TaskKind(job.queue->name.value()), declared, onUsualWorker);
-        if (job.openTasks[task.step] == job.spec->steps[task.step].count) {
+        const bool isFirstOfStep = job.openTasks[task.step] == job.spec->steps[task.step].count;
+        if (isFirstOfStep && tellsSpeed(job, task, agent)) {
             m_references.learn(job.queue->name, declared, onUsualWorker);
         }
         task.stage = ScheduledStage::Done;
