--- a/core/src/scheduler/scheduler_placing.cpp
+++ b/core/src/scheduler/scheduler_placing.cpp
@@ -96,6 +96,13 @@
     enqueue(job);
 }
 
+bool SchedulerMachine::Private::tellsSpeed(const ScheduledJob &job, const ScheduledTask &task, const AgentName &agent) const
+{
+    // A run that is far from its data takes longer, and one that has the worker to itself may take less.
+    const auto &rack = job.spec->steps[task.step].dataRack;
+    return !task.wasSentIsolated && (rack.empty() || m_workers.isInRack(agent, rack));
+}
+
 void SchedulerMachine::Private::send(SchedulerStep &step, ScheduledJob &job, const AgentName &agent, const PlacedBatch &batch)
 {
     SendBatch output;
@@ -113,6 +120,7 @@
     output.batch.reportInterval = reportInterval();
     output.batch.queue = job.queue->name;
     output.batch.payload = job.spec->payload;
+    const auto runTimeFactor = m_workers.runTimeFactor(agent);
     for (const auto index : batch.tasks) {
         auto &task = job.tasks[index];
         task.stage = ScheduledStage::Sent;
@@ -133,10 +141,12 @@
         order.size = m_placement.sizeOn(agent, job, task);
         order.urgency = {job.queue->priority > 0, job.latestStart - step.now()};
         const bool waitsShortly = !task.queuesAtGuard && task.runs <= MaxShortWaits;
-        order.startWithin = std::clamp(
-            job.expiresAt - job.expected[task.step] - step.now(), Duration::zero(), waitsShortly ? ShortGuardWait : MaxGuardWait);
-        order.expected = job.expected[task.step];
-        order.runLimit = scaled(job.expected[task.step], RunLimitFactor) + RunLimitSlack;
+        order.expected = scaled(job.expected[task.step], runTimeFactor);
+        order.startWithin
+            = std::clamp(job.expiresAt - order.expected - step.now(), Duration::zero(), waitsShortly ? ShortGuardWait : MaxGuardWait);
+        order.runLimit = scaled(order.expected, RunLimitFactor) + RunLimitSlack;
+        const auto declared = job.spec->steps[task.step].declaredRunTime;
+        order.reference = tellsSpeed(job, task, agent) ? m_references.reference(job.queue->name, declared) : Duration::zero();
         output.batch.orders.push_back(std::move(order));
     }
     if (!std::exchange(job.started, true)) {
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -10,6 +10,7 @@
 #include "lag_meter.h"
 #include "lease_times_func.h"
 #include "placement.h"
+#include "reference_estimator.h"
 #include "scheduled_job.h"
 #include "worker_table.h"
 
@@ -91,7 +92,7 @@
 
     ScheduledJob makeJob(SchedulerStep &step, const QueueJobSubmitted &input);
     /** Sets the objective of a job, and the times that follow from it and from its arrival. */
-    static void setTimes(ScheduledJob &job);
+    void setTimes(ScheduledJob &job) const;
     /** A caller submits a job again whose callers had left; it goes on. */
     void resume(SchedulerStep &step, ScheduledJob &job, const QueueJobSubmitted &input);
     [[nodiscard]] ErrorKind refusalOf(SchedulerStep &step, const ScheduledJob &job, Duration &retryAfter) const;
@@ -133,10 +134,14 @@
     bool judge(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task);
     [[nodiscard]] bool hasGivenUpTask(const ScheduledJob &job) const;
     void updateBulkhead(SchedulerStep &step);
+    /** Logs that a worker was found to be slow, or no longer so. */
+    void logSpeed(SchedulerStep &step, const AgentName &agent);
     [[nodiscard]] JobOrder &orderOf(const ScheduledJob &job);
     [[nodiscard]] std::size_t waitingCount() const;
     void runFailed(SchedulerStep &step, ScheduledJob &job, ScheduledTask &task, const AgentName &agent);
     void handleDueChecks(SchedulerStep &step);
+    /** Returns whether the run time of a task that was sent to a worker tells about the speed of the worker. */
+    [[nodiscard]] bool tellsSpeed(const ScheduledJob &job, const ScheduledTask &task, const AgentName &agent) const;
     void renewBatches(SchedulerStep &step);
     void place(SchedulerStep &step);
     /** Places jobs of one order. @return whether it stopped at a limit before all jobs or all capacity were used */
@@ -157,6 +162,7 @@
     WorkerTable m_workers;
     Placement m_placement;
     RunTimeEstimator m_runTimes;
+    ReferenceEstimator m_references;
     std::map<JobNumber, ScheduledJob> m_jobs;
     std::unordered_map<ConnectionId, JobNumber> m_callers;
     std::map<QueueJobId, JobNumber> m_byId;
--- a/core/src/scheduler/scheduler_runs.cpp
+++ b/core/src/scheduler/scheduler_runs.cpp
@@ -171,7 +171,9 @@
         return;
     }
     task.isLong = true;
-    job.needed[task.step] = std::max(job.needed[task.step], runTime);
+    // A slow worker lengthens the run, but not the work.
+    const auto needed = scaled(runTime, 1 / m_workers.runTimeFactor(found->second.agent));
+    job.needed[task.step] = std::max(job.needed[task.step], needed);
     const auto before = job.objective;
     setTimes(job);
     step.log(Severity::Info,
@@ -195,11 +197,18 @@
     switch (report.outcome) {
     case RunOutcome::Done: {
         const auto declared = job.spec->steps[task.step].declaredRunTime;
+        const auto factor = m_workers.runTimeFactor(agent);
+        const auto expected = scaled(job.expected[task.step], factor);
         // A single long task says nothing about the worker, and little about the others of its queue.
-        const auto runTime = wasLong ? std::min(report.runTime, scaled(job.expected[task.step], LongestLearned)) : report.runTime;
-        m_workers.recordSuccess(step.now(), agent, job.expected[task.step], runTime);
+        const auto runTime = wasLong ? std::min(report.runTime, scaled(expected, LongestLearned)) : report.runTime;
+        const auto onUsualWorker = scaled(runTime, 1 / factor);
+        m_workers.recordSuccess(step.now(), agent, expected, runTime);
         m_placement.recordRun(runTime);
-        m_runTimes.learn(job.queue->service, TaskKind(job.queue->name.value()), declared, runTime);
+        m_runTimes.learn(job.queue->service, TaskKind(job.queue->name.value()), declared, onUsualWorker);
+        const bool isFirstOfStep = job.openTasks[task.step] == job.spec->steps[task.step].count;
+        if (isFirstOfStep && tellsSpeed(job, task, agent)) {
+            m_references.learn(job.queue->name, declared, onUsualWorker);
+        }
         task.stage = ScheduledStage::Done;
         if (--job.openTasks[task.step] == 0) {
             unblockSteps(step, job);
--- a/core/tests/pool_simulation.h
+++ b/core/tests/pool_simulation.h
@@ -47,6 +47,7 @@
     bool guardsReachStore = true;              ///< guards learn of evacuations
     bool schedulersReachStore = true;          ///< schedulers learn of evacuations
     Duration drainWithin{};                    ///< as in GuardSettings
+    bool reportsSpeed = true;                  ///< guards report the measured speed of their runners
     PoolRules rulesOff;                        ///< what the simulation does in their place is said there
     SchedulerCosts schedulerCosts;
     /** Returns the factor on the costs of a scheduler, by its index. If empty, all have the same. */
@@ -64,9 +65,10 @@
     MilliCores cores{3'100};
     Duration runTime = std::chrono::milliseconds(60); ///< of a task, the median if logDeviation is not zero
     double jobsPerSecond = 10;
-    double estimateError = 0;  ///< largest error of the declared run time, as a share of the real one
-    double coresDeviation = 0; ///< standard deviation, between jobs, of the logarithm of their cores
-    double logDeviation = 0;   ///< standard deviation, between jobs, of the logarithms of their number of tasks and of their run time
+    double estimateError = 0;     ///< largest error of the declared run time, as a share of the real one
+    double estimateDeviation = 0; ///< standard deviation of the logarithm of a further error of the declared run time
+    double coresDeviation = 0;    ///< standard deviation, between jobs, of the logarithm of their cores
+    double logDeviation = 0;      ///< standard deviation, between jobs, of the logarithms of their number of tasks and of their run time
 };
 
 /** Number of jobs of a queue by result. */
