--- a/core/tests/pool_simulation.cpp
+++ b/core/tests/pool_simulation.cpp
@@ -140,6 +140,7 @@
     std::uint32_t tasks = 0;
     MonotonicTime sentAt;
     Duration objective{};
+    Duration runTime{}; ///< of each task
 };
 
 PoolSimulation::PoolSimulation(PoolSettings settings)
@@ -271,6 +272,7 @@
     SchedulerSettings settings;
     settings.name = EntryName("S" + std::to_string(index));
     settings.incarnation = Incarnation(node.incarnation);
+    settings.shedding = m_settings.shedding;
     node.recalls.clear();
     node.unread.clear();
     node.busy = false;
@@ -1055,6 +1057,7 @@
         m_violations.push_back("job " + task.job.value() + " was refused before one of its tasks started");
     }
     ++m_startsByJob[task.job];
+    m_runStarts[start.run] = m_now;
     if (const auto crashes = m_crashCounts.find(task);
         crashes != m_crashCounts.end() && crashes->second >= CrashLimit && ++m_startsAfterCrashes[task] >= StartLimit) {
         m_violations.push_back("task " + queueTaskIdToString(task) + " was started again after it has crashed "
@@ -1077,6 +1080,11 @@
 
 void PoolSimulation::recordRunEnd(std::uint32_t worker, const RunId &run)
 {
+    if (const auto started = m_runStarts.find(run); started != m_runStarts.end()) {
+        const auto cores = static_cast<double>(m_guards[worker]->sizes[run].cores.value()) / 1'000;
+        m_ranCoreSeconds[run.task.job] += cores * std::chrono::duration<double>(m_now - started->second).count();
+        m_runStarts.erase(started);
+    }
     if (const auto running = m_runningTasks.find(run.task); running != m_runningTasks.end()) {
         running->second.erase({worker, run.number});
         if (running->second.empty()) {
@@ -1088,8 +1096,12 @@
 ConnectionId PoolSimulation::submit(std::uint32_t scheduler, const PoolLoad &load, const std::string &id)
 {
     std::normal_distribution<double> logarithm(0, load.logDeviation);
-    const auto runTime = load.logDeviation > 0 ? scaled(load.runTime, std::exp(logarithm(m_loadRandom))) : load.runTime;
-    const auto factor = load.logDeviation > 0 ? std::exp(logarithm(m_loadRandom)) : 1;
+    const auto draw = [&] {
+        const auto factor = load.logDeviation > 0 ? std::exp(logarithm(m_loadRandom)) : 1;
+        return load.maxFactor > 0 ? std::min(factor, load.maxFactor) : factor;
+    };
+    const auto runTime = scaled(load.runTime, draw());
+    const auto factor = draw();
     const auto tasks = static_cast<std::uint32_t>(std::max(1.0, std::round(load.tasks * factor)));
     auto spec = std::make_shared<QueueJobSpec>();
     spec->id = QueueJobId(id);
@@ -1100,12 +1112,16 @@
     step.size = {MilliCores(std::llround(static_cast<double>(load.cores.value()) * coresFactor)), Megabytes(64), Accelerators(0)};
     const auto error = load.estimateError * std::uniform_real_distribution<double>(-1, 1)(m_loadRandom);
     step.declaredRunTime = scaled(runTime, 1 + error);
+    if (load.estimateLogDeviation > 0) {
+        step.declaredRunTime = scaled(runTime, std::exp(std::normal_distribution<double>(0, load.estimateLogDeviation)(m_loadRandom)));
+    }
     spec->steps.push_back(step);
     Caller caller;
     caller.queue = load.queue;
     caller.spec = spec;
     caller.tasks = tasks;
     caller.objective = scaled(runTime, load.queue.stretch) + load.queue.latencyAllowance;
+    caller.runTime = runTime;
     return submit(scheduler, std::move(caller));
 }
 
@@ -1147,6 +1163,17 @@
     const auto caller = found->second;
     m_callers.erase(found);
     auto &counts = m_jobCounts[caller.queue.name];
+    const auto held = m_now - caller.sentAt;
+    const auto cores = static_cast<double>(caller.spec->steps.front().size.cores.value()) * caller.tasks / 1'000;
+    m_jobRecords.push_back({caller.queue.name,
+                            caller.spec->id,
+                            cores * std::chrono::duration<double>(caller.runTime).count(),
+                            answer.result,
+                            answer.result == QueueJobResult::Complete && held <= caller.objective,
+                            held,
+                            caller.objective - caller.runTime,
+                            answer.retryAfter,
+                            caller.sentAt});
     switch (answer.result) {
     case QueueJobResult::Complete:
         ++(m_now - caller.sentAt <= caller.objective ? counts.onTime : counts.late);
@@ -1455,6 +1482,17 @@
     return m_violations;
 }
 
+const std::vector<PoolJobRecord> &PoolSimulation::jobRecords() const
+{
+    return m_jobRecords;
+}
+
+double PoolSimulation::ranCoreSeconds(const QueueJobId &job) const
+{
+    const auto found = m_ranCoreSeconds.find(job);
+    return found == m_ranCoreSeconds.end() ? 0 : found->second;
+}
+
 const PoolJobCounts &PoolSimulation::jobCounts(const QueueName &queue)
 {
     return m_jobCounts[queue];
--- a/core/tests/pool_simulation.h
+++ b/core/tests/pool_simulation.h
@@ -45,6 +45,7 @@
     std::uint32_t zones = 1;                   ///< workers and schedulers are in them by turns
     PoolRules rulesOff;                        ///< what the simulation does in their place is said there
     SchedulerCosts schedulerCosts;
+    SheddingMode shedding = SheddingMode::LatestStart;
     /** Returns the factor on the costs of a scheduler, by its index. If empty, all have the same. */
     std::function<double(std::uint32_t)> costFactor;
     /** Returns the factor on the capacity of a worker, by its index. If empty, all have the same. */
@@ -60,9 +61,24 @@
     MilliCores cores{3'100};
     Duration runTime = std::chrono::milliseconds(60); ///< of a task, the median if logDeviation is not zero
     double jobsPerSecond = 10;
-    double estimateError = 0;  ///< largest error of the declared run time, as a share of the real one
-    double coresDeviation = 0; ///< standard deviation, between jobs, of the logarithm of their cores
-    double logDeviation = 0;   ///< standard deviation, between jobs, of the logarithms of their number of tasks and of their run time
+    double estimateError = 0;        ///< largest error of the declared run time, as a share of the real one
+    double coresDeviation = 0;       ///< standard deviation, between jobs, of the logarithm of their cores
+    double logDeviation = 0;         ///< standard deviation, between jobs, of the logarithms of their number of tasks and of their run time
+    double maxFactor = 0;            ///< limit of the number of tasks and of the run time of a job, per median; zero for none
+    double estimateLogDeviation = 0; ///< standard deviation of the logarithm of the error of the declared run time
+};
+
+/** A job, the processor time that it needs, and what became of it. */
+struct PoolJobRecord {
+    QueueName queue;
+    QueueJobId job;
+    double coreSeconds = 0; ///< that it needs
+    QueueJobResult result = QueueJobResult::End;
+    bool onTime = false;
+    Duration held{};       ///< from its arrival to its answer
+    Duration slack{};      ///< between its objective and its run time
+    Duration retryAfter{}; ///< of a refusal
+    MonotonicTime sentAt;
 };
 
 /** Number of jobs of a queue by result. */
@@ -195,6 +211,10 @@
     [[nodiscard]] const std::vector<std::string> &violations() const;
     [[nodiscard]] const PoolJobCounts &jobCounts(const QueueName &queue);
     [[nodiscard]] std::uint32_t openCallerCount() const;
+    /** Returns the jobs that were answered, in the order of their answers. */
+    [[nodiscard]] const std::vector<PoolJobRecord> &jobRecords() const;
+    /** Returns the processor time, in core seconds, of all runs of a job that have ended. */
+    [[nodiscard]] double ranCoreSeconds(const QueueJobId &job) const;
     /** Returns the number of runners that a task has crashed, by task. */
     [[nodiscard]] const std::map<QueueTaskId, std::uint32_t> &crashCounts() const;
     /** Returns what a scheduler did since the start. */
@@ -318,6 +338,9 @@
     std::map<QueueJobId, std::set<QueueTaskId>> m_completedTasks;
     std::set<QueueJobId> m_refusedJobs;
     std::map<QueueName, PoolJobCounts> m_jobCounts;
+    std::vector<PoolJobRecord> m_jobRecords;
+    std::map<RunId, MonotonicTime> m_runStarts;
+    std::map<QueueJobId, double> m_ranCoreSeconds; ///< of runs that ended
     std::vector<Duration> m_guardWaits;
     std::map<QueueTaskId, std::uint32_t> m_crashCounts;
     std::map<QueueTaskId, std::uint32_t> m_startsAfterCrashes; ///< starts of a task after it has crashed CrashLimit runners
