Add: [scheduler] One policy for the time in which capacity is short

Queue order, admission, reserve and the order at guards had rules of their own, which told only priority 0 from the rest, knew nothing of a job's size, and held most jobs to the end of their slack before they refused them. SheddingPolicy ranks jobs by priority, deadline and need, and says which rule refuses one. SchedulerSettings::shedding enables it; without it nothing changes. Jobs are refused at once while no worker accepts work, and the expected wait counts what arrives and goes ahead.

--- a/core/include/sycamoremoor/core/scheduler_machine.h
+++ b/core/include/sycamoremoor/core/scheduler_machine.h
@@ -9,6 +9,12 @@
 namespace Sycamoremoor
 {
 
+/** How a scheduler decides which jobs are delayed or refused when capacity is short. */
+enum class SheddingMode {
+    LatestStart, ///< after jobs of priority 0, the one with the earliest latest start goes first
+    Value,       ///< by priority, deadline and need, see SheddingPolicy
+};
+
 /** Settings of a scheduler, fixed for its lifetime. */
 struct SchedulerSettings {
     EntryName name;
@@ -21,6 +27,7 @@
     Duration drainTimeout = std::chrono::milliseconds(5000); ///< longest duration of a planned stop
     /** How long a stopping scheduler waits for jobs at least: the load balancer still sends connections for two of its checks. */
     Duration drainGrace = std::chrono::milliseconds(2500);
+    SheddingMode shedding = SheddingMode::LatestStart;
 };
 
 /**
--- a/core/include/sycamoremoor/core/unit_type.h
+++ b/core/include/sycamoremoor/core/unit_type.h
@@ -13,6 +13,7 @@
 using Accelerators = StrongAmount<struct AcceleratorsTag, std::int64_t>; ///< whole accelerators
 using Slots = StrongAmount<struct SlotsTag, std::int64_t>;               ///< number of tasks that an upstream runs concurrently
 using Connections = StrongAmount<struct ConnectionsTag, std::int64_t>;   ///< number of connections that an upstream accepts
+using CoreTime = StrongAmount<struct CoreTimeTag, std::int64_t>;         ///< processor time, microseconds of a thousandth of a core
 using ByteCount = StrongAmount<struct ByteCountTag, std::int64_t>;       ///< bytes
 
 } // namespace Sycamoremoor
--- a/core/src/scheduler/job_order.h
+++ b/core/src/scheduler/job_order.h
@@ -6,17 +6,13 @@
 #include <compare>
 #include <deque>
 #include <map>
-#include <utility>
 
 namespace Sycamoremoor
 {
 
-/** Processor time, in microseconds of a thousandth of a core. */
-using CoreTime = StrongAmount<struct CoreTimeTag, std::int64_t>;
-
 /**
  * Waiting jobs in the order in which they are placed. Started jobs come first, since a job has no value until all of its
- * tasks ended; then come jobs of queues of priority 0. Within each group jobs are sorted by their latest start time.
+ * tasks ended; the others are in the order of the SheddingPolicy.
  *
  * The order is designed for bursts of up to twice the capacity that last some seconds, of jobs with 0.1 s to 1 s of slack.
  * Jobs that can still meet their objective are placed; the others are refused on arrival.
@@ -26,9 +22,8 @@
 public:
     /** Position of a job in the order; the least key is placed first. */
     struct Key {
-        bool isNew = true;         ///< no task of it was sent yet
-        bool isOrdinary = true;    ///< false for jobs of a queue of priority 0, which are placed before others
-        MonotonicTime latestStart; ///< latest start time that meets the objective
+        bool isNew = true; ///< no task of it was sent yet
+        JobRank rank;
         JobNumber job;
 
         friend auto operator<=>(const Key &, const Key &) = default;
@@ -41,22 +36,43 @@
 
     void remove(JobNumber job);
 
-    /** Records that tasks with the processor time @p coreTime were sent to workers. */
-    void recordSent(MonotonicTime now, CoreTime coreTime);
+    /** Records that tasks of @p job with the processor time @p coreTime were sent to workers. */
+    void recordSent(MonotonicTime now, const ScheduledJob &job, CoreTime coreTime);
+
+    /** Records that a task that was sent has not started. */
+    void recordReturned(MonotonicTime now, const ScheduledJob &job, CoreTime coreTime);
 
     /** Returns how long a job at @p key is expected to wait for those before it, from the rate at which tasks were sent recently. */
     [[nodiscard]] Duration expectedWait(MonotonicTime now, const Key &key) const;
 
+    /**
+     * Like expectedWait(), but jobs like those sent recently keep arriving, and some of them go before this one.
+     * @param cores of all workers, which bound the rate at which tasks can be sent
+     * @return zero if there are no cores
+     */
+    [[nodiscard]] Duration expectedWaitWithArrivals(MonotonicTime now, const Key &key, MilliCores cores) const;
+
     /** Returns the waiting jobs in order, with the processor time of their waiting tasks. */
     [[nodiscard]] const std::map<Key, CoreTime> &jobs() const;
 
 private:
+    /** Tasks that were sent to workers. */
+    struct Sent {
+        MonotonicTime at;
+        CoreTime coreTime;
+        bool isOrdinary = true; ///< of the rank of their job
+        Duration ahead{};       ///< from the arrival of their job to its turn
+    };
+
+    /** Returns the processor time of the waiting jobs before @p key. */
+    [[nodiscard]] double workBefore(const Key &key) const;
+
     /** Returns the processor time sent to workers per microsecond of the last RateWindow. */
     [[nodiscard]] double recentRate(MonotonicTime now) const;
 
     std::map<Key, CoreTime> m_jobs;
     std::map<JobNumber, Key> m_keys;
-    std::deque<std::pair<MonotonicTime, CoreTime>> m_recentlySent; ///< what was sent within the last RateWindow
+    std::deque<Sent> m_recentlySent; ///< what was sent within the last RateWindow
 };
 
 } // namespace Sycamoremoor
--- a/core/src/scheduler/placement.cpp
+++ b/core/src/scheduler/placement.cpp
@@ -32,7 +32,7 @@
 
 bool isUrgent(const ScheduledJob &job)
 {
-    return job.queue->priority == 0;
+    return SheddingPolicy::hasReserve(job.queue->priority);
 }
 
 double secondsOf(Duration duration)
@@ -68,7 +68,7 @@
 
 std::optional<std::vector<PlacedTask>> Placement::place(const PlacementContext &context, ScheduledJob &job)
 {
-    if (!isUrgent(job) && !job.started && !leavesReserve(context, job)) {
+    if (job.rank.isOrdinary && !job.started && !leavesReserve(context, job)) {
         return std::nullopt;
     }
     auto placed = tryPlace(context, job, 0);
--- a/core/src/scheduler/scheduled_job.h
+++ b/core/src/scheduler/scheduled_job.h
@@ -1,6 +1,8 @@
 // A job that a scheduler has accepted.
 #pragma once
 
+#include "shedding_policy.h"
+
 #include <sycamoremoor/core/scheduler_output_type.h>
 
 #include <cstdint>
@@ -49,6 +51,9 @@
     MonotonicTime arrivedAt;
     Duration objective{};           ///< time from arrival within which the job is to end
     MonotonicTime latestStart;      ///< latest start time that meets the objective
+    double relativeNeed = 1;        ///< processor time that it needs, per usual job of its queue
+    double draw = 0;                ///< random number from 0 to 1 that decides whether it is set back
+    JobRank rank;                   ///< its place among the jobs that wait
     MonotonicTime expiresAt;        ///< from then on its result has no value for the caller
     MonotonicTime checkAt;          ///< next check whether the job has to be abandoned, unless an input causes one earlier
     std::vector<Duration> expected; ///< expected run time of a task, by step
@@ -62,6 +67,29 @@
     std::map<std::uint32_t, std::map<AgentName, std::uint32_t>> placed; ///< number of tasks sent and not ended, by step and worker
 };
 
+/** Returns what a job is ranked by. */
+[[nodiscard]] inline JobClaim claimOf(const ScheduledJob &job)
+{
+    return {job.queue->priority, job.arrivedAt, job.latestStart, job.relativeNeed, job.draw};
+}
+
+/** Returns the processor time that a task is expected to take. */
+[[nodiscard]] inline CoreTime coreTimeOf(const ScheduledJob &job, const ScheduledTask &task)
+{
+    return CoreTime(job.spec->steps[task.step].size.cores.value() * job.expected[task.step].count());
+}
+
+/** Returns the processor time that a job needs. */
+[[nodiscard]] inline CoreTime needOf(const ScheduledJob &job)
+{
+    CoreTime need{0};
+    for (std::size_t step = 0; step < job.expected.size(); ++step) {
+        const auto &jobStep = job.spec->steps[step];
+        need += CoreTime(jobStep.size.cores.value() * job.expected[step].count() * jobStep.count);
+    }
+    return need;
+}
+
 /** Returns the name of a task for logs. */
 [[nodiscard]] inline std::string nameOf(const ScheduledJob &job, const ScheduledTask &task)
 {
--- a/core/src/scheduler/scheduler_admission.cpp
+++ b/core/src/scheduler/scheduler_admission.cpp
@@ -1,10 +1,12 @@
 // Which jobs a scheduler accepts, and what it tells the callers of those that it refuses.
 #include "duration_func.h"
+#include "fraction_func.h"
 #include "scheduler_private.h"
 
 #include <sycamoremoor/core/guard_subset.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace Sycamoremoor
@@ -19,6 +21,7 @@
 constexpr double ExpiryFactor = 3;                                   ///< a job expires at this multiple of its objective
 constexpr Duration ConfinedRetryAfter = std::chrono::seconds(3);     ///< usual time until a crashed upstream is back
 constexpr std::size_t FewWorkers = GuardSubset::DefaultSize / 2; ///< that can hold a task: with more, others would hardly add to the choice
+constexpr std::int64_t MilliCoreMicrosecondsPerCoreMillisecond = 1'000'000;
 constexpr int DrainRunTimeFactor = 2; ///< of a job's expected run time, which it has to end before this process stops
 constexpr Duration DrainSlack = std::chrono::milliseconds(500); ///< added to the scaled run time
 
@@ -51,9 +54,8 @@
         return;
     }
     auto job = makeJob(step, input);
-    Duration retryAfter{};
-    if (const auto error = refusalOf(step, job, retryAfter); error != ErrorKind::None) {
-        refuse(step, job, error, retryAfter);
+    if (const auto rule = refusalOf(step, job); rule != RefusalRule::None) {
+        refuse(step, job, rule, rule == RefusalRule::Behind ? m_lag.expectedLag() : Duration::zero());
         return;
     }
     step.emit(Count{CounterMetric::JobsAccepted, 1});
@@ -111,6 +113,10 @@
             job.tasks.back().isIsolated = m_crashes.of({job.spec->id, index, task}).needsIsolation();
         }
     }
+    const auto need = needOf(job);
+    m_policy.recordArrival(job.queue->name, need);
+    job.relativeNeed = m_policy.relativeNeed(job.queue->name, need);
+    job.draw = fractionOf(step.context.entropy, job.number.value());
     setTimes(job, input.callerTimeout);
     return job;
 }
@@ -129,31 +135,36 @@
     }
     job.objective = objectiveOf(longest, *job.queue);
     job.latestStart = job.arrivedAt + std::max(job.objective - longest - TransitAllowance, MinSlack);
+    job.rank = m_policy.rankOf(claimOf(job));
     job.expiresAt = job.arrivedAt + scaled(job.objective, ExpiryFactor);
     if (callerTimeout > Duration::zero()) {
         job.expiresAt = std::min(job.expiresAt, job.arrivedAt + callerTimeout);
     }
 }
 
-ErrorKind SchedulerMachine::Private::refusalOf(SchedulerStep &step, const ScheduledJob &job, Duration &retryAfter) const
+RefusalRule SchedulerMachine::Private::refusalOf(SchedulerStep &step, const ScheduledJob &job) const
 {
     if (m_drainSince && (m_stopped || !endsBeforeStop(step.now(), job))) {
-        return ErrorKind::Draining;
+        return RefusalRule::Stopping;
     }
     for (const auto &jobStep : job.spec->steps) {
         if (!m_workers.mayEverFit(job.queue->service, jobStep.size)) {
-            return m_followsAllWorkers ? ErrorKind::NeverFits : ErrorKind::QueueFull; // a worker that is not followed may hold it
+            return RefusalRule::NeverFits;
         }
     }
     if (m_bulkhead.isConfined(job.queue->name) && !m_workers.hasWorker(job.queue->service, true)) {
-        retryAfter = ConfinedRetryAfter;
-        return ErrorKind::QueueFull;
+        return RefusalRule::Confined;
     }
-    if (step.now() <= latestPlacement(job)) {
-        return ErrorKind::None;
+    return step.now() <= latestPlacement(job) ? RefusalRule::None : RefusalRule::Behind;
+}
+
+ErrorKind SchedulerMachine::Private::errorOf(RefusalRule rule) const
+{
+    if (rule == RefusalRule::Stopping) {
+        return ErrorKind::Draining;
     }
-    retryAfter = m_lag.expectedLag();
-    return ErrorKind::QueueFull;
+    // A worker that is not followed may hold it.
+    return rule == RefusalRule::NeverFits && m_followsAllWorkers ? ErrorKind::NeverFits : ErrorKind::QueueFull;
 }
 
 std::size_t SchedulerMachine::Private::fittingWorkers(const ScheduledJob &job) const
@@ -186,33 +197,77 @@
             continue;
         }
         auto &job = found->second;
-        const auto wait = orderOf(job).expectedWait(step.now(), JobOrder::keyOf(job));
-        if (step.now() + wait > latestPlacement(job)) {
-            refuse(step, job, ErrorKind::QueueFull, wait + m_lag.expectedLag());
+        m_policy.recordWaiting(step.now());
+        const auto claim = waitingClaimOf(step.now(), job);
+        if (const auto rule = m_policy.refusalOf(claim); rule != RefusalRule::None) {
+            refuse(step, job, rule, claim.expectedWait + (rule == RefusalRule::NoWorkers ? Duration::zero() : m_lag.expectedLag()));
             erase(job);
+        } else {
+            scheduleCheck(job, m_policy.nextDecision(claim));
         }
     }
 }
 
+void SchedulerMachine::Private::decideAgain(SchedulerStep &step, ScheduledJob &job)
+{
+    const auto claim = waitingClaimOf(step.now(), job);
+    const auto isDue = step.now() >= claim.latestPlacement || m_policy.isByValue();
+    if (const auto rule = m_policy.refusalOf(claim); isDue && rule != RefusalRule::None) {
+        refuse(step, job, rule, claim.expectedWait);
+        erase(job);
+        return;
+    }
+    scheduleCheck(job, m_policy.nextDecision(claim));
+}
+
+Duration SchedulerMachine::Private::expectedWait(MonotonicTime now, const ScheduledJob &job)
+{
+    const auto key = JobOrder::keyOf(job);
+    const auto &order = orderOf(job);
+    return m_policy.isByValue() ? order.expectedWaitWithArrivals(now, key, m_workers.cores(job.queue->service))
+                                : order.expectedWait(now, key);
+}
+
+WaitingClaim SchedulerMachine::Private::waitingClaimOf(MonotonicTime now, const ScheduledJob &job)
+{
+    return {now, latestPlacement(job), expectedWait(now, job), m_workers.cores(job.queue->service) > MilliCores(0)};
+}
+
 MonotonicTime SchedulerMachine::Private::latestPlacement(const ScheduledJob &job) const
 {
     constexpr int Waits = 2; // its batches and the reports of its runs wait in this process
     return job.latestStart - m_lag.expectedLag() * Waits;
 }
 
-void SchedulerMachine::Private::refuse(SchedulerStep &step, const ScheduledJob &job, ErrorKind error, Duration retryAfter)
+void SchedulerMachine::Private::refuse(SchedulerStep &step, const ScheduledJob &job, RefusalRule rule, Duration expectedWait)
 {
+    const auto error = errorOf(rule);
+    const auto retryAfter = m_policy.retryAfter(step.now(),
+                                                rule,
+                                                expectedWait,
+                                                rule == RefusalRule::Confined ? ConfinedRetryAfter : MinRetryAfter,
+                                                fractionOf(~step.context.entropy, job.number.value()));
     m_missesWorkers = m_missesWorkers || needsOtherWorkers(job);
     step.emit(Count{CounterMetric::JobsRefused, 1});
+    step.emit(Count{refusalCounter(rule), 1});
+    if (rule == RefusalRule::ExpectedWait || rule == RefusalRule::SlackOver) {
+        m_policy.recordOutcome(job.queue->priority, false);
+    }
     step.log(Severity::Info,
              "A job is refused.",
              {{"job", job.spec->id.value()},
               {"queue", job.queue->name.value()},
               {"outcome", std::string(errorRow(error).code)},
+              {"rule", std::string(refusalRuleName(rule))},
+              {"priority", std::to_string(job.queue->priority)},
+              {"need_core_ms", std::to_string(needOf(job).value() / MilliCoreMicrosecondsPerCoreMillisecond)},
+              {"relative_need_percent", std::to_string(std::llround(job.relativeNeed * 100))},
+              {"set_back_ms", inMilliseconds(job.rank.turn - job.latestStart)},
               {"config", std::to_string(m_queues->version.value())},
               {"held_ms", inMilliseconds(step.now() - job.arrivedAt)},
               {"slack_ms", inMilliseconds(job.latestStart - job.arrivedAt)},
-              {"expected_wait_ms", inMilliseconds(retryAfter)},
+              {"expected_wait_ms", inMilliseconds(expectedWait)},
+              {"retry_after_ms", inMilliseconds(retryAfter)},
               {"lag_ms", inMilliseconds(m_lag.expectedLag())},
               {"jobs_waiting", std::to_string(waitingCount())},
               {"confined", m_bulkhead.isConfined(job.queue->name) ? "yes" : "no"},
@@ -221,7 +276,7 @@
               {"follows_all", m_followsAllWorkers ? "yes" : "no"},
               {"stops_in_ms", m_drainSince ? inMilliseconds(*m_drainSince + m_settings.drainTimeout - step.now()) : ""}});
     for (const auto connection : job.connections) {
-        step.emit(AnswerQueueJob{connection, QueueJobResult::Refused, error, std::max(MinRetryAfter, retryAfter)});
+        step.emit(AnswerQueueJob{connection, QueueJobResult::Refused, error, retryAfter});
     }
 }
 
--- a/core/src/scheduler/scheduler_placing.cpp
+++ b/core/src/scheduler/scheduler_placing.cpp
@@ -124,11 +124,11 @@
                       {"worker", agent.value()},
                       {"batch", std::to_string(batch.number.value())}});
         }
-        m_order.recordSent(step.now(), CoreTime(job.spec->steps[task.step].size.cores.value() * job.expected[task.step].count()));
+        m_order.recordSent(step.now(), job, coreTimeOf(job, task));
         RunOrder order;
         order.run = {{job.spec->id, task.step, task.index}, task.runs};
         order.size = m_placement.sizeOn(agent, job, task);
-        order.urgency = {job.queue->priority > 0, job.latestStart - step.now()};
+        order.urgency = {job.rank.isOrdinary, job.rank.turn - step.now()};
         const bool waitsShortly = !task.queuesAtGuard && task.runs <= MaxShortWaits;
         order.startWithin = std::clamp(
             job.expiresAt - job.expected[task.step] - step.now(), Duration::zero(), waitsShortly ? ShortGuardWait : MaxGuardWait);
@@ -138,6 +138,7 @@
     }
     if (!std::exchange(job.started, true)) {
         job.startedAt = step.now();
+        m_policy.recordOutcome(job.queue->priority, true);
     }
     job.batches.insert(batch.number);
     m_batches[batch.number]
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -11,6 +11,7 @@
 #include "lease_times_func.h"
 #include "placement.h"
 #include "scheduled_job.h"
+#include "shedding_policy.h"
 #include "worker_table.h"
 
 #include <sycamoremoor/core/scheduler_machine.h>
@@ -83,7 +84,12 @@
     void setTimes(ScheduledJob &job, Duration callerTimeout) const;
     /** A caller submits a job again whose callers had left; it goes on. */
     void resume(SchedulerStep &step, ScheduledJob &job, const QueueJobSubmitted &input);
-    [[nodiscard]] ErrorKind refusalOf(SchedulerStep &step, const ScheduledJob &job, Duration &retryAfter) const;
+    /** Returns why a job is refused that arrives, whatever other jobs wait. */
+    [[nodiscard]] RefusalRule refusalOf(SchedulerStep &step, const ScheduledJob &job) const;
+    /** Returns the error of a refused job for its caller. */
+    [[nodiscard]] ErrorKind errorOf(RefusalRule rule) const;
+    [[nodiscard]] Duration expectedWait(MonotonicTime now, const ScheduledJob &job);
+    [[nodiscard]] WaitingClaim waitingClaimOf(MonotonicTime now, const ScheduledJob &job);
     /** Returns how many of the followed workers can hold the step of the job that the fewest of them can hold. */
     [[nodiscard]] std::size_t fittingWorkers(const ScheduledJob &job) const;
     /** Returns whether few of the followed workers can hold a step of the job, though there are others. */
@@ -92,9 +98,11 @@
     [[nodiscard]] bool endsBeforeStop(MonotonicTime now, const ScheduledJob &job) const;
     /** Refuses those of the jobs that arrived in this step which got no capacity and are expected to wait for too long. */
     void refuseArrivals(SchedulerStep &step);
+    /** Decides about a job that still waits: refuses it, or lets it wait. */
+    void decideAgain(SchedulerStep &step, ScheduledJob &job);
     /** Returns when a job has to be placed to end within its objective, given the lag of this process. */
     [[nodiscard]] MonotonicTime latestPlacement(const ScheduledJob &job) const;
-    void refuse(SchedulerStep &step, const ScheduledJob &job, ErrorKind error, Duration retryAfter);
+    void refuse(SchedulerStep &step, const ScheduledJob &job, RefusalRule rule, Duration expectedWait);
     void answer(SchedulerStep &step, ScheduledJob &job, QueueJobResult result, ErrorKind error);
     void cancelBatches(SchedulerStep &step, ScheduledJob &job);
     void erase(ScheduledJob &job);
@@ -142,6 +150,7 @@
     LeaseTimes m_leaseTimes;
     QueueSetPointer m_queues;
     WorkerTable m_workers;
+    SheddingPolicy m_policy;
     Placement m_placement;
     RunTimeEstimator m_runTimes;
     std::map<JobNumber, ScheduledJob> m_jobs;
--- a/core/src/scheduler/scheduler_runs.cpp
+++ b/core/src/scheduler/scheduler_runs.cpp
@@ -213,6 +213,9 @@
         if (report.error != ErrorKind::DeadlineUnreachable) {
             task.avoided.push_back(agent);
         }
+        if (m_policy.isByValue()) {
+            m_order.recordReturned(step.now(), job, coreTimeOf(job, task));
+        }
         setWaiting(step, job, task);
         break;
     }
--- a/core/src/scheduler/worker_table.cpp
+++ b/core/src/scheduler/worker_table.cpp
@@ -1,6 +1,8 @@
 // Workers as a scheduler knows them: free capacity, health, and the choice of a worker for a task.
 #include "worker_table.h"
 
+#include "fraction_func.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -23,18 +25,6 @@
 
 constexpr std::int64_t ClockDriftDivisor = 50; ///< two clocks drift apart by at most 2%
 
-/** Returns a number above 0 and up to 1 that depends on @p entropy and @p index. */
-double fractionOf(std::uint64_t entropy, std::uint64_t index)
-{
-    constexpr std::uint64_t Multiplier = 0x9E3779B97F4A7C15ULL;
-    constexpr double Range = 1ULL << 53U;
-    constexpr unsigned Surplus = 11;
-    auto bits = (entropy ^ (index * Multiplier)) * Multiplier;
-    bits ^= bits >> 32U;
-    bits *= Multiplier;
-    return static_cast<double>((bits >> Surplus) + 1) / Range;
-}
-
 double currentSlowness(MonotonicTime now, const WorkerHealth &health)
 {
     const std::chrono::duration<double> age = now - health.slownessAt;
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -76,6 +76,7 @@
 SchedulerMachine::Private::Private(SchedulerSettings settings)
     : m_settings(std::move(settings))
     , m_leaseTimes(leaseTimesOf(m_settings.resubmitAfter))
+    , m_policy(m_settings.shedding)
     , m_placement(m_workers)
 {
 }
@@ -295,7 +296,7 @@
     CoreTime coreTime{0};
     for (const auto &task : job.tasks) {
         if (task.stage == ScheduledStage::Waiting && !task.isIsolated) {
-            coreTime += CoreTime(job.spec->steps[task.step].size.cores.value() * job.expected[task.step].count());
+            coreTime += coreTimeOf(job, task);
         }
     }
     return coreTime;
@@ -356,12 +357,8 @@
         if (job.connections.empty()) {
             cancelBatches(step, job); // their leases have ended
             erase(job);
-        } else if (const auto at = latestPlacement(job); !job.started && at > step.now()) {
-            scheduleCheck(job, at);
         } else if (!job.started) {
-            const auto wait = orderOf(job).expectedWait(step.now(), JobOrder::keyOf(job));
-            refuse(step, job, ErrorKind::QueueFull, wait);
-            erase(job);
+            decideAgain(step, job);
         } else if (const auto unreachableAt = deadlineUnreachableAt(job); unreachableAt <= step.now()) {
             abandon(step, job);
         } else {
@@ -415,8 +412,7 @@
         answer(step, job, QueueJobResult::Lost, ErrorKind::DeadlineUnreachable);
         return;
     }
-    const auto wait = orderOf(job).expectedWait(step.now(), JobOrder::keyOf(job));
-    refuse(step, job, ErrorKind::QueueFull, wait);
+    refuse(step, job, RefusalRule::Expired, expectedWait(step.now(), job));
     erase(job);
 }
 
