--- a/core/tests/scheduler_driver.h
+++ b/core/tests/scheduler_driver.h
@@ -20,8 +20,8 @@
     /** The objective is 1.6 times 200 ms plus 60 ms, 380 ms; the job expires after 1,140 ms. */
     static constexpr Duration Allowance = std::chrono::milliseconds(60);
 
-    explicit SchedulerDriver(Duration resubmitAfter = SchedulerSettings().resubmitAfter)
-        : m_machine(SchedulerSettings{EntryName("S"), Incarnation(3), ZoneName("z"), resubmitAfter})
+    explicit SchedulerDriver(Duration resubmitAfter = SchedulerSettings().resubmitAfter, SheddingMode shedding = SheddingMode::LatestStart)
+        : m_machine(settingsOf(resubmitAfter, shedding))
     {
         auto queues = std::make_shared<QueueSet>();
         queues->version = Revision(1);
@@ -154,6 +154,13 @@
     }
 
 private:
+    static SchedulerSettings settingsOf(Duration resubmitAfter, SheddingMode shedding)
+    {
+        SchedulerSettings settings{EntryName("S"), Incarnation(3), ZoneName("z"), resubmitAfter};
+        settings.shedding = shedding;
+        return settings;
+    }
+
     static constexpr MonotonicTime Start{std::chrono::hours(1)};
 
     MonotonicTime m_now = Start;
