--- a/core/include/sycamoremoor/core/guard_message_type.h
+++ b/core/include/sycamoremoor/core/guard_message_type.h
@@ -19,8 +19,8 @@
 
 /** Priority of a run. Of the runs that wait for capacity, the one with the lesser value starts first. */
 struct Urgency {
-    bool isOrdinary = true; ///< false for runs of a queue of priority 0, which are started before all others
-    Duration slack{};       ///< time until its latest start; negative once that has passed
+    bool isOrdinary = true; ///< false for runs that are started before all others, as those of a queue of priority 0
+    Duration slack{};       ///< time until its turn, which is its latest start or later; negative once that has passed
 
     friend auto operator<=>(const Urgency &, const Urgency &) = default;
 };
--- a/core/include/sycamoremoor/core/queue_type.h
+++ b/core/include/sycamoremoor/core/queue_type.h
@@ -22,7 +22,7 @@
     std::string host;   ///< host name that callers use, as normalizedHost() returns it
     std::string prefix; ///< prefix of the request paths of its jobs, as normalizedPath() returns it
     ServiceName service;
-    std::uint32_t priority = 0;    ///< jobs of priority 0 are served before all others; higher values are not distinguished
+    std::uint32_t priority = 0;    ///< the lower, the more urgent; higher values than 1 are told apart only with SheddingMode::Value
     std::uint32_t maxAttempts = 1; ///< number of failed runs of one task after which its job fails
     double stretch = 1;            ///< latency objective as a multiple of the expected run time of the job's longest chain of steps
     Duration latencyAllowance{};   ///< added to the stretched run time in the latency objective
--- a/core/src/scheduler/shedding_policy.cpp
+++ b/core/src/scheduler/shedding_policy.cpp
@@ -17,12 +17,13 @@
 constexpr double SetbackPerDoubling
     = 0.35; ///< probability per doubling of the need: a job of twice the usual need yields in a third of cases
 constexpr double SetbackPerPriority = 0.1; ///< probability per priority value above 1
-constexpr double MaxSetback = 0.4;  ///< a tenth below a half, as wide jobs find room less often, too: they are to be served half as often
+constexpr double MaxSetback = 0.4; ///< a tenth below a half, as wide jobs find room less often, too: they are to be served half as often
 /** Of jobs of lower priorities: while fewer of them are served, as many go with priority 0, so that they get something in any case. */
 constexpr double MinServedShare = 0.25;
-constexpr double ServedWeight = 0.02; ///< of a job in the moving mean of whether jobs of lower priorities are served: about a second of a queue
-constexpr double JitterShare = 0.5; ///< of Retry-After: callers that are refused together return over half of that time
-constexpr Duration MinJitter = std::chrono::seconds(1);     ///< Retry-After is sent in whole seconds
+constexpr double ServedWeight
+    = 0.02; ///< of a job in the moving mean of whether jobs of lower priorities are served: about a second of a queue
+constexpr double JitterShare = 0.5;                     ///< of Retry-After: callers that are refused together return over half of that time
+constexpr Duration MinJitter = std::chrono::seconds(1); ///< Retry-After is sent in whole seconds
 constexpr Duration ShortagePause = std::chrono::seconds(1); ///< in which no job had to wait, after which a shortage has ended
 constexpr Duration MaxShortage = std::chrono::seconds(7);   ///< bursts last 3 to 7 s
 constexpr int DecisionsPerSlack = 4; ///< decisions about a job that waits: the expected wait changes with what arrives meanwhile
--- a/core/tests/pool_load_test.cpp
+++ b/core/tests/pool_load_test.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdio>
 #include <string>
+#include <tuple>
 
 namespace Sycamoremoor
 {
@@ -95,10 +96,14 @@
 }
 
 /** Simulates @p scenario with a seed and adds the results of its jobs, by kind. */
-void simulate(const LoadScenario &scenario, std::uint64_t seed, std::array<PoolJobCounts, JobKinds.size()> &countsByKind)
+void simulate(const LoadScenario &scenario,
+              SheddingMode shedding,
+              std::uint64_t seed,
+              std::array<PoolJobCounts, JobKinds.size()> &countsByKind)
 {
     PoolSettings settings;
     settings.seed = seed;
+    settings.shedding = shedding;
     settings.schedulers = 4;
     settings.workers = scenario.workers;
     settings.lostOrders = scenario.lostOrders;
@@ -129,24 +134,32 @@
     }
 }
 
+std::string nameOf(const testing::TestParamInfo<std::tuple<LoadScenario, SheddingMode>> &test)
+{
+    const auto &[scenario, shedding] = test.param;
+    return std::string(scenario.name) + (shedding == SheddingMode::Value ? "ByValue" : "");
+}
+
 } // namespace
 
-class PoolLoadTest : public testing::TestWithParam<LoadScenario>
+class PoolLoadTest : public testing::TestWithParam<std::tuple<LoadScenario, SheddingMode>>
 {
 };
 
 TEST_P(PoolLoadTest, CallersAreServedInTime)
 {
+    const auto &[scenario, shedding] = GetParam();
     std::array<PoolJobCounts, JobKinds.size()> countsByKind;
     for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
-        simulate(GetParam(), seed, countsByKind);
+        simulate(scenario, shedding, seed, countsByKind);
     }
     std::uint32_t sent = 0;
     std::uint32_t lost = 0;
     for (std::size_t kind = 0; kind < JobKinds.size(); ++kind) {
         const auto &counts = countsByKind.at(kind);
-        std::printf("%-14s %-7s sent %4u on time %.3f late %3u refused %3u failed %u lost %u\n",
-                    GetParam().name,
+        std::printf("%-14s %-5s %-7s sent %4u on time %.3f late %3u refused %3u failed %u lost %u\n",
+                    scenario.name,
+                    shedding == SheddingMode::Value ? "value" : "start",
                     JobKinds.at(kind).name,
                     counts.sent,
                     counts.onTimeShare(),
@@ -154,13 +167,17 @@
                     counts.refused,
                     counts.failed,
                     counts.lost);
-        EXPECT_GE(counts.onTimeShare(), GetParam().minOnTimeShares.at(kind)) << JobKinds.at(kind).name;
+        EXPECT_GE(counts.onTimeShare(), scenario.minOnTimeShares.at(kind)) << JobKinds.at(kind).name;
         sent += counts.sent;
         lost += counts.lost;
     }
     EXPECT_LE(static_cast<double>(lost), MaxLostShare * static_cast<double>(sent));
 }
 
-INSTANTIATE_TEST_SUITE_P(Scenarios, PoolLoadTest, testing::ValuesIn(LoadScenarios), [](const auto &test) { return test.param.name; });
+INSTANTIATE_TEST_SUITE_P(Scenarios,
+                         PoolLoadTest,
+                         testing::Combine(testing::ValuesIn(LoadScenarios),
+                                          testing::Values(SheddingMode::LatestStart, SheddingMode::Value)),
+                         nameOf);
 
 } // namespace Sycamoremoor
--- a/core/tests/shedding_policy_test.cpp
+++ b/core/tests/shedding_policy_test.cpp
@@ -116,7 +116,8 @@
     const auto goFirst = [&policy] {
         int first = 0;
         for (int draw = 0; draw < Draws; ++draw) {
-            first += policy.rankOf(claimOf(1, milliseconds(100), 1, (draw + 0.5) / Draws)) < policy.rankOf(claimOf(0, milliseconds(1), 1, 0.5))
+            first += policy.rankOf(claimOf(1, milliseconds(100), 1, (draw + 0.5) / Draws))
+                    < policy.rankOf(claimOf(0, milliseconds(1), 1, 0.5))
                 ? 1
                 : 0;
         }
--- a/daemon/src/option_value_func.cpp
+++ b/daemon/src/option_value_func.cpp
@@ -43,6 +43,17 @@
     return true;
 }
 
+bool readShedding(const std::string &text, SheddingMode &shedding)
+{
+    constexpr std::array Names{std::pair{"latest-start", SheddingMode::LatestStart}, std::pair{"value", SheddingMode::Value}};
+    const auto *const found = std::ranges::find(Names, text, [](const auto &item) { return std::string_view(item.first); });
+    if (found == Names.end()) {
+        return false;
+    }
+    shedding = found->second;
+    return true;
+}
+
 bool readName(const std::string &text, std::string &name)
 {
     name = text;
--- a/daemon/src/option_value_func.h
+++ b/daemon/src/option_value_func.h
@@ -22,6 +22,7 @@
 const char *roleName(DaemonRole role);
 
 bool readRole(const std::string &text, DaemonRole &role);
+bool readShedding(const std::string &text, SheddingMode &shedding);
 bool readName(const std::string &text, std::string &name);
 bool readEndpoint(const std::string &text, Endpoint &endpoint);
 bool readEndpoints(const std::string &text, std::vector<Endpoint> &endpoints);
--- a/daemon/src/table/option_table.h
+++ b/daemon/src/table/option_table.h
@@ -55,6 +55,8 @@
               [](const std::string &text, Settings &to) {
                   return text.empty() || readDurationFrom(SchedulerSettings::LeastResubmitAfter, text, to.scheduler.resubmitAfter);
               }, "a whole number of milliseconds from 550 to 86400000, as less leaves no time to renew the lease of runs, or empty for 1300"},
+    OptionRow{"shedding", "RULE", "which jobs are delayed or refused when capacity is short", SchedulerRole, false,
+              [](const std::string &text, Settings &to) { return readShedding(text, to.scheduler.shedding); }, "latest-start or value"},
     OptionRow{"announcements", "IP:PORT", "where its upstream announces itself", GuardRole, true,
               [](const std::string &text, Settings &to) { return readEndpoint(text, to.announcements); }, EndpointAllowed},
     OptionRow{"entries", "IP:PORT,..", "entries to ask first for the roster", EntryRole | AgentRole, false,
--- a/daemon/tests/option_reader_test.cpp
+++ b/daemon/tests/option_reader_test.cpp
@@ -94,6 +94,7 @@
                  "--resubmit-after-ms: \"549\" is not allowed; it must be a whole number of milliseconds from 550 to 86400000, as less "
                  "leaves no time to renew the lease of runs, or empty for 1300."},
     WrongSetting{"ResubmitTooLate", "--resubmit-after-ms=86400001", "--resubmit-after-ms: \"86400001\" is not allowed"},
+    WrongSetting{"Shedding", "--shedding=price", "--shedding: \"price\" is not allowed; it must be latest-start or value."},
     WrongSetting{"LogLevel", "--log-level=loud", "it must be debug, info, warning or error."},
     WrongSetting{"LogFormat", "--log-format=xml", "it must be text or json."},
     WrongSetting{"Unknown", "--colour=red", "--colour=red is no flag"},
@@ -163,6 +164,17 @@
     }
 }
 
+TEST(OptionReaderTest, ASchedulerShedsByLatestStartUnlessToldOtherwise)
+{
+    DaemonSettings settings;
+    EXPECT_EQ(joined(readArguments(schedulerFlags, {}, settings)), "");
+    EXPECT_EQ(settings.scheduler.shedding, SheddingMode::LatestStart);
+    auto flags = schedulerFlags;
+    flags.emplace_back("--shedding=value");
+    EXPECT_EQ(joined(readArguments(flags, {}, settings)), "");
+    EXPECT_EQ(settings.scheduler.shedding, SheddingMode::Value);
+}
+
 TEST(OptionReaderTest, WrongVariableIsRefusedByItsName)
 {
     DaemonSettings settings;
