--- a/core/src/scheduler/job_order.cpp
+++ b/core/src/scheduler/job_order.cpp
@@ -11,9 +11,6 @@
 
 constexpr Duration RateWindow = std::chrono::milliseconds(500); ///< averaging period: longer than most tasks, shorter than bursts
 
-/** Of the rate: the last part of a job's slack is its own, as few arrivals have an earlier turn then. With 0.9 jobs of the longest slack were
- * refused that found room in time (issue: docs/design/shedding.md). */
-constexpr double MaxOvertakingShare = 0.5;
 constexpr double MaxWait = 60e6; ///< microseconds; longer than any slack that is worth waiting for
 
 } // namespace
@@ -39,25 +36,25 @@
     }
 }
 
-void JobOrder::recordSent(MonotonicTime now, const ScheduledJob &job, CoreTime coreTime)
+void JobOrder::recordSent(MonotonicTime now, CoreTime coreTime)
 {
-    m_recentlySent.push_back({now, coreTime, job.rank.isOrdinary, job.rank.turn - job.arrivedAt});
-    while (m_recentlySent.front().at + RateWindow < now) {
+    m_recentlySent.emplace_back(now, coreTime);
+    while (m_recentlySent.front().first + RateWindow < now) {
         m_recentlySent.pop_front();
     }
 }
 
-void JobOrder::recordReturned(MonotonicTime now, const ScheduledJob &job, CoreTime coreTime)
+void JobOrder::recordReturned(MonotonicTime now, CoreTime coreTime)
 {
-    recordSent(now, job, CoreTime(0) - coreTime);
+    recordSent(now, CoreTime(0) - coreTime);
 }
 
 double JobOrder::recentRate(MonotonicTime now) const
 {
     double sum = 0;
-    for (const auto &sent : m_recentlySent) {
-        if (sent.at + RateWindow >= now) {
-            sum += static_cast<double>(sent.coreTime.value());
+    for (const auto &[at, coreTime] : m_recentlySent) {
+        if (at + RateWindow >= now) {
+            sum += static_cast<double>(coreTime.value());
         }
     }
     return std::max(0.0, sum) / static_cast<double>(RateWindow.count());
@@ -85,25 +82,16 @@
     return Duration(static_cast<std::int64_t>(before / rate));
 }
 
-Duration JobOrder::expectedWaitWithArrivals(MonotonicTime now, const Key &key, MilliCores cores) const
+Duration JobOrder::expectedWaitWithin(MonotonicTime now, const Key &key, MilliCores cores) const
 {
     const auto before = workBefore(key);
     if (before <= 0 || cores <= MilliCores(0)) {
         return Duration::zero();
     }
-    // Until its turn an arrival goes before the job if its own turn is less ahead; on average, half of the time is left then.
-    const auto ahead = (key.rank.turn - now) / 2;
-    double overtaking = 0;
-    for (const auto &sent : m_recentlySent) {
-        const bool overtakes = sent.isOrdinary != key.rank.isOrdinary ? key.rank.isOrdinary : sent.ahead < ahead;
-        if (key.isNew && overtakes && sent.at + RateWindow >= now) {
-            overtaking += static_cast<double>(sent.coreTime.value());
-        }
-    }
-    const auto all = recentRate(now);
-    const auto rate = (all > 0 ? std::min(all, static_cast<double>(cores.value())) : static_cast<double>(cores.value()))
-        - std::min(std::max(0.0, overtaking) / static_cast<double>(RateWindow.count()), all * MaxOvertakingShare);
-    return Duration(static_cast<std::int64_t>(std::min(before / std::max(rate, 1.0), MaxWait)));
+    const auto most = static_cast<double>(cores.value());
+    const auto recent = recentRate(now);
+    const auto rate = recent > 0 ? std::min(recent, most) : most;
+    return Duration(static_cast<std::int64_t>(std::min(before / rate, MaxWait)));
 }
 
 const std::map<JobOrder::Key, CoreTime> &JobOrder::jobs() const
--- a/core/src/scheduler/job_order.h
+++ b/core/src/scheduler/job_order.h
@@ -6,6 +6,7 @@
 #include <compare>
 #include <deque>
 #include <map>
+#include <utility>
 
 namespace Sycamoremoor
 {
@@ -36,34 +37,26 @@
 
     void remove(JobNumber job);
 
-    /** Records that tasks of @p job with the processor time @p coreTime were sent to workers. */
-    void recordSent(MonotonicTime now, const ScheduledJob &job, CoreTime coreTime);
+    /** Records that tasks with the processor time @p coreTime were sent to workers. */
+    void recordSent(MonotonicTime now, CoreTime coreTime);
 
     /** Records that a task that was sent has not started. */
-    void recordReturned(MonotonicTime now, const ScheduledJob &job, CoreTime coreTime);
+    void recordReturned(MonotonicTime now, CoreTime coreTime);
 
     /** Returns how long a job at @p key is expected to wait for those before it, from the rate at which tasks were sent recently. */
     [[nodiscard]] Duration expectedWait(MonotonicTime now, const Key &key) const;
 
     /**
-     * Like expectedWait(), but jobs like those sent recently keep arriving, and some of them go before this one.
-     * @param cores of all workers, which bound the rate at which tasks can be sent
+     * Like expectedWait(), but with a rate that is bounded by what all workers can do, and is known from that before any task was sent.
+     * @param cores of all workers
      * @return zero if there are no cores
      */
-    [[nodiscard]] Duration expectedWaitWithArrivals(MonotonicTime now, const Key &key, MilliCores cores) const;
+    [[nodiscard]] Duration expectedWaitWithin(MonotonicTime now, const Key &key, MilliCores cores) const;
 
     /** Returns the waiting jobs in order, with the processor time of their waiting tasks. */
     [[nodiscard]] const std::map<Key, CoreTime> &jobs() const;
 
 private:
-    /** Tasks that were sent to workers. */
-    struct Sent {
-        MonotonicTime at;
-        CoreTime coreTime;
-        bool isOrdinary = true; ///< of the rank of their job
-        Duration ahead{};       ///< from the arrival of their job to its turn
-    };
-
     /** Returns the processor time of the waiting jobs before @p key. */
     [[nodiscard]] double workBefore(const Key &key) const;
 
@@ -72,7 +65,7 @@
 
     std::map<Key, CoreTime> m_jobs;
     std::map<JobNumber, Key> m_keys;
-    std::deque<Sent> m_recentlySent; ///< what was sent within the last RateWindow
+    std::deque<std::pair<MonotonicTime, CoreTime>> m_recentlySent; ///< what was sent within the last RateWindow
 };
 
 } // namespace Sycamoremoor
--- a/core/src/scheduler/scheduler_admission.cpp
+++ b/core/src/scheduler/scheduler_admission.cpp
@@ -224,8 +224,7 @@
 {
     const auto key = JobOrder::keyOf(job);
     const auto &order = orderOf(job);
-    return m_policy.isByValue() ? order.expectedWaitWithArrivals(now, key, m_workers.cores(job.queue->service))
-                                : order.expectedWait(now, key);
+    return m_policy.isByValue() ? order.expectedWaitWithin(now, key, m_workers.cores(job.queue->service)) : order.expectedWait(now, key);
 }
 
 WaitingClaim SchedulerMachine::Private::waitingClaimOf(MonotonicTime now, const ScheduledJob &job)
--- a/core/src/scheduler/scheduler_placing.cpp
+++ b/core/src/scheduler/scheduler_placing.cpp
@@ -124,7 +124,7 @@
                       {"worker", agent.value()},
                       {"batch", std::to_string(batch.number.value())}});
         }
-        m_order.recordSent(step.now(), job, coreTimeOf(job, task));
+        m_order.recordSent(step.now(), coreTimeOf(job, task));
         RunOrder order;
         order.run = {{job.spec->id, task.step, task.index}, task.runs};
         order.size = m_placement.sizeOn(agent, job, task);
--- a/core/src/scheduler/scheduler_runs.cpp
+++ b/core/src/scheduler/scheduler_runs.cpp
@@ -214,7 +214,7 @@
             task.avoided.push_back(agent);
         }
         if (m_policy.isByValue()) {
-            m_order.recordReturned(step.now(), job, coreTimeOf(job, task));
+            m_order.recordReturned(step.now(), coreTimeOf(job, task));
         }
         setWaiting(step, job, task);
         break;
