--- a/core/src/scheduler/job_order.cpp
+++ b/core/src/scheduler/job_order.cpp
@@ -11,11 +11,13 @@
 
 constexpr Duration RateWindow = std::chrono::milliseconds(500); ///< averaging period: longer than most tasks, shorter than bursts
 
+constexpr double MaxWait = 60e6; ///< microseconds; longer than any slack that is worth waiting for
+
 } // namespace
 
 JobOrder::Key JobOrder::keyOf(const ScheduledJob &job)
 {
-    return {!job.started, job.queue->priority > 0, job.latestStart, job.number};
+    return {!job.started, job.rank, job.number};
 }
 
 void JobOrder::put(const ScheduledJob &job, CoreTime coreTime)
@@ -42,6 +44,11 @@
     }
 }
 
+void JobOrder::recordReturned(MonotonicTime now, CoreTime coreTime)
+{
+    recordSent(now, CoreTime(0) - coreTime);
+}
+
 double JobOrder::recentRate(MonotonicTime now) const
 {
     double sum = 0;
@@ -50,10 +57,10 @@
             sum += static_cast<double>(coreTime.value());
         }
     }
-    return sum / static_cast<double>(RateWindow.count());
+    return std::max(0.0, sum) / static_cast<double>(RateWindow.count());
 }
 
-Duration JobOrder::expectedWait(MonotonicTime now, const Key &key) const
+double JobOrder::workBefore(const Key &key) const
 {
     double before = 0;
     for (const auto &[other, coreTime] : m_jobs) {
@@ -62,6 +69,12 @@
         }
         before += static_cast<double>(coreTime.value());
     }
+    return before;
+}
+
+Duration JobOrder::expectedWait(MonotonicTime now, const Key &key) const
+{
+    const auto before = workBefore(key);
     const auto rate = recentRate(now);
     if (before <= 0 || rate <= 0) {
         return Duration::zero();
@@ -69,6 +82,18 @@
     return Duration(static_cast<std::int64_t>(before / rate));
 }
 
+Duration JobOrder::expectedWaitWithin(MonotonicTime now, const Key &key, MilliCores cores) const
+{
+    const auto before = workBefore(key);
+    if (before <= 0 || cores <= MilliCores(0)) {
+        return Duration::zero();
+    }
+    const auto most = static_cast<double>(cores.value());
+    const auto recent = recentRate(now);
+    const auto rate = recent > 0 ? std::min(recent, most) : most;
+    return Duration(static_cast<std::int64_t>(std::min(before / rate, MaxWait)));
+}
+
 const std::map<JobOrder::Key, CoreTime> &JobOrder::jobs() const
 {
     return m_jobs;
--- a/core/src/scheduler/worker_table.cpp
+++ b/core/src/scheduler/worker_table.cpp
@@ -1,6 +1,7 @@
 // Workers as a scheduler knows them: free capacity, health, and the choice of a worker for a task.
 #include "worker_table.h"
 
+#include "fraction_func.h"
 #include "worker_speed_func.h"
 
 #include <xxhash.h>
@@ -30,18 +31,6 @@
 
 constexpr std::int64_t ClockDriftDivisor = 50; ///< two clocks drift apart by at most 2%
 
-/** Returns a number above 0 and up to 1 that depends on @p entropy and @p index. */
-double fractionOf(std::uint64_t entropy, std::uint64_t index)
-{
-    constexpr std::uint64_t Multiplier = 0x9E3779B97F4A7C15ULL;
-    constexpr double Range = 1ULL << 53U;
-    constexpr unsigned Surplus = 11;
-    auto bits = (entropy ^ (index * Multiplier)) * Multiplier;
-    bits ^= bits >> 32U;
-    bits *= Multiplier;
-    return static_cast<double>((bits >> Surplus) + 1) / Range;
-}
-
 double currentSlowness(MonotonicTime now, const WorkerHealth &health)
 {
     const std::chrono::duration<double> age = now - health.slownessAt;
--- a/core/src/scheduler/worker_table.h
+++ b/core/src/scheduler/worker_table.h
@@ -36,7 +36,7 @@
     MonotonicTime clockLeadAt;
     WorkerHealth health;
     ZoneName zone;
-    bool isEvacuated = false;   ///< the operator has evacuated its zone
+    bool isEvacuated = false;    ///< the operator has evacuated its zone
     double runTimeFactor = 1;    ///< of run times there, relative to the usual worker of the service; 1 if that is equal or not known
     bool hasUnequalPeer = false; ///< workers of its service have different factors
     bool isLoggedAsSlow = false;
--- a/core/tests/pool_speed_test.cpp
+++ b/core/tests/pool_speed_test.cpp
@@ -67,7 +67,7 @@
     load.tasks = kind.tasks;
     load.runTime = kind.runTime;
     load.jobsPerSecond = kind.jobsPerSecond * FleetShare * factor;
-    load.estimateDeviation = 0.4;
+    load.estimateLogDeviation = 0.4;
     load.logDeviation = 0.4;
     return load;
 }
--- a/daemon/src/table/option_table.h
+++ b/daemon/src/table/option_table.h
@@ -61,6 +61,8 @@
     OptionRow{"drain-within-ms", "MS", "time in which work moves off an upstream that is leaving", GuardRole, false,
               [](const std::string &text, Settings &to) { return text.empty() || readDuration(text, to.guard.drainWithin); },
               "a whole number of milliseconds from 1 to 86400000, or empty to leave its runs there"},
+    OptionRow{"shedding", "RULE", "which jobs are delayed or refused when capacity is short", SchedulerRole, false,
+              [](const std::string &text, Settings &to) { return readShedding(text, to.scheduler.shedding); }, "latest-start or value"},
     OptionRow{"announcements", "IP:PORT", "where its upstream announces itself", GuardRole, true,
               [](const std::string &text, Settings &to) { return readEndpoint(text, to.announcements); }, EndpointAllowed},
     OptionRow{"entries", "IP:PORT,..", "entries to ask first for the roster", EntryRole | AgentRole, false,
--- a/daemon/tests/option_reader_test.cpp
+++ b/daemon/tests/option_reader_test.cpp
@@ -103,6 +103,7 @@
                  "--drain-within-ms=-1",
                  "--drain-within-ms: \"-1\" is not allowed; it must be a whole number of milliseconds from 1 to 86400000, or empty to "
                  "leave its runs there."},
+    WrongSetting{"Shedding", "--shedding=price", "--shedding: \"price\" is not allowed; it must be latest-start or value."},
     WrongSetting{"LogLevel", "--log-level=loud", "it must be debug, info, warning or error."},
     WrongSetting{"LogFormat", "--log-format=xml", "it must be text or json."},
     WrongSetting{"Unknown", "--colour=red", "--colour=red is no flag"},
@@ -259,6 +260,17 @@
                                "--max-announcement-bytes must be at most 10485760"}),
     [](const auto &test) { return test.param.name; });
 
+TEST(OptionReaderTest, ASchedulerShedsByLatestStartUnlessToldOtherwise)
+{
+    DaemonSettings settings;
+    EXPECT_EQ(joined(readArguments(schedulerFlags, {}, settings)), "");
+    EXPECT_EQ(settings.scheduler.shedding, SheddingMode::LatestStart);
+    auto flags = schedulerFlags;
+    flags.emplace_back("--shedding=value");
+    EXPECT_EQ(joined(readArguments(flags, {}, settings)), "");
+    EXPECT_EQ(settings.scheduler.shedding, SheddingMode::Value);
+}
+
 TEST(OptionReaderTest, WrongVariableIsRefusedByItsName)
 {
     DaemonSettings settings;
