--- a/daemon/src/listener_limits_func.cpp
+++ b/daemon/src/listener_limits_func.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t BytesPerMegabyte = std::size_t{1} << 20U;
 constexpr std::size_t ConnectionShare
     = 6; ///< of the memory, for all connections: buffers grow to twice what they hold, and tables need the rest
+constexpr std::size_t MostHeldBytes
+    = 64 * BytesPerMegabyte;                 ///< of a listener: control takes at most 128 MB of a machine, however large it is
 constexpr std::size_t LeastConnections = 32; ///< of a listener: 128 newcomers a second pass it while idle ones take all of it
 
 /** Shares of one listener, as divisors. Those of one process leave a fifth of its descriptors to its own calls, at least. */
@@ -41,7 +43,7 @@
 
 std::size_t heldBytesOf(const ClientLimits &limits, ListenerKind kind)
 {
-    return limits.memoryMegabytes * BytesPerMegabyte / ConnectionShare / shareOf(kind).ofBytes;
+    return std::min(limits.memoryMegabytes * BytesPerMegabyte / ConnectionShare / shareOf(kind).ofBytes, MostHeldBytes);
 }
 
 HttpServerSettings listenerSettings(const ClientLimits &limits, ListenerKind kind)
--- a/net/src/http_exchange.cpp
+++ b/net/src/http_exchange.cpp
@@ -26,12 +26,6 @@
     evhttp_add_header(evhttp_request_get_output_headers(handle), name, value.c_str());
 }
 
-/** The library reads on whenever it writes, and would hold all that is sent ahead until the answer has left. */
-void stopReading(evhttp_request *handle)
-{
-    bufferevent_disable(evhttp_connection_get_bufferevent(evhttp_request_get_connection(handle)), EV_READ);
-}
-
 } // namespace
 
 HttpExchange::HttpExchange(HttpServer &server, evhttp_request *handle, ServerRequest request)
@@ -75,7 +69,6 @@
     finish();
     evhttp_send_reply(handle, reply.status, nullptr, body);
     evbuffer_free(body);
-    stopReading(handle);
     m_server.answerGiven(*this, evhttp_request_get_connection(handle));
 }
 
@@ -89,7 +82,6 @@
     evbuffer_add(chunk, part.data(), part.size());
     evhttp_send_reply_chunk(m_handle, chunk);
     evbuffer_free(chunk);
-    stopReading(m_handle);
 }
 
 void HttpExchange::endStream()
@@ -121,7 +113,6 @@
         addHeader(m_handle, "Content-Type", "application/x-ndjson");
         addConnectionHeader();
         evhttp_send_reply_start(m_handle, HTTP_OK, nullptr);
-        stopReading(m_handle);
     }
 }
 
