--- a/net/include/sycamoremoor/net/http_server.h
+++ b/net/include/sycamoremoor/net/http_server.h
@@ -80,6 +80,7 @@
     static void acceptFailed(evconnlistener *listener, void *http);
     static void tendConnections(int socket, short what, void *self);
     void take(evhttp_request *handle);
+    void partGiven(bufferevent *transport);
     void answerGiven(const HttpExchange &exchange, evhttp_connection *connection);
     void refused(ServerConnection &connection, ClientRefusal refusal);
     void closeSoon(bufferevent *transport);
--- a/net/src/http_exchange.cpp
+++ b/net/src/http_exchange.cpp
@@ -26,6 +26,11 @@
     evhttp_add_header(evhttp_request_get_output_headers(handle), name, value.c_str());
 }
 
+bufferevent *transportOf(evhttp_request *handle)
+{
+    return evhttp_connection_get_bufferevent(evhttp_request_get_connection(handle));
+}
+
 } // namespace
 
 HttpExchange::HttpExchange(HttpServer &server, evhttp_request *handle, ServerRequest request)
@@ -70,6 +75,7 @@
     evhttp_send_reply(handle, reply.status, nullptr, body);
     evbuffer_free(body);
     m_server.answerGiven(*this, evhttp_request_get_connection(handle));
+    m_server.partGiven(transportOf(handle));
 }
 
 void HttpExchange::stream(std::string_view part)
@@ -82,6 +88,7 @@
     evbuffer_add(chunk, part.data(), part.size());
     evhttp_send_reply_chunk(m_handle, chunk);
     evbuffer_free(chunk);
+    m_server.partGiven(transportOf(m_handle));
 }
 
 void HttpExchange::endStream()
@@ -92,8 +99,11 @@
     startStream();
     auto *handle = m_handle;
     finish();
-    m_server.answerGiven(*this, evhttp_request_get_connection(handle));
+    auto &server = m_server;
+    auto *transport = transportOf(handle);
+    server.answerGiven(*this, evhttp_request_get_connection(handle));
     evhttp_send_reply_end(handle); // may end the connection, and this exchange
+    server.partGiven(transport);
 }
 
 std::size_t HttpExchange::unsentBytes() const
--- a/net/src/http_server.cpp
+++ b/net/src/http_server.cpp
@@ -434,6 +434,13 @@
     release(exchange);
 }
 
+void HttpServer::partGiven(bufferevent *transport)
+{
+    if (const auto found = m_connections.find(transport); found != m_connections.end()) {
+        found->second->partGiven();
+    }
+}
+
 void HttpServer::answerGiven(const HttpExchange &exchange, evhttp_connection *connection)
 {
     if (const auto found = m_connections.find(evhttp_connection_get_bufferevent(connection)); found != m_connections.end()) {
--- a/net/src/server_connection.cpp
+++ b/net/src/server_connection.cpp
@@ -112,6 +112,14 @@
     hold(static_cast<std::ptrdiff_t>(requestBytes));
 }
 
+void ServerConnection::partGiven()
+{
+    // Without bytes ahead nothing is done, since it costs a system call; the first ones that come stop it, see inputMoved().
+    if (m_phase == Phase::Answering && evbuffer_get_length(bufferevent_get_input(m_transport)) > 0) {
+        bufferevent_disable(m_transport, EV_READ);
+    }
+}
+
 void ServerConnection::requestAnswered()
 {
     dropRequest();
--- a/net/src/server_connection.h
+++ b/net/src/server_connection.h
@@ -52,6 +52,9 @@
     /** To be called when the whole answer was given, but has not left. @param requestBytes held until it has */
     void answerGiven(std::size_t requestBytes);
 
+    /** To be called when the library was given a part of an answer, as it then reads on: stops that if a client has sent ahead. */
+    void partGiven();
+
     /** To be called when the answer has left. */
     void requestAnswered();
 
