--- a/net/src/http_exchange.cpp
+++ b/net/src/http_exchange.cpp
@@ -26,10 +26,9 @@
     evhttp_add_header(evhttp_request_get_output_headers(handle), name, value.c_str());
 }
 
-/** The library reads on whenever it writes, and would hold all that is sent ahead until the answer has left. */
-void stopReading(evhttp_request *handle)
+bufferevent *transportOf(evhttp_request *handle)
 {
-    bufferevent_disable(evhttp_connection_get_bufferevent(evhttp_request_get_connection(handle)), EV_READ);
+    return evhttp_connection_get_bufferevent(evhttp_request_get_connection(handle));
 }
 
 } // namespace
@@ -75,8 +74,8 @@
     finish();
     evhttp_send_reply(handle, reply.status, nullptr, body);
     evbuffer_free(body);
-    stopReading(handle);
     m_server.answerGiven(*this, evhttp_request_get_connection(handle));
+    m_server.partGiven(transportOf(handle));
 }
 
 void HttpExchange::stream(std::string_view part)
@@ -89,7 +88,7 @@
     evbuffer_add(chunk, part.data(), part.size());
     evhttp_send_reply_chunk(m_handle, chunk);
     evbuffer_free(chunk);
-    stopReading(m_handle);
+    m_server.partGiven(transportOf(m_handle));
 }
 
 void HttpExchange::endStream()
@@ -100,8 +99,11 @@
     startStream();
     auto *handle = m_handle;
     finish();
-    m_server.answerGiven(*this, evhttp_request_get_connection(handle));
+    auto &server = m_server;
+    auto *transport = transportOf(handle);
+    server.answerGiven(*this, evhttp_request_get_connection(handle));
     evhttp_send_reply_end(handle); // may end the connection, and this exchange
+    server.partGiven(transport);
 }
 
 std::size_t HttpExchange::unsentBytes() const
@@ -121,7 +123,6 @@
         addHeader(m_handle, "Content-Type", "application/x-ndjson");
         addConnectionHeader();
         evhttp_send_reply_start(m_handle, HTTP_OK, nullptr);
-        stopReading(m_handle);
     }
 }
 
