Add: [soak] Real schedulers and guards under seeded faults

tools/soak plays a schedule of faults, drawn from a seed or read from a file, against real processes with stand-ins of store, upstreams and callers, and checks what these see.

--- /dev/null
+++ b/tools/soaklib/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of tools/soak: real schedulers and guards under injected faults, checked from outside."""
--- /dev/null
+++ b/tools/soaklib/observation.py
@@ -0,0 +1,306 @@
+"""What callers, upstreams and the store saw, and the checks on it."""
+import dataclasses
+import math
+import typing
+
+NEVER = math.inf
+REFUSALS = (429, 503)
+
+# Bounds, from docs/HARD-LOAD.md.
+DRAIN_S = 3.0           # bounds.drainMs: no start later than this after draining was acknowledged
+EVACUATE_S = 5.0        # bounds.evacuateMs: no start later than this after the store acknowledged the evacuation of a zone
+CANCEL_S = 4.0          # bounds.cancel_ms: no start later than this after a cancel was acknowledged
+MAX_DESCRIPTORS = 3075  # of the smallest machine
+MAX_RESIDENT_MB = 120   # of the smallest machine
+MAX_STOP_S = 15.0       # a planned stop ends by then: the longest job of a random schedule, and time for its answer
+
+
+@dataclasses.dataclass
+class Boot:
+    """One life of an upstream."""
+    upstream: str
+    guard: str
+    zone: str
+    service: str
+    labels: tuple
+    cpu: int
+    memory: int
+    begin: float
+    end: typing.Optional[float] = None
+    drain_acknowledged: typing.Optional[float] = None
+
+
+@dataclasses.dataclass
+class Run:
+    """One start of a task at an upstream."""
+    task: str
+    number: int
+    boot: Boot
+    spec: str
+    begin: float
+    end: typing.Optional[float] = None
+    how: str = ""
+    due: float = NEVER
+    stop_at: float = NEVER
+    outcome: str = "done"
+
+    @property
+    def until(self):
+        return NEVER if self.end is None else self.end
+
+    @property
+    def job(self):
+        return self.task.rsplit(".", 3)[0]  # JOB.OCCURRENCE.STEP.INDEX
+
+    @property
+    def step_and_index(self):
+        return tuple(int(number) for number in self.task.rsplit(".", 2)[1:])
+
+
+@dataclasses.dataclass
+class Submission:
+    scheduler: str
+    sent: float
+    answered: typing.Optional[float] = None
+    status: typing.Optional[int] = None  # none without an answer
+    body: str = ""
+
+
+@dataclasses.dataclass
+class Job:
+    """A job as its caller sent it."""
+    id: str
+    service: str
+    spec: str
+    steps: list
+    submissions: list = dataclasses.field(default_factory=list)
+    cancelled: typing.Optional[float] = None  # acknowledgement of its cancel
+
+
+@dataclasses.dataclass
+class Evacuation:
+    zone: str
+    acknowledged: float
+    removed: float = NEVER
+
+
+@dataclasses.dataclass
+class Life:
+    """One life of a process of the project."""
+    process: str
+    begin: float
+    stop_asked: typing.Optional[float] = None  # SIGTERM
+    killed: typing.Optional[float] = None      # SIGKILL
+    end: typing.Optional[float] = None
+    status: typing.Optional[int] = None
+
+
+@dataclasses.dataclass
+class Span:
+    """A time in which a process was disturbed, or in which its path to the store was."""
+    process: str
+    begin: float
+    end: float = NEVER
+
+
+@dataclasses.dataclass
+class Finding:
+    check: str
+    time: float
+    text: str
+    processes: list
+
+    def __str__(self):
+        return f"{self.check}: at {self.time:.3f} s: {self.text}"
+
+
+class Observation:
+    def __init__(self):
+        self.jobs, self.boots, self.runs, self.evacuations, self.lives = {}, [], [], [], []
+        self.unreached = []  # Span: the process stood still, or its path to the store or the store itself was disturbed
+        self.configs = []    # (scheduler, when the answer came, when it was asked, version that was in force)
+        self.sizes = []      # (process, time, descriptors, resident megabytes)
+        self.waits = []      # (process, begin, end, seconds): ready to run, but not scheduled by the machine; "soak" is the tool itself
+        self.ended = 0.0
+
+    def waited(self, processes, begin, end):
+        """Returns for how long the processes, or this tool, were not scheduled between two moments."""
+        return sum(seconds for name, a, b, seconds in self.waits if name in processes and b > begin and a < end)
+
+    def schedulers_of(self, job_id):
+        job = self.jobs.get(job_id)
+        return sorted({s.scheduler for s in job.submissions}) if job else []
+
+
+def _text(run):
+    return f"run {run.number} of {run.task} on {run.boot.upstream}"
+
+
+def _finding(check, run, text):
+    return Finding(check, run.begin, text, [run.boot.guard])
+
+
+def check_overlap(seen):
+    """No task has two runs at the same time on upstreams that are up."""
+    by_task = {}
+    for run in seen.runs:
+        for other in by_task.setdefault(run.task, []):
+            common = min(run.until, other.until, seen.ended) - max(run.begin, other.begin)
+            if common > 0:
+                yield Finding("overlap", max(run.begin, other.begin), f"{_text(other)} and {_text(run)} at the same time for "
+                              f"{1000 * common:.1f} ms", sorted({run.boot.guard, other.boot.guard}) + seen.schedulers_of(run.job))
+        by_task[run.task].append(run)
+
+
+def check_capacity(seen):
+    """The runs on an upstream never need more than its capacity."""
+    by_boot = {}
+    for run in seen.runs:
+        by_boot.setdefault(id(run.boot), []).append(run)
+    for runs in by_boot.values():
+        boot, changes = runs[0].boot, []
+        for run in runs:
+            if job := seen.jobs.get(run.job):
+                step = job.steps[run.step_and_index[0]] if run.step_and_index[0] < len(job.steps) else {}
+                need = (step.get("cpu", 0), step.get("memMb", 0))
+                changes += [(run.begin, 1, need, run), (run.until, 0, need, run)]  # ends before begins
+        used = [0, 0]
+        for at, is_begin, need, run in sorted(changes, key=lambda change: change[:2]):
+            used = [u + n * (1 if is_begin else -1) for u, n in zip(used, need)]
+            if is_begin and (used[0] > boot.cpu or used[1] > boot.memory):
+                yield _finding("capacity", run, f"with {_text(run)}, {used} of {[boot.cpu, boot.memory]} millicores and MB are used")
+                break
+
+
+def check_place(seen):
+    """Tasks start only on upstreams of their queue's service, with the label that they require."""
+    for run in seen.runs:
+        job = seen.jobs.get(run.job)
+        step = run.step_and_index[0]
+        if job is None or step >= len(job.steps):
+            continue
+        label = job.steps[step].get("requires", "")
+        if run.boot.service != job.service:
+            yield _finding("place", run, f"{_text(run)}, which serves {run.boot.service}, not {job.service}")
+        elif label and label not in run.boot.labels:
+            yield _finding("place", run, f"{_text(run)}, which lacks the label {label}")
+
+
+def check_order(seen):
+    """A step starts only after all tasks of the steps before it are done."""
+    done = {}
+    for run in seen.runs:
+        if run.how == "done":
+            done[run.task] = min(run.until, done.get(run.task, NEVER))
+    for run in seen.runs:
+        job, (step, _) = seen.jobs.get(run.job), run.step_and_index
+        for before in job.steps[step].get("after", []) if job and step < len(job.steps) else []:
+            prefix = run.task.rsplit(".", 2)[0]
+            missing = [i for i in range(job.steps[before]["count"]) if done.get(f"{prefix}.{before}.{i}", NEVER) > run.begin]
+            if missing:
+                yield _finding("order", run, f"{_text(run)} began, and tasks {missing} of step {before} were not done")
+                break
+
+
+def check_asked(seen):
+    """Nothing starts that no caller sent: neither another job, nor another task, nor before it was sent."""
+    for run in seen.runs:
+        job, (step, index) = seen.jobs.get(run.job), run.step_and_index
+        if job is None or not job.submissions or job.submissions[0].sent > run.begin:
+            yield _finding("asked", run, f"{_text(run)}: no caller had sent this job")
+        elif step >= len(job.steps) or index >= job.steps[step]["count"] or run.spec != job.spec:
+            yield _finding("asked", run, f"{_text(run)}: its job has no such task, or another payload")
+
+
+def check_refused(seen):
+    """No job of which a task started was refused (429, 503) in the answers to all its submissions."""
+    started = {}
+    for run in seen.runs:
+        started.setdefault(run.job, run)
+    for job in seen.jobs.values():
+        if job.id in started and job.submissions and all(s.status in REFUSALS for s in job.submissions):
+            run, last = started[job.id], job.submissions[-1]
+            yield Finding("refused", last.answered, f"job {job.id} was answered only {[s.status for s in job.submissions]}, and {_text(run)}"
+                          f" began at {run.begin:.3f} s", [run.boot.guard] + seen.schedulers_of(job.id))
+
+
+def check_drain(seen):
+    """No start later than bounds.drainMs after draining was acknowledged."""
+    for run in seen.runs:
+        if (at := run.boot.drain_acknowledged) is not None and run.begin > at + DRAIN_S:
+            late = run.begin - at - DRAIN_S
+            if late > seen.waited(("soak", run.boot.guard), at, run.begin):
+                yield _finding("drain", run, f"{_text(run)} began {late:.3f} s after the bound; draining was acknowledged at {at:.3f} s")
+
+
+def _has_learned(seen, guard, begin, end):
+    """Whether a guard reached the store for as long as the bound between two moments, in the life in which it was at the end."""
+    life = max((life.begin for life in seen.lives if life.process == guard and life.begin <= end), default=NEVER)
+    reached_from = max(begin, life)
+    for span in sorted((s for s in seen.unreached if s.process == guard and s.end > reached_from), key=lambda s: s.begin):
+        if span.begin - reached_from > EVACUATE_S + seen.waited(("soak", guard), reached_from, span.begin):
+            return True
+        reached_from = max(reached_from, span.end)
+    return end - reached_from > EVACUATE_S + seen.waited(("soak", guard), reached_from, end)
+
+
+def check_evacuation(seen):
+    """No start in a zone later than bounds.evacuateMs after its evacuation was acknowledged, at guards that reached the store."""
+    for run in seen.runs:
+        for evacuation in seen.evacuations:
+            if evacuation.zone == run.boot.zone and evacuation.acknowledged < run.begin < evacuation.removed \
+                    and _has_learned(seen, run.boot.guard, evacuation.acknowledged, run.begin):
+                yield _finding("evacuation", run, f"{_text(run)} began {run.begin - evacuation.acknowledged:.3f} s after the evacuation of "
+                               f"{run.boot.zone} was acknowledged")
+
+
+def check_cancel(seen):
+    """No start later than bounds.cancel_ms after the job's cancel was acknowledged."""
+    for run in seen.runs:
+        job = seen.jobs.get(run.job)
+        if job and job.cancelled is not None and run.begin > job.cancelled + CANCEL_S:
+            names = [run.boot.guard] + seen.schedulers_of(job.id)
+            if run.begin - job.cancelled - CANCEL_S > seen.waited(["soak"] + names, job.cancelled, run.begin):
+                yield Finding("cancel", run.begin, f"{_text(run)} began {run.begin - job.cancelled:.3f} s after its job's cancel was "
+                              "acknowledged", names)
+
+
+def check_config(seen):
+    """A scheduler that served a version of the configuration serves no older one afterwards."""
+    newest = {}  # scheduler -> [(when the answer came, version)]
+    for scheduler, answered, asked, version in sorted(seen.configs, key=lambda row: row[1]):
+        before = [(v, at) for at, v in newest.setdefault(scheduler, []) if at < asked and v > version]
+        if before:
+            yield Finding("config", answered, f"{scheduler} served version {version}; at {before[0][1]:.3f} s it had served {before[0][0]}",
+                          [scheduler])
+        newest[scheduler].append((answered, version))
+
+
+def check_exit(seen):
+    """No process ends by itself, none ends with an error or hangs after SIGTERM."""
+    for life in seen.lives:
+        if life.killed is not None and (life.end is None or life.end >= life.killed):
+            if life.stop_asked is not None and life.killed > life.stop_asked + MAX_STOP_S + seen.waited(
+                    ("soak", life.process), life.stop_asked, life.killed):
+                yield Finding("exit", life.killed, f"{life.process} did not end {MAX_STOP_S:.0f} s after SIGTERM", [life.process])
+        elif life.end is not None and (life.stop_asked is None or life.status != 0):
+            after = "" if life.stop_asked is None else " after SIGTERM"
+            yield Finding("exit", life.end, f"{life.process} ended by itself{after} with status {life.status}", [life.process])
+
+
+def check_size(seen):
+    """Descriptors and resident memory of a process stay within those of the smallest machine."""
+    reported = set()
+    for process, at, descriptors, resident in seen.sizes:
+        if (descriptors > MAX_DESCRIPTORS or resident > MAX_RESIDENT_MB) and process not in reported:
+            reported.add(process)
+            yield Finding("size", at, f"{process} has {descriptors} descriptors and {resident:.0f} MB", [process])
+
+
+CHECKS = (check_overlap, check_capacity, check_place, check_order, check_asked, check_refused, check_drain, check_evacuation, check_cancel,
+          check_config, check_exit, check_size)
+
+
+def check_all(seen):
+    """Returns all findings, in the order of time."""
+    return sorted((finding for check in CHECKS for finding in check(seen)), key=lambda finding: finding.time)
--- /dev/null
+++ b/tools/soaklib/proxy.py
@@ -0,0 +1,122 @@
+"""A loopback proxy on one path, with faults."""
+import asyncio
+
+from .http11 import free_port, split_endpoint
+
+READ_BYTES = 1 << 16
+# delay: bytes arrive later; refuse: nothing listens; up, down: bytes of one direction stay away; silent: of both, and of new connections;
+# hang-new: only new connections stay silent. reset and half-reset happen once: half-reset reaches only the side that opened.
+LASTING = ("delay", "refuse", "up", "down", "silent", "hang-new")
+ONCE = ("reset", "half-reset")
+
+
+class _Link:
+    """One connection through the proxy."""
+
+    def __init__(self, near, first):
+        self.near, self.far, self.first, self.is_new = near, None, first, True
+
+    def abort(self, near_only=False):
+        for writer in (self.near,) if near_only else (self.near, self.far):
+            if writer:
+                writer.transport.abort()
+
+
+class Proxy:
+    """Forwards connections to a target. A fault applies to connections whose first bytes contain its text, all if that is empty."""
+
+    def __init__(self, name, target, source=None):
+        self.name, self.target, self.source = name, target, source
+        self.links, self.server, self.endpoint = [], None, ""
+        self.faults = {}  # number -> (how, text, delay in seconds)
+        self.changed = asyncio.Event()
+        self.is_target_up = True
+
+    async def start(self, address):
+        self.endpoint = f"{address}:{free_port(address)}"
+        await self._update_listener()
+
+    async def _update_listener(self):
+        wanted = self.is_target_up and not any(how == "refuse" for how, _, _ in self.faults.values())
+        if wanted and not self.server:
+            self.server = await asyncio.start_server(self._serve, *split_endpoint(self.endpoint))
+        elif not wanted and self.server:
+            self.server.close()
+            self.server = None
+            self.reset("")
+
+    async def set_target_up(self, is_up):
+        """Refuses connections, as the target does, while it is down."""
+        self.is_target_up = is_up
+        await self._update_listener()
+
+    def reset(self, text, near_only=False):
+        for link in list(self.links):
+            if text.encode() in link.first:
+                link.abort(near_only)
+
+    async def begin(self, number, how, text="", delay=0.0):
+        if how in ONCE:
+            self.reset(text, near_only=how == "half-reset")
+            return
+        for link in self.links:
+            link.is_new = False
+        self.faults[number] = (how, text, delay)
+        await self._update_listener()
+
+    async def end(self, number, reset=False):
+        """Ends a fault. Bytes that were held are delivered, or the connections are reset."""
+        how, text, _ = self.faults.pop(number, ("", "", 0))
+        if reset:
+            self.reset(text)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        if how:
+            await self._update_listener()
+
+    def _holds(self, link, upward):
+        blocking = ("silent", "up" if upward else "down") + (("hang-new",) if link.is_new else ())
+        return any(how in blocking and text.encode() in link.first for how, text, _ in self.faults.values())
+
+    def _delay(self, link):
+        return max((delay for how, text, delay in self.faults.values() if how == "delay" and text.encode() in link.first), default=0)
+
+    async def _pass(self, link, data, upward, writer):
+        if delay := self._delay(link):
+            await asyncio.sleep(delay)
+        while self._holds(link, upward):
+            await self.changed.wait()
+        if data:
+            writer.write(data)
+            await writer.drain()
+
+    async def _pump(self, link, reader, writer, upward):
+        try:
+            while data := await reader.read(READ_BYTES):
+                await self._pass(link, data, upward, writer)
+            await self._pass(link, b"", upward, writer)
+        except (ConnectionError, asyncio.CancelledError):
+            link.abort()
+        finally:
+            writer.close()
+
+    async def _serve(self, reader, writer):
+        link = _Link(writer, b"")
+        self.links.append(link)
+        try:
+            link.first = await reader.read(READ_BYTES)
+            if not link.first:
+                return
+            while self._holds(link, True):
+                await self.changed.wait()
+            local = (self.source, 0) if self.source else None
+            far_reader, link.far = await asyncio.open_connection(*split_endpoint(self.target), local_addr=local)
+            await self._pass(link, link.first, True, link.far)
+            await asyncio.gather(self._pump(link, reader, link.far, True), self._pump(link, far_reader, writer, False))
+        except (OSError, asyncio.CancelledError):
+            link.abort()
+        finally:
+            self.links.remove(link)
+            for side in (link.near, link.far):
+                if side:
+                    side.close()
