--- a/tools/soaklib/fleet.py
+++ b/tools/soaklib/fleet.py
@@ -1,5 +1,6 @@
 """Real schedulers and guards with stand-ins of all that they speak to, each machine with a loopback address of its own."""
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -7,23 +8,27 @@
 import subprocess
 
 from . import schedule as plans
-from .http11 import call, free_port, now
+from .http11 import call, free_port, now, split_endpoint
 from .observation import MAX_STOP_S, Evacuation, Job, Life, Observation, Span, Submission
 from .proxy import Proxy
 from .standins import Store, Upstream
 
 HOST = "desk.example"
+ROUTE = {"host": HOST, "kind": "unsafe", "timeoutMs": 1500, "targetLatencyMs": 60, "maxAttempts": 2, "stretch": 1.6}
+SERVICE = {"healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": False, "admissionCheck": False, "spare": False}
 CALLER_TIMEOUT_S = 1.5   # of a caller of the two deployments
 RESUBMIT_S = 1.3         # bounds.resendMs: after no answer, a broken connection, 502 or 504
 NO_ANSWER = (None, 502, 504)
 MAX_SUBMISSIONS = 4      # of one job
 SAMPLE_S = 0.05
+LEAST_WAIT_S = 0.001     # shorter waits are kept until they add up to this
 LATE_S = 0.02            # a sample that is later than this shows that the tool was not scheduled
 SIZE_EVERY = 10          # samples between two looks at descriptors and memory
 PROBE_S = 0.5            # between two looks at which configuration a scheduler serves
 READY_S = 30             # for a start on a busy machine
 RESTART_S = 0.3          # after a process ended by itself
 MAX_OPEN_JOBS = 150
+UPSTREAM_SETTINGS = {"late-orders": ("late_share", "share", 0.0), "slow-upstream": ("slowness", "factor", 1.0)}
 
 
 class Process:
@@ -31,41 +36,35 @@
 
     def __init__(self, fleet, name, arguments, fronts):
         self.fleet, self.name, self.arguments, self.fronts = fleet, name, arguments, fronts
-        self.child, self.life, self.pauses = None, None, 0
+        self.child, self.life, self.pauses, self.waited = None, None, 0, 0.0
         self.log = open(os.path.join(fleet.folder, name + ".log"), "ab")
 
     async def spawn(self):
         self.child = subprocess.Popen([self.fleet.program] + self.arguments, stdout=self.log, stderr=self.log)
-        self.life = Life(self.name, now())
+        self.life, self.waited = Life(self.name, now()), 0.0
         self.fleet.seen.lives.append(self.life)
         for proxy in self.fronts:
             await proxy.set_target_up(True)
 
-    @property
-    def is_up(self):
-        return self.life is not None and self.life.end is None
-
     async def look(self):
         """Notes its end. Returns whether it is still running."""
-        if self.is_up and self.child.poll() is not None:
+        if self.life.end is None and self.child.poll() is not None:
             self.life.end, self.life.status = now(), self.child.returncode
             self.fleet.note(f"{self.name} has ended with status {self.child.returncode}")
             for proxy in self.fronts:
                 await proxy.set_target_up(False)
-        return self.is_up
-
-    def pause(self):
-        self.pauses += 1
-        self.child.send_signal(signal.SIGSTOP)
+        return self.life.end is None
 
-    def resume(self):
-        self.pauses -= 1
-        if self.pauses == 0:
-            self.child.send_signal(signal.SIGCONT)
+    def pause(self, count):
+        """Begins (1) or ends (-1) a pause; pauses may overlap."""
+        self.pauses += count
+        self.child.send_signal(signal.SIGSTOP if self.pauses else signal.SIGCONT)
 
-    def kill(self):
+    async def kill(self):
         self.life.killed = now()
         self.child.kill()
+        while await self.look():
+            await asyncio.sleep(0.005)
 
     async def stop(self):
         """Asks it to end, and kills it if it does not within the bound."""
@@ -73,19 +72,31 @@
         self.child.send_signal(signal.SIGTERM)
         while await self.look():
             if now() > self.life.stop_asked + MAX_STOP_S + self.fleet.seen.waited(("soak", self.name), self.life.stop_asked, now()):
-                self.kill()
+                await self.kill()
             await asyncio.sleep(0.02)
 
+    def sample(self, last, with_size):
+        """Notes for how long it was ready to run but not scheduled, and its size."""
+        folder, seen = f"/proc/{self.child.pid}", self.fleet.seen
+        with open(f"{folder}/schedstat", encoding="ascii") as file:
+            waited = int(file.read().split()[1]) / 1e9
+        if waited - self.waited > LEAST_WAIT_S:
+            seen.waits.append((self.name, last, now(), waited - self.waited))
+            self.waited = waited
+        if with_size:
+            with open(f"{folder}/statm", encoding="ascii") as file:
+                resident = int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+            seen.sizes.append((self.name, now(), len(os.listdir(f"{folder}/fd")), resident))
+
 
 class Fleet:
     def __init__(self, program, folder, plan):
         self.program, self.folder, self.plan = program, folder, plan
         self.seen, self.store, self.events = Observation(), Store(), []
         self.traffic, self.noise = random.Random(f"jobs {plan['seed']}"), random.Random(f"upstreams {plan['seed']}")
-        self.processes, self.upstreams, self.proxies, self.tasks, self.open_jobs = {}, {}, {}, [], set()
+        self.processes, self.upstreams, self.proxies, self.readiness, self.tasks, self.open_jobs = {}, {}, {}, {}, [], set()
         self.schedulers, self.guards = plans.names(plan["fleet"])
-        self.versions, self.jobs_made, self.fault_numbers, self.is_over = [], 0, 0, False
-        self.begin = 0.0
+        self.versions, self.jobs_made, self.fault_numbers, self.is_over, self.begin = [], 0, 0, False, 0.0
         usage = subprocess.run([program, "--help"], capture_output=True, text=True, check=False).stdout
         self.evacuate = ["--evacuate-within-ms=5000"] if "--evacuate-within-ms" in usage else []
 
@@ -94,12 +105,6 @@
 
     # --- start and end
 
-    async def _proxy(self, name, target, address, source=None):
-        proxy = Proxy(name, target, source)
-        await proxy.start(address)
-        self.proxies[name] = proxy
-        return proxy
-
     async def start(self):
         """Returns whether all schedulers became ready."""
         await self.store.listen("127.0.0.1")
@@ -107,10 +112,13 @@
         for index, (name, machine) in enumerate(zip(self.guards, self.plan["fleet"]["guards"]), 1):
             await self._start_guard(name, f"127.0.2.{index}", machine)
         for index, name in enumerate(self.schedulers, 1):
-            await self._start_scheduler(name, f"127.0.1.{index}", ("zone-a", "zone-b")[(index - 1) % 2])
+            address = f"127.0.1.{index}"
+            listen, callers, self.readiness[name] = (f"{address}:{free_port(address)}" for _ in range(3))
+            await self._start_process(name, address, plans.ZONES[(index - 1) % 2], [await self._proxy(f"callers:{name}", callers, address)], [
+                "--role=scheduler", f"--listen={listen}", f"--callers={callers}", f"--readiness={self.readiness[name]}",
+                "--resubmit-after-ms=1300"])
         self.tasks = [asyncio.create_task(part()) for part in (self._sample, self._probe_configs)]
-        end = now() + READY_S
-        waiting = list(self.schedulers)
+        end, waiting = now() + READY_S, list(self.schedulers)
         while waiting and now() < end:
             answers = await asyncio.gather(*[call(self.readiness[name], "GET", "/sycamoremoor/ready", timeout=1) for name in waiting])
             waiting = [name for name, answer in zip(waiting, answers) if answer is None or answer[0] != 200]
@@ -119,66 +127,57 @@
         self.begin = now()
         return not waiting
 
-    async def _common(self, name, address, zone):
+    async def _proxy(self, name, target, address, source=None):
+        self.proxies[name] = Proxy(target, source)
+        await self.proxies[name].start(address)
+        return self.proxies[name]
+
+    async def _start_process(self, name, address, zone, fronts, arguments):
         store = await self._proxy(f"store:{name}", self.store.endpoint, address, source=address)
-        return [f"--name={name}", f"--zone={zone}", "--region=region-a", f"--platform={store.endpoint}", "--log-format=json"] + self.evacuate
-
-    async def _start_scheduler(self, name, address, zone):
-        listen, callers, ready = (f"{address}:{free_port(address)}" for _ in range(3))
-        front = await self._proxy(f"callers:{name}", callers, address)
-        arguments = ["--role=scheduler", f"--listen={listen}", f"--callers={callers}", f"--readiness={ready}", "--resubmit-after-ms=1300"]
-        self.readiness = {**getattr(self, "readiness", {}), name: ready}
-        self.processes[name] = Process(self, name, arguments + await self._common(name, address, zone), [front])
+        self.processes[name] = Process(self, name, arguments + [
+            f"--name={name}", f"--zone={zone}", "--region=region-a", f"--platform={store.endpoint}", "--log-format=json"] + self.evacuate, fronts)
         await self.processes[name].spawn()
 
     async def _start_guard(self, name, address, machine):
-        listen, control = (f"{address}:{free_port(address)}" for _ in range(2))
-        work = await self._proxy(f"work:{name}", listen, address)
-        back = await self._proxy(f"control:{name}", control, address)
-        arguments = ["--role=guard", f"--listen={listen}", f"--advertise={work.endpoint}", f"--announcements={control}"]
-        self.processes[name] = Process(self, name, arguments + await self._common(name, address, machine["zone"]), [work, back])
-        await self.processes[name].spawn()
-        upstream = Upstream(name.replace("side", "i"), name, self.seen, self.noise, **machine)
-        upstream.control, self.upstreams[name] = back.endpoint, upstream
-        upstream.place = (address, free_port(address))
-        orders = await self._proxy(f"orders:{name}", f"{upstream.place[0]}:{upstream.place[1]}", address)
-        upstream.address = orders.endpoint
+        listen, control, upstream_endpoint = (f"{address}:{free_port(address)}" for _ in range(3))
+        work, back = await self._proxy(f"work:{name}", listen, address), await self._proxy(f"control:{name}", control, address)
+        await self._start_process(name, address, machine["zone"], [work, back], [
+            "--role=guard", f"--listen={listen}", f"--advertise={work.endpoint}", f"--announcements={control}"])
+        upstream = self.upstreams[name] = Upstream(name.replace("side", "i"), name, self.seen, self.noise, **machine)
+        upstream.control, upstream.place = back.endpoint, split_endpoint(upstream_endpoint)
+        upstream.address = (await self._proxy(f"orders:{name}", upstream_endpoint, address)).endpoint
         await upstream.boot_up(*upstream.place)
 
     async def end(self):
-        """Stops all processes as planned, then ends what is left."""
+        """Stops all processes as planned."""
         self.is_over = True
         await asyncio.gather(*[process.stop() for process in self.processes.values() if await process.look()])
         self.seen.ended = now()
         for upstream in self.upstreams.values():
-            if upstream.is_up:
-                upstream.settle()
-                upstream.beat.cancel()
+            upstream.settle()
 
     def abandon(self):
         """Leaves no process behind, whatever happened."""
+        for task in self.tasks:
+            task.cancel()
         for process in self.processes.values():
             if process.child and process.child.poll() is None:
-                process.child.send_signal(signal.SIGCONT)
                 process.child.kill()
-            if process.child:
                 process.child.wait()
             process.log.close()
 
-    # --- configuration and its observation
+    # --- configuration, and what is seen of it and of the processes
 
     def configure(self):
         """Puts the next version of the configuration, which alone has a queue of its own path."""
         version = 7 + len(self.versions)
         self.versions.append(version)
         queues = {**plans.QUEUES, f"gen-{version}": (f"/gen-{version}/", 3, "reclaim")}
-        routes = [{"name": name, "host": HOST, "prefix": prefix, "kind": "unsafe", "timeoutMs": 1500, "targetLatencyMs": 60,
-                   "priority": priority, "service": service, "maxAttempts": 2, "stretch": 1.6}
-                  for name, (prefix, priority, service) in queues.items()]
-        services = [{"name": service, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": False, "admissionCheck": False,
-                     "spare": False} for service in plans.SERVICES]
         self.store.put("op/config", json.dumps({
-            "version": version, "routes": routes, "services": services,
+            "version": version,
+            "routes": [{**ROUTE, "name": name, "prefix": prefix, "priority": priority, "service": service}
+                       for name, (prefix, priority, service) in queues.items()],
+            "services": [{**SERVICE, "name": service} for service in plans.SERVICES],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}))
 
     async def _probe_configs(self):
@@ -194,35 +193,20 @@
             await asyncio.gather(*[probe(name) for name in self.schedulers])
             await asyncio.sleep(PROBE_S)
 
-    # --- processes
-
     async def _sample(self):
         """Notes ends of processes, their sizes, and for how long they and this tool were not scheduled; restarts what ended by itself."""
-        waits, count, last = {}, 0, now()
+        count, last = 0, now()
         while True:
             await asyncio.sleep(SAMPLE_S)
             if now() - last > SAMPLE_S + LATE_S:
                 self.seen.waits.append(("soak", last, now(), now() - last - SAMPLE_S))
-            for name, process in self.processes.items():
-                if not await process.look():
-                    life = process.life
-                    if life.stop_asked is None and life.killed is None and not self.is_over and now() > life.end + RESTART_S:
-                        await process.spawn()
-                    continue
-                folder = f"/proc/{process.child.pid}"
-                try:
-                    with open(f"{folder}/schedstat", encoding="ascii") as file:
-                        waited = int(file.read().split()[1]) / 1e9
-                    seconds = waited - waits.get(process.child.pid, 0.0)
-                    waits[process.child.pid] = waited
-                    if seconds > 0.001:
-                        self.seen.waits.append((name, last, now(), seconds))
-                    if count % SIZE_EVERY == 0:
-                        with open(f"{folder}/statm", encoding="ascii") as file:
-                            resident = int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
-                        self.seen.sizes.append((name, now(), len(os.listdir(f"{folder}/fd")), resident))
-                except (OSError, IndexError):
-                    pass  # it has just ended, which the next look notes
+            for process in self.processes.values():
+                if await process.look():
+                    with contextlib.suppress(OSError, IndexError):  # it has just ended, which the next look notes
+                        process.sample(last, count % SIZE_EVERY == 0)
+                elif process.life.stop_asked is None and process.life.killed is None and not self.is_over \
+                        and now() > process.life.end + RESTART_S:
+                    await process.spawn()
             last, count = now(), count + 1
 
     # --- callers
@@ -279,7 +263,7 @@
                                     row.get("leavesS"), row.get("to")))
             await asyncio.sleep(row.get("everyS", 0))
 
-    # --- faults
+    # --- faults: each method begins one, yields while it lasts, and ends it
 
     async def play(self):
         """Plays load and faults to their end."""
@@ -290,160 +274,133 @@
         if self.open_jobs:
             await asyncio.wait(set(self.open_jobs))
 
-    def _resolve(self, target):
-        if not target.startswith("most-runs:"):
-            return target
-        guards = [run.boot.guard for run in self.seen.runs if run.job == target.split(":")[1]]
-        return max(guards, key=guards.count) if guards else self.guards[0]
-
     async def _fault(self, fault, at):
         await asyncio.sleep(max(0, at - now()))
         self.fault_numbers += 1
-        number, target = self.fault_numbers, self._resolve(fault.get("target", ""))
-        self.note("begins: " + json.dumps(fault) + (f" at {target}" if target != fault.get("target", "") else ""))
-        await getattr(self, "_" + fault["kind"].replace("-", "_"))(fault, number, target)
-        self.note(f"ended: {fault['kind']} {target} {fault.get('how', '')}")
-
-    def _unreached(self, names):
-        spans = [Span(name, now()) for name in names]
+        number, target, kind = self.fault_numbers, fault.get("target", ""), fault["kind"]
+        if target.startswith("most-runs:"):
+            guards = [run.boot.guard for run in self.seen.runs if run.job == target.split(":")[1]]
+            target = max(guards, key=guards.count) if guards else self.guards[0]
+        self.note(f"begins: {json.dumps(fault)} at {target}")
+        spans = [Span(name, now()) for name in self._kept_from_store(fault, target)]
         self.seen.unreached += spans
-        return spans
-
-    @staticmethod
-    def _reached(spans):
+        method = self._upstream_setting if kind in UPSTREAM_SETTINGS else getattr(self, "_" + kind.replace("-", "_"))
+        async with contextlib.asynccontextmanager(method)(fault, number, target):
+            await asyncio.sleep(fault.get("for", 0))
         for span in spans:
             span.end = now()
+        self.note(f"ended: {kind} {target} {fault.get('how', '')}")
 
-    async def _pause(self, fault, _number, target):
-        process = self.processes[target]
-        if not process.is_up:
-            return
-        spans = self._unreached([target])
-        process.pause()
-        await asyncio.sleep(fault["for"])
-        process.resume()
-        self._reached(spans)
+    def _kept_from_store(self, fault, target):
+        """Returns the processes that may not hear from the store during a fault."""
+        if fault["kind"] == "store":
+            return fault.get("machines", self.schedulers + self.guards)
+        return [target.removeprefix("store:")] if fault["kind"] == "pause" or target.startswith("store:") else []
 
-    async def _kill(self, fault, _number, target):
-        process = self.processes[target]
-        if not await process.look() or process.life.stop_asked is not None or process.life.killed is not None:
-            return
-        process.kill()
-        while await process.look():
-            await asyncio.sleep(0.005)
-        await asyncio.sleep(fault["for"])
-        await process.spawn()
+    async def _pause(self, _fault, _number, target):
+        self.processes[target].pause(1)
+        yield
+        self.processes[target].pause(-1)
 
-    async def _stop(self, fault, _number, target):
+    async def _end_process(self, target, end):
         process = self.processes[target]
-        if not await process.look() or process.life.stop_asked is not None or process.life.killed is not None:
-            return
-        await process.stop()
-        await asyncio.sleep(fault["for"])
-        await process.spawn()
+        can_end = await process.look() and process.life.stop_asked is None and process.life.killed is None
+        if can_end:
+            await end(process)
+        yield
+        if can_end:
+            await process.spawn()
+
+    def _kill(self, _fault, _number, target):
+        return self._end_process(target, Process.kill)
+
+    def _stop(self, _fault, _number, target):
+        return self._end_process(target, Process.stop)
 
     async def _path(self, fault, number, target):
-        kind, _, machine = target.partition(":")
-        spans = self._unreached([machine] if kind == "store" else [])
         await self.proxies[target].begin(number, fault["how"], fault.get("match", ""), fault.get("delayMs", 0) / 1000)
-        await asyncio.sleep(fault.get("for", 0))
+        yield
         await self.proxies[target].end(number, reset=fault.get("resetAfter", False))
-        self._reached(spans)
 
     async def _store(self, fault, number, _target):
-        how, everyone = fault["how"], self.schedulers + self.guards
+        how, store, everyone = fault["how"], self.store, self.schedulers + self.guards
+        paths = [self.proxies[f"store:{name}"] for name in everyone] if how == "down" else []
+        await asyncio.gather(*[path.begin(number, "refuse") for path in paths])
         if how == "forgets":
-            self.store.forget()
-            return
-        hit = fault.get("machines", everyone)
-        spans, addresses = self._unreached(hit), {self.proxies[f"store:{name}"].source for name in hit}
-        if how == "down":
-            for name in everyone:
-                await self.proxies[f"store:{name}"].begin(number, "refuse")
-        elif how == "slow":
-            self.store.slow_s = fault["delayMs"] / 1000
-        elif how == "loses-answers":
-            self.store.loses = True
-        else:
-            self.store.rejected |= addresses
-        await asyncio.sleep(fault["for"])
-        if how == "down":
-            for name in everyone:
-                await self.proxies[f"store:{name}"].end(number)
-        elif how == "slow":
-            self.store.slow_s = 0.0
-        elif how == "loses-answers":
-            self.store.loses = False
-        else:
-            self.store.rejected -= addresses
-        self._reached(spans)
-
-    async def _restart_upstream(self, target, seconds):
-        upstream = self.upstreams[target]
-        upstream.crash()
-        await self.proxies[f"orders:{target}"].set_target_up(False)
-        await asyncio.sleep(seconds)
-        await upstream.boot_up(*upstream.place)
-        await self.proxies[f"orders:{target}"].set_target_up(True)
-
-    async def _crash(self, fault, _number, target):
-        if self.upstreams[target].is_up:
-            await self._restart_upstream(target, fault["for"])
-
-    async def _drain(self, fault, _number, target):
+            store.forget()
+        store.slow_s = fault["delayMs"] / 1000 if how == "slow" else store.slow_s
+        store.loses = store.loses or how == "loses-answers"
+        rejected = {self.proxies[f"store:{name}"].source for name in fault.get("machines", [])}
+        store.rejected |= rejected
+        yield
+        await asyncio.gather(*[path.end(number) for path in paths])
+        store.slow_s = 0.0 if how == "slow" else store.slow_s
+        store.loses = store.loses and how != "loses-answers"
+        store.rejected -= rejected
+
+    async def _crash(self, _fault, _number, target):
+        upstream, path = self.upstreams[target], self.proxies[f"orders:{target}"]
+        was_up = upstream.is_up
+        if was_up:
+            upstream.crash()
+            await path.set_target_up(False)
+        yield
+        if was_up:
+            await upstream.boot_up(*upstream.place)
+            await path.set_target_up(True)
+
+    async def _drain(self, fault, number, target):
         upstream, boot = self.upstreams[target], self.upstreams[target].boot
-        if not upstream.is_up or upstream.state == "draining":
-            return
-        upstream.state, upstream.remaining_until = "draining", now() + fault["remainingMs"] / 1000
-        await upstream.announce()
-        await asyncio.sleep(max(0, upstream.remaining_until - now()))
-        if upstream.is_up and upstream.boot is boot:
-            await self._restart_upstream(target, fault["for"])
-
-    async def _late_orders(self, fault, _number, target):
-        self.upstreams[target].late_share = fault["share"]
-        await asyncio.sleep(fault["for"])
-        self.upstreams[target].late_share = 0.0
-
-    async def _slow_upstream(self, fault, _number, target):
-        self.upstreams[target].slowness = fault["factor"]
-        await asyncio.sleep(fault["for"])
-        self.upstreams[target].slowness = 1.0
+        if upstream.is_up and upstream.state != "draining":
+            upstream.state, upstream.remaining_until = "draining", now() + fault["remainingMs"] / 1000
+            await upstream.announce()
+            await asyncio.sleep(max(0, upstream.remaining_until - now()))
+            if upstream.boot is boot:
+                async for _ in self._crash(fault, number, target):
+                    yield
+                return
+        yield
+
+    async def _upstream_setting(self, fault, _number, target):
+        name, field, usual = UPSTREAM_SETTINGS[fault["kind"]]
+        setattr(self.upstreams[target], name, fault[field])
+        yield
+        setattr(self.upstreams[target], name, usual)
 
     async def _silent_upstream(self, fault, _number, target):
-        upstream, boot = self.upstreams[target], self.upstreams[target].boot
-        if fault.get("when") == "hold":  # from the next renewal on
-            reached = asyncio.Event()
+        upstream, boot, reached = self.upstreams[target], self.upstreams[target].boot, asyncio.Event()
 
-            def fall_silent():
-                upstream.silent = True
-                reached.set()
+        def fall_silent():
+            upstream.silent = True
+            reached.set()
+
+        if fault.get("when") == "hold":  # from the next renewal on
             upstream.on_next_hold = fall_silent
             await reached.wait()
-        upstream.silent = True
-        begin = now()
-        then = [asyncio.create_task(self._fault(part, begin + part["after"])) for part in fault.get("then", [])]
-        await asyncio.sleep(fault["for"])
+        fall_silent()
+        then = [asyncio.create_task(self._fault(part, now() + part["after"])) for part in fault.get("then", [])]
+        yield
         await asyncio.gather(*then)
         if upstream.boot is boot and upstream.is_up:
             upstream.silent = False
-            for writer in list(upstream.connections):
-                writer.transport.abort()
+            upstream.reset_connections()
 
     async def _odd_heartbeat(self, fault, _number, target):
         await self.upstreams[target].announce(fault["changes"])
+        yield
 
     async def _configure(self, _fault, _number, _target):
         self.configure()
+        yield
 
     async def _evacuate(self, fault, _number, _target):
         if not self.evacuate:
             self.note("this program has no --evacuate-within-ms: not played")
+            yield
             return
-        key = f"op/evacuate/{fault['zone']}"
-        self.store.put(key, "{}")
+        self.store.put(f"op/evacuate/{fault['zone']}", "{}")
         evacuation = Evacuation(fault["zone"], now())
         self.seen.evacuations.append(evacuation)
-        await asyncio.sleep(fault["for"])
+        yield
         evacuation.removed = now()
-        self.store.put(key, "", deleted=True)
+        self.store.put(f"op/evacuate/{fault['zone']}", "", deleted=True)
--- a/tools/soaklib/http11.py
+++ b/tools/soaklib/http11.py
@@ -1,12 +1,14 @@
 """HTTP/1.1 for the stand-ins: one message at a time on each connection."""
 import asyncio
 import json
+import os
 import socket
 import time
 
 _BEGIN = time.monotonic()
 WALL_BEGIN = time.time()  # of the same moment, to find log lines by their time of day
-_taken_ports = set()
+MAX_HEAD_BYTES = 1 << 20
+_ports = iter(range(10000 + os.getpid() % 1000 * 20, 32768))  # runs beside this one begin elsewhere
 
 
 def now():
@@ -15,14 +17,16 @@
 
 
 def free_port(address):
-    """Returns a port of a loopback address that this tool has not given away before."""
-    while True:
+    """Returns a port of a loopback address, below those that the system gives to outgoing connections: it may be opened again and again."""
+    for port in _ports:
         with socket.socket() as probe:
-            probe.bind((address, 0))
-            port = probe.getsockname()[1]
-        if (address, port) not in _taken_ports:
-            _taken_ports.add((address, port))
-            return port
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((address, port))
+                return port
+            except OSError:
+                continue
+    raise OSError("no port is free")
 
 
 def split_endpoint(endpoint):
@@ -51,15 +55,8 @@
         return None
 
 
-def http_answer(status, body):
-    text = json.dumps(body).encode()
-    return b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % (status, len(text)) + text
-
-
 class Server:
-    """Serves handle(method, target, headers, body, peer), which returns (status, body), or None to close without an answer."""
-
-    MAX_HEAD_BYTES = 1 << 20
+    """Serves handle(target, headers, body, peer) of a subclass, which returns (status, body), or None to close without an answer."""
 
     def __init__(self):
         self.connections, self.server, self.endpoint = set(), None, ""
@@ -67,30 +64,30 @@
     async def listen(self, address, port=None):
         port = port or free_port(address)
         self.endpoint = f"{address}:{port}"
-        self.server = await asyncio.start_server(self._serve, address, port, limit=self.MAX_HEAD_BYTES)
+        self.server = await asyncio.start_server(self._serve, address, port, limit=MAX_HEAD_BYTES)
 
     def close(self):
         """Stops listening and resets all connections."""
         if self.server:
             self.server.close()
             self.server = None
+        self.reset_connections()
+
+    def reset_connections(self):
         for writer in list(self.connections):
             writer.transport.abort()
 
-    async def handle(self, method, target, headers, body, peer):
-        raise NotImplementedError
-
     async def _serve(self, reader, writer):
         self.connections.add(writer)
         peer = (writer.get_extra_info("peername") or ("",))[0]
         try:
             while (message := await read_message(reader)) is not None:
-                method, target, _ = message[0].split(" ", 2)
-                answer = await self.handle(method, target, message[1], message[2], peer)
+                answer = await self.handle(message[0].split(" ")[1], message[1], message[2], peer)
                 if answer is None:
                     writer.transport.abort()
                     break
-                writer.write(http_answer(*answer))
+                text = json.dumps(answer[1]).encode()
+                writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % (answer[0], len(text)) + text)
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
             pass
@@ -99,6 +96,13 @@
             writer.close()
 
 
+async def wait_for_event(event, seconds):
+    try:
+        await asyncio.wait_for(event.wait(), seconds)
+    except asyncio.TimeoutError:
+        pass
+
+
 async def call(endpoint, method, path, body=None, headers=(), timeout=None):
     """Makes one call on a connection of its own. Returns (status, body), or None without an answer."""
     text = b"" if body is None else json.dumps(body).encode()
--- a/tools/soaklib/observation.py
+++ b/tools/soaklib/observation.py
@@ -1,7 +1,6 @@
 """What callers, upstreams and the store saw, and the checks on it."""
 import dataclasses
 import math
-import typing
 
 NEVER = math.inf
 REFUSALS = (429, 503)
@@ -15,34 +14,23 @@
 MAX_STOP_S = 15.0       # a planned stop ends by then: the longest job of a random schedule, and time for its answer
 
 
-@dataclasses.dataclass
-class Boot:
-    """One life of an upstream."""
-    upstream: str
-    guard: str
-    zone: str
-    service: str
-    labels: tuple
-    cpu: int
-    memory: int
-    begin: float
-    end: typing.Optional[float] = None
-    drain_acknowledged: typing.Optional[float] = None
-
-
-@dataclasses.dataclass
-class Run:
-    """One start of a task at an upstream."""
-    task: str
-    number: int
-    boot: Boot
-    spec: str
-    begin: float
-    end: typing.Optional[float] = None
-    how: str = ""
-    due: float = NEVER
-    stop_at: float = NEVER
-    outcome: str = "done"
+def _record(name, fields, **defaults):
+    return dataclasses.make_dataclass(name, fields.split() + [(field, object, value) for field, value in defaults.items()])
+
+
+# One life of an upstream; its capacity in millicores and megabytes.
+Boot = _record("Boot", "upstream guard zone service labels cpu memory begin", end=None, drain_acknowledged=None)
+# One submission of a job; it has no status without an answer.
+Submission = _record("Submission", "scheduler sent", answered=None, status=None, body="")
+# One life of a process of the project; when it was asked to end (SIGTERM), killed, and when and how it ended.
+Life = _record("Life", "process begin", stop_asked=None, killed=None, end=None, status=None)
+Evacuation = _record("Evacuation", "zone acknowledged", removed=NEVER)
+# A time in which a process may not have heard from the store.
+Span = _record("Span", "process begin", end=NEVER)
+
+
+class Run(_record("RunRecord", "task number boot spec begin", end=None, how="", due=NEVER, stop_at=NEVER, outcome="done")):
+    """One start of a task at an upstream. A task is named JOB.OCCURRENCE.STEP.INDEX."""
 
     @property
     def until(self):
@@ -50,66 +38,28 @@
 
     @property
     def job(self):
-        return self.task.rsplit(".", 3)[0]  # JOB.OCCURRENCE.STEP.INDEX
+        return self.task.rsplit(".", 3)[0]
 
     @property
     def step_and_index(self):
         return tuple(int(number) for number in self.task.rsplit(".", 2)[1:])
 
-
-@dataclasses.dataclass
-class Submission:
-    scheduler: str
-    sent: float
-    answered: typing.Optional[float] = None
-    status: typing.Optional[int] = None  # none without an answer
-    body: str = ""
+    def __str__(self):
+        return f"run {self.number} of {self.task} on {self.boot.upstream}"
 
 
-@dataclasses.dataclass
 class Job:
-    """A job as its caller sent it."""
-    id: str
-    service: str
-    spec: str
-    steps: list
-    submissions: list = dataclasses.field(default_factory=list)
-    cancelled: typing.Optional[float] = None  # acknowledgement of its cancel
-
-
-@dataclasses.dataclass
-class Evacuation:
-    zone: str
-    acknowledged: float
-    removed: float = NEVER
-
-
-@dataclasses.dataclass
-class Life:
-    """One life of a process of the project."""
-    process: str
-    begin: float
-    stop_asked: typing.Optional[float] = None  # SIGTERM
-    killed: typing.Optional[float] = None      # SIGKILL
-    end: typing.Optional[float] = None
-    status: typing.Optional[int] = None
-
-
-@dataclasses.dataclass
-class Span:
-    """A time in which a process was disturbed, or in which its path to the store was."""
-    process: str
-    begin: float
-    end: float = NEVER
-
-
-@dataclasses.dataclass
-class Finding:
-    check: str
-    time: float
-    text: str
-    processes: list
+    """A job as its caller sent it. cancelled is the acknowledgement of its cancel."""
+
+    def __init__(self, job_id, service, spec, steps, submissions=()):
+        self.id, self.service, self.spec, self.steps, self.submissions, self.cancelled = job_id, service, spec, steps, list(submissions), None
 
+    @property
+    def schedulers(self):
+        return sorted({submission.scheduler for submission in self.submissions})
+
+
+class Finding(_record("FindingRecord", "check time text processes")):
     def __str__(self):
         return f"{self.check}: at {self.time:.3f} s: {self.text}"
 
@@ -127,14 +77,6 @@
         """Returns for how long the processes, or this tool, were not scheduled between two moments."""
         return sum(seconds for name, a, b, seconds in self.waits if name in processes and b > begin and a < end)
 
-    def schedulers_of(self, job_id):
-        job = self.jobs.get(job_id)
-        return sorted({s.scheduler for s in job.submissions}) if job else []
-
-
-def _text(run):
-    return f"run {run.number} of {run.task} on {run.boot.upstream}"
-
 
 def _finding(check, run, text):
     return Finding(check, run.begin, text, [run.boot.guard])
@@ -147,8 +89,9 @@
         for other in by_task.setdefault(run.task, []):
             common = min(run.until, other.until, seen.ended) - max(run.begin, other.begin)
             if common > 0:
-                yield Finding("overlap", max(run.begin, other.begin), f"{_text(other)} and {_text(run)} at the same time for "
-                              f"{1000 * common:.1f} ms", sorted({run.boot.guard, other.boot.guard}) + seen.schedulers_of(run.job))
+                schedulers = seen.jobs[run.job].schedulers if run.job in seen.jobs else []
+                yield Finding("overlap", max(run.begin, other.begin), f"{other} and {run} at the same time for {1000 * common:.1f} ms",
+                              sorted({run.boot.guard, other.boot.guard}) + schedulers)
         by_task[run.task].append(run)
 
 
@@ -168,7 +111,7 @@
         for at, is_begin, need, run in sorted(changes, key=lambda change: change[:2]):
             used = [u + n * (1 if is_begin else -1) for u, n in zip(used, need)]
             if is_begin and (used[0] > boot.cpu or used[1] > boot.memory):
-                yield _finding("capacity", run, f"with {_text(run)}, {used} of {[boot.cpu, boot.memory]} millicores and MB are used")
+                yield _finding("capacity", run, f"with {run}, {used} of {[boot.cpu, boot.memory]} millicores and MB are used")
                 break
 
 
@@ -181,9 +124,9 @@
             continue
         label = job.steps[step].get("requires", "")
         if run.boot.service != job.service:
-            yield _finding("place", run, f"{_text(run)}, which serves {run.boot.service}, not {job.service}")
+            yield _finding("place", run, f"{run}, which serves {run.boot.service}, not {job.service}")
         elif label and label not in run.boot.labels:
-            yield _finding("place", run, f"{_text(run)}, which lacks the label {label}")
+            yield _finding("place", run, f"{run}, which lacks the label {label}")
 
 
 def check_order(seen):
@@ -198,7 +141,7 @@
             prefix = run.task.rsplit(".", 2)[0]
             missing = [i for i in range(job.steps[before]["count"]) if done.get(f"{prefix}.{before}.{i}", NEVER) > run.begin]
             if missing:
-                yield _finding("order", run, f"{_text(run)} began, and tasks {missing} of step {before} were not done")
+                yield _finding("order", run, f"{run} began, and tasks {missing} of step {before} were not done")
                 break
 
 
@@ -207,9 +150,9 @@
     for run in seen.runs:
         job, (step, index) = seen.jobs.get(run.job), run.step_and_index
         if job is None or not job.submissions or job.submissions[0].sent > run.begin:
-            yield _finding("asked", run, f"{_text(run)}: no caller had sent this job")
+            yield _finding("asked", run, f"{run}: no caller had sent this job")
         elif step >= len(job.steps) or index >= job.steps[step]["count"] or run.spec != job.spec:
-            yield _finding("asked", run, f"{_text(run)}: its job has no such task, or another payload")
+            yield _finding("asked", run, f"{run}: its job has no such task, or another payload")
 
 
 def check_refused(seen):
@@ -220,8 +163,8 @@
     for job in seen.jobs.values():
         if job.id in started and job.submissions and all(s.status in REFUSALS for s in job.submissions):
             run, last = started[job.id], job.submissions[-1]
-            yield Finding("refused", last.answered, f"job {job.id} was answered only {[s.status for s in job.submissions]}, and {_text(run)}"
-                          f" began at {run.begin:.3f} s", [run.boot.guard] + seen.schedulers_of(job.id))
+            yield Finding("refused", last.answered, f"job {job.id} was answered only {[s.status for s in job.submissions]}, and {run}"
+                          f" began at {run.begin:.3f} s", [run.boot.guard] + job.schedulers)
 
 
 def check_drain(seen):
@@ -230,7 +173,7 @@
         if (at := run.boot.drain_acknowledged) is not None and run.begin > at + DRAIN_S:
             late = run.begin - at - DRAIN_S
             if late > seen.waited(("soak", run.boot.guard), at, run.begin):
-                yield _finding("drain", run, f"{_text(run)} began {late:.3f} s after the bound; draining was acknowledged at {at:.3f} s")
+                yield _finding("drain", run, f"{run} began {late:.3f} s after the bound; draining was acknowledged at {at:.3f} s")
 
 
 def _has_learned(seen, guard, begin, end):
@@ -250,7 +193,7 @@
         for evacuation in seen.evacuations:
             if evacuation.zone == run.boot.zone and evacuation.acknowledged < run.begin < evacuation.removed \
                     and _has_learned(seen, run.boot.guard, evacuation.acknowledged, run.begin):
-                yield _finding("evacuation", run, f"{_text(run)} began {run.begin - evacuation.acknowledged:.3f} s after the evacuation of "
+                yield _finding("evacuation", run, f"{run} began {run.begin - evacuation.acknowledged:.3f} s after the evacuation of "
                                f"{run.boot.zone} was acknowledged")
 
 
@@ -259,9 +202,9 @@
     for run in seen.runs:
         job = seen.jobs.get(run.job)
         if job and job.cancelled is not None and run.begin > job.cancelled + CANCEL_S:
-            names = [run.boot.guard] + seen.schedulers_of(job.id)
+            names = [run.boot.guard] + job.schedulers
             if run.begin - job.cancelled - CANCEL_S > seen.waited(["soak"] + names, job.cancelled, run.begin):
-                yield Finding("cancel", run.begin, f"{_text(run)} began {run.begin - job.cancelled:.3f} s after its job's cancel was "
+                yield Finding("cancel", run.begin, f"{run} began {run.begin - job.cancelled:.3f} s after its job's cancel was "
                               "acknowledged", names)
 
 
--- a/tools/soaklib/proxy.py
+++ b/tools/soaklib/proxy.py
@@ -25,8 +25,8 @@
 class Proxy:
     """Forwards connections to a target. A fault applies to connections whose first bytes contain its text, all if that is empty."""
 
-    def __init__(self, name, target, source=None):
-        self.name, self.target, self.source = name, target, source
+    def __init__(self, target, source=None):
+        self.target, self.source = target, source
         self.links, self.server, self.endpoint = [], None, ""
         self.faults = {}  # number -> (how, text, delay in seconds)
         self.changed = asyncio.Event()
--- a/tools/soaklib/run.py
+++ b/tools/soaklib/run.py
@@ -12,7 +12,7 @@
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 LOG_BEFORE_S, LOG_AFTER_S = 2.5, 0.5  # lines that belong to a finding: as long as a lease of a batch and its resubmission
-MAX_LOG_LINES = 40                    # of one process for one finding
+MAX_LOG_LINES = 25                    # of one process for one finding
 
 
 class Result:
@@ -29,7 +29,7 @@
     return (f"{len(seen.jobs)} jobs ({answers}), {len(seen.runs)} runs ({', '.join(f'{how}: {n}' for how, n in sorted(ends.items()))}), "
             f"{len(fleet.plan['faults'])} faults, {len(seen.evacuations)} evacuations, {len(seen.lives)} starts of processes, largest "
             f"{max((s[3] for s in seen.sizes), default=0):.0f} MB and {max((s[2] for s in seen.sizes), default=0)} descriptors, "
-            f"not scheduled for {waited:.1f} s in all")
+            f"not scheduled for {waited:.2f} s in all, configuration seen {len(seen.configs)} times")
 
 
 def _write_record(fleet, findings):
@@ -51,15 +51,13 @@
     """Returns the lines of the processes' logs that belong to a finding."""
     found = []
     for name in finding.processes:
-        lines = []
+        lines, at = [], 0.0
         with open(os.path.join(folder, name + ".log"), encoding="utf-8", errors="replace") as file:
             for line in file:
                 try:
-                    stamp = datetime.datetime.fromisoformat(json.loads(line)["time"].replace("Z", "+00:00"))
+                    at = datetime.datetime.fromisoformat(json.loads(line)["time"].replace("Z", "+00:00")).timestamp() - WALL_BEGIN
                 except (ValueError, KeyError, TypeError):
-                    lines.append(f"{name}: {line.rstrip()}")  # not of the log: what the runtime says when it aborts
-                    continue
-                at = stamp.timestamp() - WALL_BEGIN
+                    pass  # said by the runtime of a process that aborts: it has the time of the line before
                 if finding.time - LOG_BEFORE_S <= at <= finding.time + LOG_AFTER_S:
                     lines.append(f"{at:9.3f} {name}: {line.rstrip()}")
         found += lines[-MAX_LOG_LINES:]
@@ -74,8 +72,6 @@
         await fleet.end()
         return True
     finally:
-        for task in fleet.tasks:
-            task.cancel()
         fleet.abandon()
 
 
--- a/tools/soaklib/schedule.py
+++ b/tools/soaklib/schedule.py
@@ -9,6 +9,7 @@
 MEAN_FAULT_GAP_S = 1.5
 MAX_PAUSE_S = 3.5     # longest freeze of the disruptions that were played on the deployments
 MAX_CUT_S = 4.0
+ZONES = ("zone-a", "zone-b")
 FLEET = {"schedulers": 3, "guards": [
     {"zone": "zone-a", "service": "reclaim", "labels": ["a", "b"], "cpu": 6000},
     {"zone": "zone-b", "service": "reclaim", "labels": ["a"], "cpu": 6000},
@@ -56,7 +57,7 @@
         if fault["how"] == "slow":
             fault["delayMs"] = rng.choice((240, 900))
     elif kind == "evacuate":
-        fault["zone"] = rng.choice(("zone-a", "zone-b"))
+        fault["zone"] = rng.choice(ZONES)
         fault["for"] = round(rng.uniform(6, 12), 3)
     elif kind != "configure":
         fault["target"] = rng.choice(guards)
--- a/tools/soaklib/selftest.py
+++ b/tools/soaklib/selftest.py
@@ -1,13 +1,14 @@
 """Shows that each check fails on an observation broken on purpose and holds on the same one unbroken, and tries the parts of the tool."""
 import asyncio
 import copy
+import random
 import tempfile
 
 from . import observation as o
 from . import schedule as plans
 from .http11 import Server, call, now
 from .proxy import Proxy
-from .standins import Store, Upstream
+from .standins import Upstream
 
 JOB = "00000000000000aa"
 GOOD_END = 30.0
@@ -35,8 +36,8 @@
     return seen
 
 
-def _late_run(seen, boot, begin):
-    seen.runs.append(o.Run(f"{JOB}.0.0.0", 5, seen.boots[boot], "100 task", begin, begin + 0.1, "done"))
+def _late_run(seen, boot, begin, task="0.0.0"):
+    seen.runs.append(o.Run(f"{JOB}.{task}", 5, seen.boots[boot], "100 task", begin, begin + 0.1, "done"))
 
 
 def _other_run(seen, **changes):
@@ -68,7 +69,7 @@
 # Which check must fail alone (none: all must hold), what is broken, and how.
 BROKEN = (
     ("overlap", "a second run begins before the first has ended", lambda s: _other_run(s, begin=3.45, boot=_boot())),
-    ("overlap", "a run never ends, and another begins", lambda s: (setattr(s.runs[2], "end", None), _other_run(s, boot=_boot()))),
+    ("overlap", "a run never ends, and another begins", lambda s: (setattr(s.runs[3], "end", None), _late_run(s, 0, 5, "0.1.0"))),
     ("", "a second run begins when the first has just ended", lambda s: _other_run(s, begin=3.5, end=3.55, boot=_boot())),
     ("capacity", "two runs on an upstream that has room for one", lambda s: setattr(s.boots[0], "cpu", 1999)),
     ("capacity", "two runs need more memory than there is", lambda s: setattr(s.boots[0], "memory", 100)),
@@ -109,7 +110,7 @@
 
 
 class _Echo(Server):
-    async def handle(self, method, target, headers, body, peer):
+    async def handle(self, target, headers, body, peer):
         return 200, {"peer": peer}
 
 
@@ -117,7 +118,7 @@
     """Each fault of a proxy does what its name says, and is over when it ends."""
     target = _Echo()
     await target.listen("127.0.0.1")
-    proxy = Proxy("work:side-1", target.endpoint, source="127.0.3.1")
+    proxy = Proxy(target.endpoint, source="127.0.3.1")
     await proxy.start("127.0.0.1")
 
     async def works(path="/", timeout=0.4):
@@ -143,68 +144,32 @@
     target.close()
 
 
-async def _try_store(broken):
-    """The store tells changes, says that it forgot, turns machines away and loses answers."""
-    store = Store()
-    await store.listen("127.0.0.1")
-    watch = "/sycamoremoor/kv-watch?prefix=op%2F&waitMs=50&after="
-    store.put("op/config", "{}")
-    steps = [(f"{watch}1", 200), (f"{watch}0", 200)]
-    for target, status in steps:
-        answer = await call(store.endpoint, "GET", target, timeout=5)
-        if answer is None or answer[0] != status or b"op/config" not in answer[1]:
-            broken.append(f"store: {target} is answered {answer}")
-    store.forget()
-    if (answer := await call(store.endpoint, "GET", f"{watch}1", timeout=5)) is None or answer[0] != 410:
-        broken.append("store: a watch goes on after the history was forgotten")
-    store.rejected = {"127.0.0.1"}
-    if (answer := await call(store.endpoint, "GET", f"{watch}9", timeout=5)) is None or answer[0] != 503:
-        broken.append("store: a machine that is rejected is served")
-    store.rejected, store.loses = set(), True
-    if await call(store.endpoint, "GET", f"{watch}9", timeout=5) is not None:
-        broken.append("store: an answer that is lost arrives")
-    store.close()
-
-
-class _FixedNoise:
-    """Draws nothing late and no failure."""
-
-    @staticmethod
-    def random():
-        return 1.0
+class _KeepsNoLease(Upstream):
+    def settle(self):
+        self.lease_at = o.NEVER
+        super().settle()
 
 
 async def _try_upstreams(broken):
-    """Two upstreams run a task as their guards say; upstreams that keep no lease run it twice, and the check on that fails."""
-    async def play(upstream_type):
+    """Two upstreams that keep leases run a task one after the other; two that keep none run it twice at once, and the check fails."""
+    for upstream_type, expected in ((Upstream, []), (_KeepsNoLease, ["overlap"])):
         seen = o.Observation()
         seen.jobs[JOB] = o.Job(JOB, "reclaim", "5000 task", [{"count": 1}], [o.Submission("front-1", 0.0)])
-        both = [upstream_type(f"i-{n}", f"side-{n}", seen, _FixedNoise, "zone-a", "reclaim", ["a"], 2000) for n in (1, 2)]
+        both = [upstream_type(f"i-{n}", f"side-{n}", seen, random.Random(1), "zone-a", "reclaim", ["a"], 2000) for n in (1, 2)]
         for number, upstream in enumerate(both, 1):
             upstream.control = "127.0.0.1:9"  # nothing listens there: announcements are not heard
             await upstream.boot_up("127.0.0.1")
             order = {"task": f"{JOB}.0.0.0", "run": number, "fence": 1, "spec": "5000 task", "untilMs": upstream.clock() + 300}
-            answer = await call(upstream.endpoint, "POST", "/sycamoremoor/run-start", order, timeout=5)
-            if answer is None or answer[0] != 200:
-                broken.append(f"upstream: a start is answered {answer}")
-            older = await call(upstream.endpoint, "POST", "/sycamoremoor/run-start", {**order, "fence": 0, "run": 9}, timeout=5)
-            if older is None or older[0] != 409:
-                broken.append(f"upstream: a start with a lower fencing token is answered {older}")
+            for changes, status in (({}, 200), ({"fence": 0, "run": 9}, 409)):
+                answer = await call(upstream.endpoint, "POST", "/sycamoremoor/run-start", {**order, **changes}, timeout=5)
+                if answer is None or answer[0] != status:
+                    broken.append(f"upstream: a start with {changes} is answered {answer}")
             await asyncio.sleep(0.4)
         for upstream in both:
             upstream.crash()
         seen.ended = now()
-        return [finding.check for finding in o.check_all(seen)]
-
-    class KeepsNoLease(Upstream):
-        def settle(self):
-            self.lease_at = o.NEVER
-            super().settle()
-
-    if (found := await play(Upstream)) != []:
-        broken.append(f"upstream: {found} fail although leases were kept")
-    if (found := await play(KeepsNoLease)) != ["overlap"]:
-        broken.append(f"upstream: {found} fail, not overlap, where leases were not kept")
+        if (found := [finding.check for finding in o.check_all(seen)]) != expected:
+            broken.append(f"{upstream_type.__name__}: {found} fail, not {expected}")
 
 
 def _try_schedules(broken):
@@ -242,7 +207,6 @@
 
     async def parts():
         await _try_proxy(broken)
-        await _try_store(broken)
         await _try_upstreams(broken)
 
     asyncio.run(parts())
