--- a/tools/soaklib/fleet.py
+++ b/tools/soaklib/fleet.py
@@ -214,7 +214,8 @@
     async def run_job(self, queue, steps, spec, job_id=None, limit_s=CALLER_TIMEOUT_S, leaves_s=None, to=None):
         """Sends a job as a caller does, and again after no answer."""
         prefix, _, service = plans.QUEUES[queue]
-        job = Job(job_id or f"{self.noise_id():016x}", service, spec, steps)
+        self.jobs_made += 1
+        job = Job(job_id or f"{self.plan['seed'] % (1 << 32) << 32 | self.jobs_made:016x}", service, spec, steps)
         self.seen.jobs[job.id] = job
         body = {"bestEffort": True, "spec": spec, "steps": steps}
         headers = [("Host", HOST), ("X-Deadline-Ms", str(int(limit_s * 1000)))]
@@ -231,10 +232,6 @@
                 return
             await asyncio.sleep(RESUBMIT_S)
 
-    def noise_id(self):
-        self.jobs_made += 1
-        return (self.plan["seed"] << 32 | self.jobs_made) & (1 << 64) - 1
-
     def _open(self, job):
         task = asyncio.create_task(job)
         self.open_jobs.add(task)
@@ -244,8 +241,10 @@
         while self.plan["jobsPerSecond"] and now() < self.begin + self.plan["seconds"]:
             await asyncio.sleep(self.traffic.expovariate(self.plan["jobsPerSecond"]))
             queue, steps, work_ms = plans.random_job(self.traffic)
+            leaves_s = self.traffic.uniform(0.05, 0.5) if self.traffic.random() < plans.LEAVING_SHARE else None
             if len(self.open_jobs) < MAX_OPEN_JOBS:
-                self._open(self.run_job(queue, steps, f"{work_ms} task", limit_s=CALLER_TIMEOUT_S if work_ms < 400 else 4.0))
+                limit_s = CALLER_TIMEOUT_S if work_ms < CALLER_TIMEOUT_S * 1000 / len(steps) else 4 * CALLER_TIMEOUT_S
+                self._open(self.run_job(queue, steps, f"{work_ms} task", limit_s=limit_s, leaves_s=leaves_s))
 
     async def _planned_job(self, row):
         await asyncio.sleep(max(0, self.begin + row["at"] - now()))
@@ -317,6 +316,23 @@
     def _stop(self, _fault, _number, target):
         return self._end_process(target, Process.stop)
 
+    async def _power_loss(self, fault, number, _target):
+        async with contextlib.AsyncExitStack() as machines:
+            for method, name in [(self._kill, name) for name in self.processes] + [(self._crash, name) for name in self.guards]:
+                await machines.enter_async_context(contextlib.asynccontextmanager(method)(fault, number, name))
+            yield
+
+    async def _zone_cut(self, _fault, number, _target):
+        """Schedulers and guards of different zones do not hear of each other; all reach their store, callers and upstreams."""
+        zones = {name: plans.ZONES[index % 2] for index, name in enumerate(self.schedulers)}
+        cuts = [(self.proxies[f"work:{guard}"], name) for guard in self.guards for name in self.schedulers
+                if self.upstreams[guard].zone != zones[name]]
+        for proxy, name in cuts:
+            await proxy.begin((number, name), "silent", name)
+        yield
+        for proxy, name in cuts:
+            await proxy.end((number, name))
+
     async def _path(self, fault, number, target):
         await self.proxies[target].begin(number, fault["how"], fault.get("match", ""), fault.get("delayMs", 0) / 1000)
         yield
--- a/tools/soaklib/observation.py
+++ b/tools/soaklib/observation.py
@@ -9,6 +9,7 @@
 DRAIN_S = 3.0           # bounds.drainMs: no start later than this after draining was acknowledged
 EVACUATE_S = 5.0        # bounds.evacuateMs: no start later than this after the store acknowledged the evacuation of a zone
 CANCEL_S = 4.0          # bounds.cancel_ms: no start later than this after a cancel was acknowledged
+STOP_TIMEOUT_S = 0.05   # bounds.stopTimeoutMs: a stop takes no longer
 MAX_DESCRIPTORS = 3075  # of the smallest machine
 MAX_RESIDENT_MB = 120   # of the smallest machine
 MAX_STOP_S = 15.0       # a planned stop ends by then: the longest job of a random schedule, and time for its answer
@@ -198,14 +199,16 @@
 
 
 def check_cancel(seen):
-    """No start later than bounds.cancel_ms after the job's cancel was acknowledged."""
+    """No start later than bounds.cancel_ms after a job's cancel was acknowledged, and no run later than bounds.stopTimeoutMs after that."""
     for run in seen.runs:
         job = seen.jobs.get(run.job)
-        if job and job.cancelled is not None and run.begin > job.cancelled + CANCEL_S:
-            names = [run.boot.guard] + job.schedulers
-            if run.begin - job.cancelled - CANCEL_S > seen.waited(["soak"] + names, job.cancelled, run.begin):
-                yield Finding("cancel", run.begin, f"{run} began {run.begin - job.cancelled:.3f} s after its job's cancel was "
-                              "acknowledged", names)
+        if job is None or job.cancelled is None:
+            continue
+        until, names = min(run.until, seen.ended), [run.boot.guard] + job.schedulers
+        allowed = job.cancelled + CANCEL_S + seen.waited(["soak"] + names, job.cancelled, until)
+        if run.begin > allowed or until > allowed + STOP_TIMEOUT_S:
+            yield Finding("cancel", until, f"{run} began {run.begin - job.cancelled:.3f} s after its job's cancel was acknowledged and went on "
+                          f"until {until - job.cancelled:.3f} s after it", names)
 
 
 def check_config(seen):
--- a/tools/soaklib/proxy.py
+++ b/tools/soaklib/proxy.py
@@ -6,7 +6,6 @@
 READ_BYTES = 1 << 16
 # delay: bytes arrive later; refuse: nothing listens; up, down: bytes of one direction stay away; silent: of both, and of new connections;
 # hang-new: only new connections stay silent. reset and half-reset happen once: half-reset reaches only the side that opened.
-LASTING = ("delay", "refuse", "up", "down", "silent", "hang-new")
 ONCE = ("reset", "half-reset")
 
 
@@ -78,12 +77,9 @@
         blocking = ("silent", "up" if upward else "down") + (("hang-new",) if link.is_new else ())
         return any(how in blocking and text.encode() in link.first for how, text, _ in self.faults.values())
 
-    def _delay(self, link):
-        return max((delay for how, text, delay in self.faults.values() if how == "delay" and text.encode() in link.first), default=0)
-
     async def _pass(self, link, data, upward, writer):
-        if delay := self._delay(link):
-            await asyncio.sleep(delay)
+        delays = [delay for how, text, delay in self.faults.values() if how == "delay" and text.encode() in link.first]
+        await asyncio.sleep(max(delays, default=0))
         while self._holds(link, upward):
             await self.changed.wait()
         if data:
--- a/tools/soaklib/schedule.py
+++ b/tools/soaklib/schedule.py
@@ -4,11 +4,6 @@
 
 SERVICES = ("reclaim", "census")
 QUEUES = {"quick": ("/quick/", 0, "reclaim"), "long": ("/long/", 2, "reclaim"), "other": ("/other/", 0, "census")}  # prefix, priority, service
-WARM_UP_S = 2.0       # no fault before: the fleet serves
-RECOVERY_S = 8.0      # none begins later than this before the end: what was disturbed is seen to go on
-MEAN_FAULT_GAP_S = 1.5
-MAX_PAUSE_S = 3.5     # longest freeze of the disruptions that were played on the deployments
-MAX_CUT_S = 4.0
 ZONES = ("zone-a", "zone-b")
 FLEET = {"schedulers": 3, "guards": [
     {"zone": "zone-a", "service": "reclaim", "labels": ["a", "b"], "cpu": 6000},
@@ -16,15 +11,17 @@
     {"zone": "zone-a", "service": "reclaim", "labels": ["a"], "cpu": 9000},
     {"zone": "zone-b", "service": "reclaim", "labels": ["a", "b"], "cpu": 6000},
     {"zone": "zone-a", "service": "census", "labels": ["a"], "cpu": 6000}]}
-JOBS_PER_S = 10  # close to the capacity of the fleet above
-
-# kind -> weight in a random schedule
-KINDS = {"pause": 3, "kill": 2, "stop": 1, "path": 6, "store": 3, "crash": 2, "late-orders": 2, "drain": 2, "slow-upstream": 1,
-         "silent-upstream": 2, "configure": 2, "evacuate": 2}
+JOBS_PER_S = 10       # with the jobs below close to the capacity of this fleet
+LEAVING_SHARE = 0.05  # of callers, who give up early and come back
+WARM_UP_S = 2.0       # no fault before: the fleet serves
+RECOVERY_S = 8.0      # none begins later than this before the end: what was disturbed is seen to go on
+MEAN_FAULT_GAP_S = 1.5
+MAX_PAUSE_S = 3.5     # longest freeze of the disruptions that were played on the deployments
+MAX_CUT_S = 4.0
 # On paths of callers only faults that both ends hear of: one that reaches one end alone is no disruption of docs/HARD-LOAD.md there.
-PATHS = {"callers": ("delay", "reset", "refuse"), "work": ("delay", "reset", "refuse", "up", "down", "silent", "hang-new"),
-         "orders": ("delay", "reset", "refuse", "up", "down", "silent"), "control": ("delay", "reset", "refuse", "silent"),
-         "store": ("delay", "reset", "refuse", "up", "down", "silent")}
+SEEN_BY_BOTH = ("delay", "reset", "refuse")
+PATHS = {"callers": SEEN_BY_BOTH, "work": SEEN_BY_BOTH + ("up", "down", "silent", "hang-new"), "orders": SEEN_BY_BOTH + ("up", "down", "silent"),
+         "control": SEEN_BY_BOTH + ("silent",), "store": SEEN_BY_BOTH + ("up", "down", "silent")}
 STORE_FAULTS = ("down", "slow", "loses-answers", "forgets", "rejects")
 
 
@@ -32,53 +29,55 @@
     return ([f"front-{i + 1}" for i in range(fleet["schedulers"])], [f"side-{i + 1}" for i in range(len(fleet["guards"]))])
 
 
-def _fault(rng, kind, at, schedulers, guards):
-    fault = {"at": round(at, 3), "kind": kind}
-    if kind in ("pause", "kill", "stop"):
-        fault["target"] = rng.choice(schedulers + guards)
-        fault["for"] = round(rng.uniform(0.3, MAX_PAUSE_S if kind == "pause" else 2.0), 3)
-    elif kind == "path":
-        path = rng.choice(sorted(PATHS))
-        ends = {"callers": schedulers, "store": schedulers + guards}.get(path, guards)
-        fault.update(target=f"{path}:{rng.choice(ends)}", how=rng.choice(PATHS[path]))
-        fault["for"] = round(rng.uniform(0.2, MAX_CUT_S), 3)
-        if fault["how"] == "delay":
-            fault["delayMs"] = rng.randint(10, 100)
-        if path == "work" and rng.random() < 0.5 and fault["how"] != "refuse":
-            fault["match"] = rng.choice(schedulers)
-        if fault["how"] not in ("reset", "delay", "refuse"):
-            fault["resetAfter"] = rng.random() < 0.5
-    elif kind == "store":
-        fault["how"] = rng.choice(STORE_FAULTS)
-        fault["for"] = round(rng.uniform(0.5, 6), 3)
-        if fault["how"] == "rejects":
-            everyone = schedulers + guards
-            fault["machines"] = sorted(rng.sample(everyone, rng.randint(1, len(everyone) // 2)))
-        if fault["how"] == "slow":
-            fault["delayMs"] = rng.choice((240, 900))
-    elif kind == "evacuate":
-        fault["zone"] = rng.choice(ZONES)
-        fault["for"] = round(rng.uniform(6, 12), 3)
-    elif kind != "configure":
-        fault["target"] = rng.choice(guards)
-        fault["for"] = round(rng.uniform(0.5, MAX_CUT_S), 3)
-        if kind == "late-orders":
-            fault["share"] = rng.choice((0.1, 0.5))
-        if kind == "drain":
-            fault["remainingMs"] = rng.choice((1500, 2000, 6000))
-        if kind == "slow-upstream":
-            fault["factor"] = rng.choice((2, 5))
-    return fault
+def _path_fault(rng, schedulers, guards):
+    path = rng.choice(sorted(PATHS))
+    ends = {"callers": schedulers, "store": schedulers + guards}.get(path, guards)
+    how, one_scheduler, reset_after = rng.choice(PATHS[path]), rng.random() < 0.5, rng.random() < 0.5
+    return {"target": f"{path}:{rng.choice(ends)}", "how": how, "delayMs": rng.randint(10, 100), "resetAfter": reset_after,
+            "match": rng.choice(schedulers) if path == "work" and one_scheduler and how != "refuse" else ""}
+
+
+def _store_fault(rng, schedulers, guards):
+    machines = sorted(rng.sample(schedulers + guards, rng.randint(1, (len(schedulers) + len(guards)) // 2)))
+    how = rng.choice(STORE_FAULTS)
+    return {"how": how, **({"machines": machines} if how == "rejects" else {"delayMs": rng.choice((240, 900))} if how == "slow" else {})}
+
+
+def _any_process(rng, schedulers, guards):
+    return {"target": rng.choice(schedulers + guards)}
+
+
+def _guard_with(**fields):
+    return lambda rng, schedulers, guards: {"target": rng.choice(guards), **{name: rng.choice(values) for name, values in fields.items()}}
+
+
+# kind -> (weight in a random schedule, least and most seconds that it lasts, what else is drawn)
+KINDS = {
+    "pause": (3, 0.3, MAX_PAUSE_S, _any_process),
+    "kill": (2, 0.3, 2.0, _any_process),
+    "stop": (1, 0.3, 2.0, _any_process),
+    "path": (6, 0.2, MAX_CUT_S, _path_fault),
+    "zone-cut": (1, 0.5, MAX_CUT_S, lambda rng, schedulers, guards: {}),
+    "power-loss": (0.5, 0.75, 1.6, lambda rng, schedulers, guards: {}),
+    "store": (3, 0.5, 6.0, _store_fault),
+    "crash": (2, 0.2, 2.0, _guard_with()),
+    "late-orders": (2, 0.5, MAX_CUT_S, _guard_with(share=(0.1, 0.5))),
+    "drain": (2, 0.2, 2.0, _guard_with(remainingMs=(1500, 2000, 6000))),
+    "slow-upstream": (1, 1.0, MAX_CUT_S, _guard_with(factor=(2, 5))),
+    "silent-upstream": (2, 0.3, MAX_CUT_S, _guard_with()),
+    "configure": (2, 0.0, 0.0, lambda rng, schedulers, guards: {}),
+    "evacuate": (2, 6.0, 12.0, lambda rng, schedulers, guards: {"zone": rng.choice(ZONES)})}
 
 
 def draw(seed, seconds, kinds=None):
     """Returns the schedule of a seed. The same seed, length and kinds give the same schedule."""
     rng = random.Random(f"soak {seed}")
-    kinds = {kind: weight for kind, weight in KINDS.items() if kinds is None or kind in kinds}
-    schedulers, guards = names(FLEET)
+    kinds = [kind for kind in KINDS if kinds is None or kind in kinds]
     faults, at = [], WARM_UP_S + rng.expovariate(1 / MEAN_FAULT_GAP_S)
     while at < seconds - RECOVERY_S:
-        faults.append(_fault(rng, rng.choices(list(kinds), list(kinds.values()))[0], at, schedulers, guards))
+        kind = rng.choices(kinds, [KINDS[kind][0] for kind in kinds])[0]
+        _, least_s, most_s, rest = KINDS[kind]
+        faults.append({"at": round(at, 3), "kind": kind, "for": round(rng.uniform(least_s, most_s), 3), **rest(rng, *names(FLEET))})
         at += rng.expovariate(1 / MEAN_FAULT_GAP_S)
     return {"seed": seed, "seconds": seconds, "jobsPerSecond": JOBS_PER_S, "fleet": FLEET, "jobs": [], "faults": faults}
 
@@ -100,16 +99,13 @@
 
 
 def random_job(rng):
-    """Returns (queue, steps, milliseconds of work of each task) of a job of the random load."""
+    """Returns the queue and steps of a job of the random load, and for how long each of its tasks works."""
     queue = rng.choices(("quick", "long", "other"), (6, 2, 2))[0]
-    work_ms = rng.choice((30, 60, 120) if queue != "long" else (400, 900))
+    work_ms = rng.choice((400, 900, 2500) if queue == "long" else (30, 60, 120))
     step = {"count": rng.choice((1, 1, 2, 4)), "cpu": rng.choice((500, 1400, 1700)), "memMb": 64, "estimateMs": work_ms}
     if queue == "quick" and rng.random() < 0.2:
         step["requires"] = "b"
-    steps = [step]
-    if rng.random() < 0.2:
-        steps.append({**step, "count": 1, "after": [0]})
-    return queue, steps, work_ms
+    return queue, [step] + ([{**step, "count": 1, "after": [0]}] if rng.random() < 0.2 else []), work_ms
 
 
 def shrink(schedule, fails, say):
--- a/tools/soaklib/selftest.py
+++ b/tools/soaklib/selftest.py
@@ -95,6 +95,7 @@
         o.Life("side-2", 18.0, stop_asked=29.0, end=29.5, status=0)])),
     ("", "the machine did not schedule the guard", lambda s: _evacuated(s, 17.1, waits=[("side-2", 13.0, 14.0, 0.2)])),
     ("cancel", "a start 4.1 s after the cancel", lambda s: (setattr(s.jobs[JOB], "cancelled", 4.0), _late_run(s, 0, 8.1))),
+    ("cancel", "a run that goes on until 4.1 s after it", lambda s: setattr(s.jobs[JOB], "cancelled", -0.4)),
     ("config", "an older version after a newer one", lambda s: s.configs.append(("front-1", 6.0, 5.9, 7))),
     ("", "an answer that was asked for before the newer one came", lambda s: s.configs.append(("front-1", 4.1, 3.95, 7))),
     ("exit", "a process aborts", lambda s: s.lives.append(o.Life("side-3", 0.0, end=3.0, status=-6))),
--- a/tools/soaklib/standins.py
+++ b/tools/soaklib/standins.py
@@ -6,10 +6,10 @@
 from urllib.parse import unquote
 
 from .http11 import Server, call, now, wait_for_event
-from .observation import Boot, Run
+from .observation import STOP_TIMEOUT_S, Boot, Run
 
 HOLD_MAX_S = 1.0      # bounds.holdMaxMs: a renewal counts for no more than this
-STOP_S = 0.025        # half of bounds.stopTimeoutMs, within which a stop is carried out
+STOP_S = STOP_TIMEOUT_S / 2
 HEARTBEAT_S = 1.5     # heartbeatMs
 HEARTBEAT_RETRY_S = 0.2
 PAGE_ENDS = 500       # ends in one answer to a renewal
