--- a/tools/soaklib/proxy.py
+++ b/tools/soaklib/proxy.py
@@ -5,18 +5,19 @@
 
 READ_BYTES = 1 << 16
 # delay: bytes arrive later; refuse: nothing listens; up, down: bytes of one direction stay away; silent: of both, and of new connections;
-# hang-new: only new connections stay silent. reset and half-reset happen once: half-reset reaches only the side that opened.
+# hang-new: only new connections stay silent; refuse-new: open connections are silent, new ones are refused. reset and half-reset happen
+# once: half-reset reaches only the side that opened, and the other one hears nothing more.
 ONCE = ("reset", "half-reset")
 
 
 class _Link:
     """One connection through the proxy."""
 
-    def __init__(self, near, first):
-        self.near, self.far, self.first, self.is_new = near, None, first, True
+    def __init__(self, near):
+        self.near, self.far, self.first, self.is_new, self.is_half = near, None, b"", True, False
 
-    def abort(self, near_only=False):
-        for writer in (self.near,) if near_only else (self.near, self.far):
+    def abort(self):
+        for writer in (self.near,) if self.is_half else (self.near, self.far):
             if writer:
                 writer.transport.abort()
 
@@ -36,12 +37,14 @@
         await self._update_listener()
 
     async def _update_listener(self):
-        wanted = self.is_target_up and not any(how == "refuse" for how, _, _ in self.faults.values())
+        hows = {how for how, _, _ in self.faults.values()}
+        wanted = self.is_target_up and not hows & {"refuse", "refuse-new"}
         if wanted and not self.server:
             self.server = await asyncio.start_server(self._serve, *split_endpoint(self.endpoint))
         elif not wanted and self.server:
             self.server.close()
             self.server = None
+        if not self.is_target_up or "refuse" in hows:
             self.reset("")
 
     async def set_target_up(self, is_up):
@@ -52,7 +55,8 @@
     def reset(self, text, near_only=False):
         for link in list(self.links):
             if text.encode() in link.first:
-                link.abort(near_only)
+                link.is_half = near_only
+                link.abort()
 
     async def begin(self, number, how, text="", delay=0.0):
         if how in ONCE:
@@ -74,7 +78,7 @@
             await self._update_listener()
 
     def _holds(self, link, upward):
-        blocking = ("silent", "up" if upward else "down") + (("hang-new",) if link.is_new else ())
+        blocking = ("silent", "refuse-new", "up" if upward else "down") + (("hang-new",) if link.is_new else ())
         return any(how in blocking and text.encode() in link.first for how, text, _ in self.faults.values())
 
     async def _pass(self, link, data, upward, writer):
@@ -82,7 +86,7 @@
         await asyncio.sleep(max(delays, default=0))
         while self._holds(link, upward):
             await self.changed.wait()
-        if data:
+        if data and not link.is_half:
             writer.write(data)
             await writer.drain()
 
@@ -94,10 +98,11 @@
         except (ConnectionError, asyncio.CancelledError):
             link.abort()
         finally:
-            writer.close()
+            if not link.is_half:
+                writer.close()
 
     async def _serve(self, reader, writer):
-        link = _Link(writer, b"")
+        link = _Link(writer)
         self.links.append(link)
         try:
             link.first = await reader.read(READ_BYTES)
@@ -105,8 +110,8 @@
                 return
             while self._holds(link, True):
                 await self.changed.wait()
-            local = (self.source, 0) if self.source else None
-            far_reader, link.far = await asyncio.open_connection(*split_endpoint(self.target), local_addr=local)
+            source = (self.source, 0) if self.source else None
+            far_reader, link.far = await asyncio.open_connection(*split_endpoint(self.target), local_addr=source)
             await self._pass(link, link.first, True, link.far)
             await asyncio.gather(self._pump(link, reader, link.far, True), self._pump(link, far_reader, writer, False))
         except (OSError, asyncio.CancelledError):
--- a/tools/soaklib/schedule.py
+++ b/tools/soaklib/schedule.py
@@ -20,7 +20,8 @@
 MAX_CUT_S = 4.0
 # On paths of callers only faults that both ends hear of: one that reaches one end alone is no disruption of docs/HARD-LOAD.md there.
 SEEN_BY_BOTH = ("delay", "reset", "refuse")
-PATHS = {"callers": SEEN_BY_BOTH, "work": SEEN_BY_BOTH + ("up", "down", "silent", "hang-new"), "orders": SEEN_BY_BOTH + ("up", "down", "silent"),
+PATHS = {"callers": SEEN_BY_BOTH, "work": SEEN_BY_BOTH + ("up", "down", "silent", "hang-new"),
+         "orders": SEEN_BY_BOTH + ("up", "down", "silent", "refuse-new"),
          "control": SEEN_BY_BOTH + ("silent",), "store": SEEN_BY_BOTH + ("up", "down", "silent")}
 STORE_FAULTS = ("down", "slow", "loses-answers", "forgets", "rejects")
 
--- a/tools/soaklib/selftest.py
+++ b/tools/soaklib/selftest.py
@@ -126,7 +126,7 @@
         answer = await call(proxy.endpoint, "GET", path, timeout=timeout)
         return answer is not None and b"127.0.3.1" in answer[1]
 
-    for how in ("refuse", "up", "down", "silent", "hang-new"):
+    for how in ("refuse", "refuse-new", "up", "down", "silent", "hang-new"):
         await proxy.begin(1, how)
         if await works():
             broken.append(f"proxy: a call passes {how}")
