--- a/tools/soaklib/observation.py
+++ b/tools/soaklib/observation.py
@@ -12,7 +12,7 @@
 STOP_TIMEOUT_S = 0.05   # bounds.stopTimeoutMs: a stop takes no longer
 MAX_DESCRIPTORS = 3075  # of the smallest machine
 MAX_RESIDENT_MB = 120   # of the smallest machine
-MAX_STOP_S = 15.0       # a planned stop ends by then: the longest job of a random schedule, and time for its answer
+MAX_STOP_S = 12.0       # default of --drain-timeout-ms, 5 s, and two of the longest pauses, 3.5 s each
 
 
 def _record(name, fields, **defaults):
