--- a/core/src/guard/guard_upstream.cpp
+++ b/core/src/guard/guard_upstream.cpp
@@ -1,5 +1,5 @@
 // What a guard knows of its upstream: boots, crashes, renewals of the lease, and the runs that it lists.
-#include "../scheduler/duration_func.h"
+#include "../duration_func.h"
 #include "../scheduler/lease_times_func.h"
 #include "guard_private.h"
 
--- a/core/src/scheduler/scheduler_admission.cpp
+++ b/core/src/scheduler/scheduler_admission.cpp
@@ -1,5 +1,5 @@
 // Which jobs a scheduler accepts, and what it tells the callers of those that it refuses.
-#include "duration_func.h"
+#include "../duration_func.h"
 #include "fraction_func.h"
 #include "scheduler_private.h"
 
--- a/core/src/scheduler/scheduler_placing.cpp
+++ b/core/src/scheduler/scheduler_placing.cpp
@@ -1,5 +1,5 @@
 // Which jobs are tried for capacity, and how their tasks are sent.
-#include "duration_func.h"
+#include "../duration_func.h"
 #include "scheduler_private.h"
 
 #include <algorithm>
--- a/core/src/scheduler/scheduler_runs.cpp
+++ b/core/src/scheduler/scheduler_runs.cpp
@@ -1,5 +1,5 @@
 // What a scheduler does with the reports of its runs, with crashes, and with the leases of its batches.
-#include "duration_func.h"
+#include "../duration_func.h"
 #include "scheduler_private.h"
 
 #include <algorithm>
--- a/core/src/scheduler/shedding_policy.cpp
+++ b/core/src/scheduler/shedding_policy.cpp
@@ -1,7 +1,7 @@
 // Which of two jobs yields when capacity is short, and whether a job is refused now.
 #include "shedding_policy.h"
 
-#include "duration_func.h"
+#include "../duration_func.h"
 
 #include <algorithm>
 #include <array>
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -1,7 +1,7 @@
 // State machine of a scheduler: accepts jobs of callers, places their tasks on workers, and answers when the jobs end.
 #include <sycamoremoor/core/scheduler_machine.h>
 
-#include "scheduler/duration_func.h"
+#include "duration_func.h"
 #include "scheduler/scheduler_private.h"
 
 #include <algorithm>
