--- a/tools/soaklib/fleet.py
+++ b/tools/soaklib/fleet.py
@@ -162,6 +162,9 @@
                 upstream.settle()
             return True
         finally:  # leaves no process behind, whatever happened
+            self.is_over = True
+            for upstream in self.upstreams.values():
+                upstream.is_over = True
             for task in self.tasks:
                 task.cancel()
             for process in self.processes.values():
@@ -192,7 +195,7 @@
                 if answer and answer[0] == 200:
                     self.seen.configs.append((name, now(), asked, version))
 
-        while True:
+        while not self.is_over:
             await asyncio.gather(*[probe(name) for name in self.schedulers])
             await asyncio.sleep(PROBE_S)
 
--- a/tools/soaklib/standins.py
+++ b/tools/soaklib/standins.py
@@ -87,7 +87,7 @@
         self.name, self.guard, self.observation, self.rng = name, guard, observation, rng
         self.zone, self.service, self.labels, self.cpu, self.memory = zone, service, list(labels), cpu, 32768
         self.control, self.address = "", ""  # paths to the guard and back, through proxies
-        self.silent, self.late_share, self.slowness, self.fail_share = False, 0.0, 1.0, 0.01
+        self.silent, self.late_share, self.slowness, self.fail_share, self.is_over = False, 0.0, 1.0, 0.01, False
         self.silent_from_hold = asyncio.Event()  # while it is cleared, the next renewal sets it, and is the first order without an answer
         self.silent_from_hold.set()
 
@@ -139,7 +139,8 @@
         return acknowledged
 
     async def _beat(self):
-        while True:
+        boot = self.boot
+        while self.boot is boot and self.is_up and not self.is_over:  # wait_for of Python 3.11 may swallow a cancel
             await asyncio.sleep(HEARTBEAT_S if await self.announce() else HEARTBEAT_RETRY_S)
 
     def settle(self):
