--- a/core/tests/guard_evacuation_test.cpp
+++ b/core/tests/guard_evacuation_test.cpp
@@ -216,7 +216,7 @@
     guard.advance(GetParam().after);
     guard.order(1, 0, 1'000);
     ASSERT_EQ(guard.all<CapacityChanged>().size(), 1U);
-    const auto &report = guard.all<CapacityChanged>().front().report;
+    const auto report = guard.all<CapacityChanged>().front().report;
     EXPECT_TRUE(report.accepting);
     EXPECT_EQ(report.capacity.cores, MilliCores(GuardDriver::RunnerCores)) << "the worker is no smaller for good";
     EXPECT_EQ(report.free.cores, MilliCores(GetParam().offered - 1'000));
