Fix: [core] An attempt to place a job passes over its tasks once

Callers saw: after some twenty submissions of 66 bytes each, with one step of 10,000 tasks, a scheduler without workers answered any request after a second or more (lag_ms 1034 in its log), for as long as these jobs waited.

Cause: each task that found no worker asked whether the job may start in parts, and that passes over all tasks of the job: 10^8 steps for each attempt. Stack samples of the process stood in coresOf() below Placement::tryPlace() in 3 of 3.

Change: the question is asked at the first failure only, as its answer does not depend on the tasks that were tried, and once no worker takes a task of a step, the others of that step, which need the same, are not tried. Which tasks are placed stays the same.

--- a/core/src/scheduler/placement.cpp
+++ b/core/src/scheduler/placement.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace Sycamoremoor
 {
@@ -92,13 +93,19 @@
 std::optional<std::vector<PlacedTask>> Placement::tryPlace(const PlacementContext &context, ScheduledJob &job, double queueShare)
 {
     std::vector<PlacedTask> placed;
+    std::set<std::uint32_t> unplaceable; // steps that no worker takes another task of
     for (std::size_t index = 0; index < job.tasks.size(); ++index) {
         const auto &task = job.tasks[index];
         const bool waits = task.stage == ScheduledStage::Waiting && !task.isIsolated;
-        if (waits && !placeTask(context, job, index, queueShare, placed) && !mayStartInPart(job)) {
+        if (!waits || unplaceable.contains(task.step) || placeTask(context, job, index, queueShare, placed)) {
+            continue;
+        }
+        // Passes over all tasks of the job, so it is asked at the first failure only.
+        if (unplaceable.empty() && !mayStartInPart(job)) {
             takeBack(job, placed);
             return std::nullopt;
         }
+        unplaceable.insert(task.step);
     }
     return placed;
 }
