Fix: [daemon] The roles entry and agent bound what clients make them hold

Cause: their HTTP servers had the default settings. Change: they have a share of the limits like the other listeners, count and log refusals, and the flags hold for all roles.

Crowds and bounds of the tests that were there are unchanged; the limits of the tests have a drain time-out besides.

--- a/daemon/src/client_limits_type.h
+++ b/daemon/src/client_limits_type.h
@@ -18,13 +18,15 @@
     std::size_t announcementBytes = std::size_t{4} << 20U; ///< the longest that an upstream sends
 };
 
-/** The addresses of schedulers and guards. */
+/** The addresses of the roles. */
 enum class ListenerKind {
     Callers,
     SchedulerPages,
     Readiness,
     GuardPeers,
     Announcements,
+    Entry,
+    Agent,
     End,
 };
 
--- a/daemon/src/daemon.cpp
+++ b/daemon/src/daemon.cpp
@@ -50,6 +50,19 @@
     return settings.advertise.port == 0 ? settings.listen : settings.advertise;
 }
 
+/** Returns the limits on clients, within what the system allows. */
+ClientLimits effectiveLimits(const DaemonSettings &settings)
+{
+    auto limits = settings.limits;
+    limits.descriptors = std::min(limits.descriptors, systemDescriptors());
+    if (limits.descriptors < settings.limits.descriptors) {
+        writeLog({Severity::Info,
+                  "daemon",
+                  "The system allows " + std::to_string(limits.descriptors) + " descriptors; the limits follow that."});
+    }
+    return limits;
+}
+
 EntryTaskSettings entrySettings(const DaemonSettings &settings)
 {
     EntryTaskSettings task;
@@ -61,6 +74,7 @@
     task.machine.region = RegionName(settings.region);
     task.machine.peerSeeds = settings.entries;
     task.listen = settings.listen;
+    task.server = listenerSettings(effectiveLimits(settings), ListenerKind::Entry);
     task.platform.endpoints = settings.platform;
     return task;
 }
@@ -76,22 +90,10 @@
     task.machine.region = RegionName(settings.region);
     task.machine.entrySeeds = settings.entries;
     task.listen = settings.listen;
+    task.server = listenerSettings(effectiveLimits(settings), ListenerKind::Agent);
     return task;
 }
 
-/** Returns the limits on clients, within what the system allows. */
-ClientLimits effectiveLimits(const DaemonSettings &settings)
-{
-    auto limits = settings.limits;
-    limits.descriptors = std::min(limits.descriptors, systemDescriptors());
-    if (limits.descriptors < settings.limits.descriptors) {
-        writeLog({Severity::Info,
-                  "daemon",
-                  "The system allows " + std::to_string(limits.descriptors) + " descriptors; the limits follow that."});
-    }
-    return limits;
-}
-
 SchedulerTaskSettings schedulerSettings(const DaemonSettings &settings)
 {
     SchedulerTaskSettings task;
--- a/daemon/src/listener_limits_func.cpp
+++ b/daemon/src/listener_limits_func.cpp
@@ -32,6 +32,8 @@
     {4, 32}, // readiness
     {2, 2},  // peers of a guard
     {2, 8},  // announcements
+    {2, 2},  // an entry
+    {2, 2},  // an agent
 }};
 
 const ListenerShare &shareOf(ListenerKind kind)
--- a/daemon/tests/clients/client_crowd.cpp
+++ b/daemon/tests/clients/client_crowd.cpp
@@ -10,6 +10,8 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstdio>
+#include <fstream>
 #include <stdexcept>
 
 namespace Sycamoremoor
@@ -81,6 +83,25 @@
     return end == std::string::npos ? "" : answer.substr(0, end);
 }
 
+std::size_t unreadBytesAt(const Endpoint &server)
+{
+    constexpr unsigned Listening = 0x0A; // the queue of a listener counts connections
+    std::ifstream table("/proc/net/tcp");
+    std::string line;
+    std::getline(table, line); // the header
+    std::size_t bytes = 0;
+    while (std::getline(table, line)) {
+        unsigned port = 0;
+        unsigned state = 0;
+        unsigned long queued = 0;
+        if (std::sscanf(line.c_str(), " %*u: %*8x:%x %*8x:%*x %x %*x:%lx", &port, &state, &queued) == 3 && port == server.port
+            && state != Listening) {
+            bytes += queued;
+        }
+    }
+    return bytes;
+}
+
 ClientCrowd::ClientCrowd(const Endpoint &server, std::size_t connections)
 {
     for (std::size_t made = 0; made < connections; ++made) {
@@ -118,4 +139,15 @@
     }
 }
 
+void ClientCrowd::sendFrom(std::size_t member, const std::string &bytes)
+{
+    for (std::size_t sent = 0; sent < bytes.size();) {
+        const auto count = ::send(m_sockets.at(member), bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        if (count <= 0) {
+            return;
+        }
+        sent += static_cast<std::size_t>(count);
+    }
+}
+
 } // namespace Sycamoremoor
--- a/daemon/tests/clients/daemon_process.cpp
+++ b/daemon/tests/clients/daemon_process.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <iterator>
 #include <stdexcept>
+#include <thread>
 
 namespace Sycamoremoor
 {
@@ -83,6 +84,21 @@
     return m_process > 0;
 }
 
+std::optional<int> DaemonProcess::stop(std::chrono::seconds limit)
+{
+    kill(m_process, SIGTERM);
+    const auto end = std::chrono::steady_clock::now() + limit;
+    int status = 0;
+    while (waitpid(m_process, &status, WNOHANG) == 0) {
+        if (std::chrono::steady_clock::now() > end) {
+            return std::nullopt;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    m_process = -1;
+    return WIFEXITED(status) ? std::optional(WEXITSTATUS(status)) : std::nullopt;
+}
+
 std::size_t DaemonProcess::peakResidentBytes() const
 {
     std::ifstream status("/proc/" + std::to_string(m_process) + "/status");
--- a/daemon/tests/clients/daemon_process.h
+++ b/daemon/tests/clients/daemon_process.h
@@ -3,8 +3,10 @@
 
 #include <sys/types.h>
 
+#include <chrono>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +30,9 @@
     /** Returns whether it still runs. */
     [[nodiscard]] bool isAlive();
 
+    /** Sends SIGTERM and waits. @return the exit status; nothing if the process was ended by a signal, or has not ended within @p limit */
+    std::optional<int> stop(std::chrono::seconds limit);
+
     /** Returns the most memory that was resident since its start, in bytes. */
     [[nodiscard]] std::size_t peakResidentBytes() const;
 
--- a/net/include/sycamoremoor/net/agent_task.h
+++ b/net/include/sycamoremoor/net/agent_task.h
@@ -9,6 +9,7 @@
 #include <sycamoremoor/net/machine_driver.h>
 #include <sycamoremoor/net/metric_registry.h>
 #include <sycamoremoor/net/random_bits.h>
+#include <sycamoremoor/net/refusal_reporter.h>
 #include <sycamoremoor/net/router.h>
 #include <sycamoremoor/net/stop_watcher.h>
 #include <sycamoremoor/net/upstream_client.h>
@@ -59,6 +60,7 @@
     MetricRegistry m_metrics;
     Router m_router;
     HttpServer m_server;
+    RefusalReporter m_refusals;
     HttpClient m_client;
     AgentServer m_agentServer;
     EntrySender m_entrySender;
--- a/net/include/sycamoremoor/net/entry_task.h
+++ b/net/include/sycamoremoor/net/entry_task.h
@@ -12,6 +12,7 @@
 #include <sycamoremoor/net/peer_sender.h>
 #include <sycamoremoor/net/platform_task.h>
 #include <sycamoremoor/net/random_bits.h>
+#include <sycamoremoor/net/refusal_reporter.h>
 #include <sycamoremoor/net/router.h>
 #include <sycamoremoor/net/stop_watcher.h>
 
@@ -64,6 +65,7 @@
     MetricRegistry m_metrics;
     Router m_router;
     HttpServer m_server;
+    RefusalReporter m_refusals;
     HttpClient m_client;
     KeyValueClient m_keyValueClient;
     EntryServer m_entryServer;
