Fix: [net] What waits in the sockets of a listener is bounded

Seen from outside: requests that 640 connections sent ahead lay unread in the sockets of a process, up to 77 MB at an address of a machine of 64 MB, and bytes that were received and not read count towards the memory of the machine.

Cause: reading stops where an answer is owed, and connections in the backlog are not read either; how much the system then takes for each connection was its own choice, a window of 64 KB and more.

Change: the listening socket has small buffers, which its connections inherit before they are accepted; a limited number of accepted ones get large ones. Half of the listener's bytes is for each. Sizes of sends are bounded alike, so fewer answers pile up.

Evidence: RequestsAhead, with 640 connections of 1 MiB, and resident memory and unread bytes together below the limit of the process.

--- a/daemon/src/listener_limits_func.cpp
+++ b/daemon/src/listener_limits_func.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t BytesPerMegabyte = std::size_t{1} << 20U;
 constexpr std::size_t ConnectionShare
     = 6; ///< of the memory, for all connections: buffers grow to twice what they hold, and tables need the rest
+constexpr std::size_t SocketShare = 4; ///< of the memory, for what waits in the sockets of all connections, in each direction
 constexpr std::size_t MostHeldBytes
     = 64 * BytesPerMegabyte;                 ///< of a listener: control takes at most 128 MB of a machine, however large it is
 constexpr std::size_t LeastConnections = 32; ///< of a listener: 128 newcomers a second pass it while idle ones take all of it
@@ -52,6 +53,7 @@
 {
     HttpServerSettings settings;
     settings.maxHeldBytes = heldBytesOf(limits, kind);
+    settings.maxSocketBytes = limits.memoryMegabytes * BytesPerMegabyte / SocketShare / shareOf(kind).ofBytes;
     settings.maxConnections = std::max(limits.descriptors / shareOf(kind).ofDescriptors, LeastConnections);
     settings.maxHeaderFields = limits.headFields;
     settings.maxHeaderBytes = kind == ListenerKind::Callers ? limits.headBytes : std::min(settings.maxHeaderBytes, limits.headBytes);
--- a/daemon/tests/clients/client_limits_test.cpp
+++ b/daemon/tests/clients/client_limits_test.cpp
@@ -78,6 +78,7 @@
     if (ChecksMemory) {
         EXPECT_LE(peakBytes, usualBytes + kind->memoryBound);
         EXPECT_LE(peakBytes, SmallestMachineBytes);
+        EXPECT_LE(peakBytes + unreadBytes, TestLimits::MemoryBytes);
     }
 }
 
--- a/daemon/tests/clients/crowd_table.cpp
+++ b/daemon/tests/clients/crowd_table.cpp
@@ -59,6 +59,8 @@
     CrowdKind{"EndlessEmptyLines", CrowdConnections, [](Door /*door*/) { return repeated("\r\n", CrowdBytes); }, CrowdBound},
     // Guards against requests that are read ahead, or answers that pile up, while nobody reads.
     CrowdKind{"UnreadAnswers", CrowdConnections, [](Door /*door*/) { return requestsAhead(CrowdBytes); }, CrowdBound},
+    // Guards against requests that are sent ahead and wait in the sockets, where the process does not read them.
+    CrowdKind{"RequestsAhead", AheadConnections, [](Door /*door*/) { return requestsAhead(AheadBytes); }, ShareBound},
     // Guards against bodies that are within the limit one by one and beyond the memory together.
     CrowdKind{"UnfinishedBodies",
               CrowdConnections * 4,
--- a/net/include/sycamoremoor/net/http_server.h
+++ b/net/include/sycamoremoor/net/http_server.h
@@ -109,6 +109,7 @@
     bool m_isPaused = false;         ///< accepts nothing
     bool m_lacksDescriptors = false; ///< accepts nothing until m_retry fires
     std::size_t m_held = 0;
+    std::size_t m_largeBuffers = 0; ///< connections that have them
     std::unique_ptr<ServerConnectionRules> m_rules;
     std::vector<bufferevent *> m_accepted; ///< not adopted yet, referenced
     std::vector<bufferevent *> m_refused;  ///< to be closed, referenced
--- a/net/include/sycamoremoor/net/http_type.h
+++ b/net/include/sycamoremoor/net/http_type.h
@@ -55,6 +55,7 @@
     std::size_t maxHeaderBytes = std::size_t{16} << 10U;         ///< of all headers of one request
     std::size_t maxHeaderFields = 4'096;                         ///< of one request; as many as 16 KiB hold at four bytes each
     std::size_t maxHeldBytes = std::size_t{256} << 20U;          ///< of all connections together, see docs/design/client-limits.md
+    std::size_t maxSocketBytes = std::size_t{256} << 20U;        ///< in the sockets of all connections, in each direction
     std::size_t maxConnections = 16'384;                         ///< more are accepted only in place of idle ones
     Duration receiveLimit = std::chrono::seconds(10);            ///< from the first byte of a request to its last
     Duration unacknowledgedLimit = std::chrono::seconds(4);      ///< connections whose bytes are not acknowledged are closed
--- a/net/src/http_server.cpp
+++ b/net/src/http_server.cpp
@@ -33,6 +33,8 @@
 constexpr std::size_t LeastSingleRead = 4'096;
 constexpr std::size_t MostSingleRead = 16'384; ///< the library's own default
 constexpr std::size_t ClosedTogether = 16;     ///< a share of all connections: a search for the oldest passes all of them
+constexpr std::size_t LeastBuffer = 2'304;  ///< the least that the system sets
+constexpr std::size_t LargeBuffer = 65'536; ///< the system's usual window of a new connection
 constexpr Duration RetryInterval = std::chrono::milliseconds(50); ///< while descriptors or room lack: 20 vain attempts a second
 constexpr Duration NewcomerTime = std::chrono::milliseconds(250); ///< the request of a connection may come so much later, as on late rounds
 
@@ -156,11 +158,31 @@
     return std::clamp(settings.maxHeldBytes / std::max<std::size_t>(settings.maxConnections, 1), LeastSingleRead, MostSingleRead);
 }
 
+/** Returns the settings with no more connections than the bytes in sockets suffice for, with the least buffers. */
+HttpServerSettings withinSocketBytes(HttpServerSettings settings)
+{
+    const auto most = settings.maxSocketBytes / 2 / LeastBuffer;
+    settings.maxConnections = std::min(settings.maxConnections, most > 2 * Backlog ? most - Backlog : Backlog);
+    return settings;
+}
+
+/** Returns how much the system may hold of each connection, accepted or not, with half of the bytes in sockets. */
+std::size_t smallBufferOf(const HttpServerSettings &settings)
+{
+    return std::clamp(settings.maxSocketBytes / 2 / (settings.maxConnections + Backlog), LeastBuffer, LargeBuffer);
+}
+
+/** Returns how many connections may have large buffers, with the other half. */
+std::size_t mostLargeBuffersOf(const HttpServerSettings &settings)
+{
+    return settings.maxSocketBytes / 2 / LargeBuffer;
+}
+
 } // namespace
 
 HttpServer::HttpServer(EventLoop &loop, const Endpoint &endpoint, const HttpServerSettings &settings, Handler handler)
     : m_loop(loop)
-    , m_settings(settings)
+    , m_settings(withinSocketBytes(settings))
     , m_handler(std::move(handler))
     , m_server(evhttp_new(loop.base()))
     , m_tend(event_new(loop.base(), -1, EV_PERSIST, &HttpServer::tendConnections, this))
@@ -172,7 +194,7 @@
     , m_endpoint(endpoint)
     , m_rules(std::make_unique<ServerConnectionRules>())
 {
-    const int listener = listenAt(m_endpoint);
+    const int listener = listenAt(m_endpoint, smallBufferOf(m_settings));
     auto *bound = listener < 0 ? nullptr : evhttp_accept_socket_with_handle(m_server, listener);
     if (bound == nullptr) {
         const int error = errno;
@@ -320,6 +342,10 @@
         } else if (const auto found = m_connections.find(transport); found != m_connections.end()) {
             auto *connection = static_cast<evhttp_connection *>(argument);
             found->second->adopt(connection);
+            if (m_largeBuffers < mostLargeBuffersOf(m_settings)) {
+                ++m_largeBuffers;
+                found->second->enlargeBuffers(LargeBuffer);
+            }
             evhttp_connection_set_closecb(connection, &HttpServer::idleConnectionClosed, this);
         }
         bufferevent_decref(transport);
@@ -461,7 +487,10 @@
 
 void HttpServer::forget(evhttp_connection *connection)
 {
-    m_connections.erase(evhttp_connection_get_bufferevent(connection));
+    if (const auto found = m_connections.find(evhttp_connection_get_bufferevent(connection)); found != m_connections.end()) {
+        m_largeBuffers -= found->second->hasLargeBuffers() ? 1 : 0;
+        m_connections.erase(found);
+    }
     resume();
 }
 
--- a/net/src/server_connection.cpp
+++ b/net/src/server_connection.cpp
@@ -92,6 +92,17 @@
     m_connection = connection;
 }
 
+void ServerConnection::enlargeBuffers(std::size_t bytes)
+{
+    setBuffers(bufferevent_getfd(m_transport), bytes);
+    m_hasLargeBuffers = true;
+}
+
+bool ServerConnection::hasLargeBuffers() const
+{
+    return m_hasLargeBuffers;
+}
+
 evhttp_connection *ServerConnection::connection() const
 {
     return m_connection;
--- a/net/src/server_connection.h
+++ b/net/src/server_connection.h
@@ -43,6 +43,11 @@
     /** Sets the library's connection, once it is known. */
     void adopt(evhttp_connection *connection);
 
+    /** Lets the system hold up to @p bytes for it, more than connections have from their begin. */
+    void enlargeBuffers(std::size_t bytes);
+
+    [[nodiscard]] bool hasLargeBuffers() const;
+
     /** Returns nullptr before it was adopted. */
     [[nodiscard]] evhttp_connection *connection() const;
 
@@ -94,14 +99,15 @@
     Timer m_timer;
     Phase m_phase = Phase::Idle;
     MonotonicTime m_since;
-    std::size_t m_held = 0;        ///< in the buffers and of the request
-    std::size_t m_requestHeld = 0; ///< of the request, outside the buffers
-    std::size_t m_bodyHeld = 0;    ///< of that, the part of the body that the library has taken from the buffer
-    std::size_t m_headBytes = 0;   ///< of the head, counted and still in the buffer
-    std::size_t m_headFields = 0;  ///< lines of the head, so far
-    std::size_t m_lineBytes = 0;   ///< of the line of the head that is not whole, without carriage returns
+    std::size_t m_held = 0;                    ///< in the buffers and of the request
+    std::size_t m_requestHeld = 0;             ///< of the request, outside the buffers
+    std::size_t m_bodyHeld = 0;                ///< of that, the part of the body that the library has taken from the buffer
+    std::size_t m_headBytes = 0;               ///< of the head, counted and still in the buffer
+    std::size_t m_headFields = 0;              ///< lines of the head, so far
+    std::size_t m_lineBytes = 0;               ///< of the line of the head that is not whole, without carriage returns
     bool m_isHeadWhole = false;
     bool m_isRefused = false;
+    bool m_hasLargeBuffers = false;
 };
 
 } // namespace Sycamoremoor
--- a/net/src/socket_func.cpp
+++ b/net/src/socket_func.cpp
@@ -16,8 +16,6 @@
 namespace
 {
 
-constexpr int Backlog = 1'024;
-
 /** Writes the address of @p endpoint; returns its length, or 0 if it is no IP number. */
 socklen_t toAddress(const Endpoint &endpoint, sockaddr_storage &storage)
 {
@@ -46,7 +44,7 @@
 
 } // namespace
 
-int listenAt(Endpoint &endpoint)
+int listenAt(Endpoint &endpoint, std::size_t bufferBytes)
 {
     sockaddr_storage storage{};
     const auto length = toAddress(endpoint, storage);
@@ -62,7 +60,8 @@
     setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     // Linux hands the option on to accepted connections.
     setsockopt(listener, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    if (bind(listener, reinterpret_cast<const sockaddr *>(&storage), length) != 0 || listen(listener, Backlog) != 0) {
+    setBuffers(listener, bufferBytes); // handed on as well
+    if (bind(listener, reinterpret_cast<const sockaddr *>(&storage), length) != 0 || listen(listener, static_cast<int>(Backlog)) != 0) {
         const int error = errno;
         close(listener);
         errno = error;
@@ -72,6 +71,15 @@
     return listener;
 }
 
+void setBuffers(int socket, std::size_t bytes)
+{
+    const int value = static_cast<int>(bytes);
+    setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &value, sizeof(value));
+    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &value, sizeof(value));
+    // Linux doubles the size above for its own records and then fills all of it with bytes where these are few.
+    setsockopt(socket, IPPROTO_TCP, TCP_WINDOW_CLAMP, &value, sizeof(value));
+}
+
 int beginConnect(const Endpoint &endpoint)
 {
     sockaddr_storage storage{};
--- a/net/src/socket_func.h
+++ b/net/src/socket_func.h
@@ -4,15 +4,24 @@
 #include <sycamoremoor/core/endpoint_type.h>
 #include <sycamoremoor/core/time_type.h>
 
+#include <cstddef>
+
 namespace Sycamoremoor
 {
 
+/** Connections of a listening socket that wait to be accepted, at most. */
+inline constexpr std::size_t Backlog = 1'024;
+
 /**
- * Opens a listening socket whose accepted connections have TCP_NODELAY.
+ * Opens a listening socket whose connections have TCP_NODELAY.
  * @param endpoint where to listen; port 0 is replaced by the one that was chosen
+ * @param bufferBytes see setBuffers(), of its connections from their begin
  * @return the socket, or -1 with errno set
  */
-int listenAt(Endpoint &endpoint);
+int listenAt(Endpoint &endpoint, std::size_t bufferBytes);
+
+/** Bounds how many bytes the system holds of a connection that were received and not read, and about as many that were not sent. */
+void setBuffers(int socket, std::size_t bytes);
 
 /**
  * Begins to connect to @p endpoint without waiting.
