Fix: [net] Clients that send ahead make room for others

Cause: when a listener has all its connections, those that have been in one phase for longest are closed. A client that always has another request ready begins a phase with each, so it kept its place until it had been served whole. And a listener of 32 connections closed only two in 50 ms, so that newcomers passed it at 40 a second, not at the 128 that its size was to allow.

Change: a connection whose answers always leave bytes ahead counts from the first of them, and up to eight of few connections are closed at a time, a quarter at most.

--- a/net/src/http_server.cpp
+++ b/net/src/http_server.cpp
@@ -33,6 +33,8 @@
 constexpr std::size_t LeastSingleRead = 4'096;
 constexpr std::size_t MostSingleRead = 16'384; ///< the library's own default
 constexpr std::size_t ClosedTogether = 16;     ///< a share of all connections: a search for the oldest passes all of them
+constexpr std::size_t ClosedOfFew = 8;      ///< of a listener that takes few, so that newcomers pass it as fast as NewcomerTime lets them
+constexpr std::size_t ClosedOfFewShare = 4; ///< of the connections, at most
 constexpr std::size_t LeastBuffer = 2'304;  ///< the least that the system sets
 constexpr std::size_t LargeBuffer = 65'536; ///< the system's usual window of a new connection
 constexpr Duration RetryInterval = std::chrono::milliseconds(50); ///< while descriptors or room lack: 20 vain attempts a second
@@ -402,7 +404,8 @@
             spared.push_back(connection.get());
         }
     }
-    const auto count = std::min(spared.size(), std::max<std::size_t>(m_connections.size() / ClosedTogether, 1));
+    const auto ofFew = std::clamp<std::size_t>(m_connections.size() / ClosedOfFewShare, 1, ClosedOfFew);
+    const auto count = std::min(spared.size(), std::max(m_connections.size() / ClosedTogether, ofFew));
     const auto end = spared.begin() + static_cast<std::ptrdiff_t>(count);
     std::ranges::partial_sort(spared, end, {}, &ServerConnection::since);
     std::for_each(spared.begin(), end, [this](ServerConnection *connection) { close(*connection, ClientRefusal::TooManyConnections); });
--- a/net/src/server_connection.cpp
+++ b/net/src/server_connection.cpp
@@ -135,9 +135,15 @@
 {
     dropRequest();
     enter(Phase::Idle);
-    if (const auto ahead = evbuffer_get_length(bufferevent_get_input(m_transport)); ahead > 0) {
-        received(ahead);
+    const auto ahead = evbuffer_get_length(bufferevent_get_input(m_transport));
+    if (ahead == 0) {
+        m_aheadSince.reset();
+        return;
     }
+    // A client that always has another request ready is as old as the first of them, or it would never have to make room for others.
+    m_aheadSince = m_aheadSince.value_or(m_since);
+    received(ahead);
+    m_since = *m_aheadSince;
 }
 
 bool ServerConnection::maySpare() const
--- a/net/src/server_connection.h
+++ b/net/src/server_connection.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 
 struct bufferevent;
 struct evbuffer;
@@ -69,7 +70,7 @@
     /** Returns whether a request was refused, so that it must not run. */
     [[nodiscard]] bool isRefused() const;
 
-    /** Returns since when it is idle, receives a request, or answers one. */
+    /** Returns since when it is idle, answers a request, receives one, or receives one after the other that were sent ahead. */
     [[nodiscard]] MonotonicTime since() const;
 
     [[nodiscard]] std::size_t heldBytes() const;
@@ -99,6 +100,7 @@
     Timer m_timer;
     Phase m_phase = Phase::Idle;
     MonotonicTime m_since;
+    std::optional<MonotonicTime> m_aheadSince; ///< since when each answer has left bytes that were sent ahead
     std::size_t m_held = 0;                    ///< in the buffers and of the request
     std::size_t m_requestHeld = 0;             ///< of the request, outside the buffers
     std::size_t m_bodyHeld = 0;                ///< of that, the part of the body that the library has taken from the buffer
