--- a/daemon/tests/clients/crowd_table.cpp
+++ b/daemon/tests/clients/crowd_table.cpp
@@ -66,6 +66,8 @@
               CrowdConnections * 4,
               [](Door door) { return unfinishedBody(door == Door::GuardAnnouncements ? AnnouncementBytes : BodyBytes); },
               ShareBound},
+    // Guards against a body that is within the limit, and beyond the memory when it is decoded.
+    CrowdKind{"WideBody", 1, [](Door door) { return requestWithBody(door, wideJson(rowOf(door).bodyBytes)); }, MemoryBytes},
     // Guards against a process that runs out of descriptors and takes no connection any more.
     CrowdKind{"IdleConnections", ManyConnections, [](Door /*door*/) { return ""; }, CrowdBound},
     CrowdKind{"HalfRequests", ManyConnections, [](Door /*door*/) { return "GET / HTTP/1.1\r\nHost: a\r\n"; }, CrowdBound},
--- a/wire/tests/message_codec_test.cpp
+++ b/wire/tests/message_codec_test.cpp
@@ -204,6 +204,25 @@
     EXPECT_TRUE(decode(deep, roster).has_value());
 }
 
+// Guards against a bound on the memory of parsed JSON that refuses what schedulers send.
+TEST(MessageCodecTest, ReadsTheLargestBatch)
+{
+    constexpr std::uint32_t Tasks = 10'000; // of the largest job, all sent to one guard
+    const QueueJobId job(std::string(128, 'j'));
+    constexpr Duration Time = std::chrono::hours(24);
+    StartBatch batch;
+    batch.payload = std::string(4'000, '"');
+    for (std::uint32_t task = 0; task < Tasks; ++task) {
+        auto &order = batch.orders.emplace_back();
+        order.run = {{job, 999, task}, 1};
+        order.startWithin = order.expected = order.runLimit = order.reference = order.urgency.slack = Time;
+    }
+    StartBatch read;
+    const auto error = decode(encode(batch), read);
+    EXPECT_FALSE(error) << error->detail;
+    EXPECT_EQ(read, batch);
+}
+
 TEST(JsonTextTest, ReplacesBytesThatAreNoUtf8)
 {
     std::string text;
