Fix: [platform] What the jobs of a scheduler take in memory is bounded

Seen from outside: 100 jobs of 262,144 bytes, each within the limits, that wait for workers took a scheduler to 107 MB, on a machine of 64 MB.

Cause: the body of a request was kept until its answer beside what had been read from it, and nothing bounded the sum of the jobs.

Change: the body is freed when it was read. Jobs are counted, with a size by their steps and tasks, from their submission until the last part of the program has let go of them; beyond a sixth of the memory, a job is answered 503 with Retry-After and does not run. A job that was submitted before and has not ended is not refused for that, as its tasks may run.

--- a/core/include/sycamoremoor/core/scheduler_machine.h
+++ b/core/include/sycamoremoor/core/scheduler_machine.h
@@ -62,6 +62,9 @@
     /** Returns whether the operator has evacuated @p zone, as far as is known. */
     [[nodiscard]] bool isEvacuated(const ZoneName &zone) const;
 
+    /** Returns whether a job with this id was accepted and has not ended; its tasks may run. */
+    [[nodiscard]] bool hasJob(const QueueJobId &id) const;
+
     /** Returns the configuration in force, or null. */
     [[nodiscard]] const QueueSetPointer &queues() const;
 
--- a/core/include/sycamoremoor/core/step_type.h
+++ b/core/include/sycamoremoor/core/step_type.h
@@ -106,7 +106,8 @@
     SlowRequestsRefused,
     ConnectionsClosedForMemory,
     ConnectionsClosedForRoom,
-    AcceptsFailed, ///< for lack of descriptors
+    AcceptsFailed,        ///< for lack of descriptors
+    JobsRefusedForMemory, ///< since the jobs that are kept take too much memory
     End,
 };
 
--- a/core/include/sycamoremoor/core/table/metric_table.h
+++ b/core/include/sycamoremoor/core/table/metric_table.h
@@ -68,6 +68,7 @@
     {"sycamoremoor_connections_closed_for_memory", "Connections closed since all together held too much"},
     {"sycamoremoor_connections_closed_for_room",   "Connections closed since there were too many"},
     {"sycamoremoor_accepts_failed",         "Times that no connection could be accepted for lack of descriptors"},
+    {"sycamoremoor_jobs_refused_for_memory", "Jobs refused since those that are kept take too much memory"},
     // clang-format on
 }};
 
--- a/core/src/scheduler/scheduler_admission.cpp
+++ b/core/src/scheduler/scheduler_admission.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <utility>
 
 namespace Sycamoremoor
@@ -106,6 +107,8 @@
     job.spec = input.spec;
     job.arrivedAt = step.now() - step.context.lag;
     const auto &steps = input.spec->steps;
+    job.tasks.reserve(std::accumulate(
+        steps.begin(), steps.end(), std::size_t{0}, [](std::size_t sum, const QueueJobStep &each) { return sum + each.count; }));
     for (std::uint32_t index = 0; index < steps.size(); ++index) {
         job.expected.push_back(
             m_runTimes.expected(input.queue->service, TaskKind(input.queue->name.value()), steps[index].declaredRunTime));
--- a/core/src/scheduler/scheduler_private.h
+++ b/core/src/scheduler/scheduler_private.h
@@ -54,6 +54,7 @@
     /** Does what is due: renews leases, places tasks, abandons expired jobs, ends a drain. Sets the timer. */
     void processDue(SchedulerStep &step);
 
+    [[nodiscard]] bool hasJob(const QueueJobId &id) const;
     [[nodiscard]] const QueueSetPointer &queues() const;
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] Duration reportInterval() const;
--- a/core/src/scheduler_machine.cpp
+++ b/core/src/scheduler_machine.cpp
@@ -69,6 +69,11 @@
     return d->isEvacuated(zone);
 }
 
+bool SchedulerMachine::hasJob(const QueueJobId &id) const
+{
+    return d->hasJob(id);
+}
+
 const QueueSetPointer &SchedulerMachine::queues() const
 {
     return d->queues();
@@ -513,6 +518,11 @@
     return m_workers.isEvacuated(zone);
 }
 
+bool SchedulerMachine::Private::hasJob(const QueueJobId &id) const
+{
+    return m_byId.contains(id);
+}
+
 const QueueSetPointer &SchedulerMachine::Private::queues() const
 {
     return m_queues;
--- a/daemon/src/listener_limits_func.cpp
+++ b/daemon/src/listener_limits_func.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t ConnectionShare
     = 6; ///< of the memory, for all connections: buffers grow to twice what they hold, and tables need the rest
 constexpr std::size_t SocketShare = 4; ///< of the memory, for what waits in the sockets of all connections, in each direction
+constexpr std::size_t JobShare = 6;    ///< of the memory, for the jobs that a scheduler keeps
 constexpr std::size_t MostHeldBytes
     = 64 * BytesPerMegabyte;                 ///< of a listener: control takes at most 128 MB of a machine, however large it is
 constexpr std::size_t LeastConnections = 32; ///< of a listener: 128 newcomers a second pass it while idle ones take all of it
@@ -49,6 +50,11 @@
     return std::min(limits.memoryMegabytes * BytesPerMegabyte / ConnectionShare / shareOf(kind).ofBytes, MostHeldBytes);
 }
 
+std::size_t jobBytesOf(const ClientLimits &limits)
+{
+    return limits.memoryMegabytes * BytesPerMegabyte / JobShare;
+}
+
 HttpServerSettings listenerSettings(const ClientLimits &limits, ListenerKind kind)
 {
     HttpServerSettings settings;
--- a/daemon/src/listener_limits_func.h
+++ b/daemon/src/listener_limits_func.h
@@ -11,6 +11,9 @@
 /** Returns how many bytes the connections of one listener may hold together. */
 std::size_t heldBytesOf(const ClientLimits &limits, ListenerKind kind);
 
+/** Returns how many bytes the jobs that a scheduler keeps may take together. */
+std::size_t jobBytesOf(const ClientLimits &limits);
+
 /** Returns the settings of one listener. */
 HttpServerSettings listenerSettings(const ClientLimits &limits, ListenerKind kind);
 
--- a/daemon/src/scheduler_task.cpp
+++ b/daemon/src/scheduler_task.cpp
@@ -45,7 +45,12 @@
     , m_callerRefusals(m_callers, m_metrics, "callers")
     , m_readinessRefusals(m_readiness, m_metrics, "readiness")
     , m_client(loop)
-    , m_frontDoor(m_metrics, [this] { return m_driver.machine().queues(); })
+    , m_frontDoor(m_metrics,
+                  jobBytesOf(settings.limits),
+                  {[this] { return m_driver.machine().queues(); },
+                   [this](const QueueJobId &id) {
+                       return m_driver.machine().hasJob(id);
+                   }})
     , m_config(loop, makeStoreHooks(m_client, settings.store), ConfigKey, ConfigTimes)
     , m_evacuations(loop, makeStoreHooks(m_client, settings.store), settings.evacuateWithin)
     , m_directory(loop, makeStoreHooks(m_client, settings.store))
--- a/net/include/sycamoremoor/net/http_exchange.h
+++ b/net/include/sycamoremoor/net/http_exchange.h
@@ -29,6 +29,9 @@
 
     [[nodiscard]] const ServerRequest &request() const;
 
+    /** Frees the body of the request, once it was read: an exchange may be open for long. */
+    void dropBody();
+
     /** Sets what is called, once, when the other end hung up before the answer was given. */
     void onGone(std::function<void()> hook);
 
--- a/net/src/entry_server.cpp
+++ b/net/src/entry_server.cpp
@@ -134,6 +134,7 @@
 
 ConnectionId EntryServer::open(const RoutedRequest &request, bool isCaller)
 {
+    request.exchange->dropBody();
     const ConnectionId connection(++m_lastConnection);
     m_open.emplace(connection, Open{request, isCaller});
     request.exchange->onGone([this, connection] { gone(connection); });
--- a/net/src/guard_server.cpp
+++ b/net/src/guard_server.cpp
@@ -117,6 +117,7 @@
 
 ConnectionId GuardServer::openExchange(const EntryName &scheduler, const HttpExchangePointer &exchange)
 {
+    exchange->dropBody();
     const ConnectionId connection(++m_lastConnection);
     m_batches[connection] = {scheduler, exchange};
     exchange->onGone([this, connection] {
--- a/net/src/http_exchange.cpp
+++ b/net/src/http_exchange.cpp
@@ -53,6 +53,11 @@
     return m_request;
 }
 
+void HttpExchange::dropBody()
+{
+    std::string().swap(m_request.body);
+}
+
 void HttpExchange::onGone(std::function<void()> hook)
 {
     m_gone = std::move(hook);
