--- a/tools/soaklib/fleet.py
+++ b/tools/soaklib/fleet.py
@@ -8,6 +8,7 @@
 import subprocess
 
 from . import schedule as plans
+from .crowd import Crowd
 from .http11 import call, free_port, now, split_endpoint
 from .observation import MAX_STOP_S, Evacuation, Job, Life, Observation, Span, Submission
 from .proxy import Proxy
@@ -95,6 +96,7 @@
         self.seen, self.store, self.events = Observation(), Store(), []
         self.traffic, self.noise = random.Random(f"jobs {plan['seed']}"), random.Random(f"upstreams {plan['seed']}")
         self.processes, self.upstreams, self.proxies, self.readiness, self.tasks, self.open_jobs = {}, {}, {}, {}, [], []
+        self.addresses = {}  # name of a process -> where it listens itself, behind no proxy
         self.schedulers, self.guards = plans.names(plan["fleet"])
         self.versions, self.jobs_made, self.fault_numbers, self.is_over, self.begin = [], 0, 0, False, 0.0
         usage = subprocess.run([program, "--help"], capture_output=True, text=True, check=False).stdout
@@ -115,6 +117,7 @@
             address = f"127.0.1.{index}"
             listen, callers, self.readiness[name] = (f"{address}:{free_port(address)}" for _ in range(3))
             front = await self._proxy(f"callers:{name}", callers, address)
+            self.addresses[name] = (listen, callers, self.readiness[name])
             await self._start_process(name, address, plans.ZONES[(index - 1) % 2], [front], [
                 "--role=scheduler", f"--listen={listen}", f"--callers={callers}", f"--readiness={self.readiness[name]}",
                 "--resubmit-after-ms=1300"])
@@ -142,6 +145,7 @@
     async def _start_guard(self, name, address, machine):
         listen, control, upstream_endpoint = (f"{address}:{free_port(address)}" for _ in range(3))
         work, back = await self._proxy(f"work:{name}", listen, address), await self._proxy(f"control:{name}", control, address)
+        self.addresses[name] = (listen, control)
         await self._start_process(name, address, machine["zone"], [work, back], [
             "--role=guard", f"--listen={listen}", f"--advertise={work.endpoint}", f"--announcements={control}"])
         upstream = self.upstreams[name] = Upstream(name.replace("side", "i"), name, self.seen, self.noise, **machine)
@@ -333,6 +337,12 @@
         yield
         await self.proxies[target].end(number, reset=fault.get("resetAfter", False))
 
+    async def _crowd(self, fault, _number, target):
+        """Clients outside the limits at all addresses of a process. They stay while it stops, is killed and starts again."""
+        crowd = Crowd(self.addresses[target], fault["connections"], fault["form"])
+        yield
+        crowd.close()
+
     async def _store(self, fault, number, _target):
         how, store, everyone = fault["how"], self.store, self.schedulers + self.guards
         paths = [self.proxies[f"store:{name}"] for name in everyone] if how == "down" else []
--- a/tools/soaklib/schedule.py
+++ b/tools/soaklib/schedule.py
@@ -2,6 +2,8 @@
 import json
 import random
 
+from .crowd import FORMS
+
 SERVICES = ("reclaim", "census")
 # queue -> (prefix, priority, service)
 QUEUES = {"quick": ("/quick/", 0, "reclaim"), "long": ("/long/", 2, "reclaim"), "other": ("/other/", 0, "census")}
@@ -24,6 +26,8 @@
 PATHS = {"callers": SEEN_BY_BOTH, "work": SEEN_BY_BOTH + ("up", "down", "silent", "hang-new"),
          "orders": SEEN_BY_BOTH + ("up", "down", "silent", "refuse-new"),
          "control": SEEN_BY_BOTH + ("silent",), "store": SEEN_BY_BOTH + ("up", "down", "silent")}
+MEAN_CROWD_GAP_S = 6.0
+CROWD_CONNECTIONS = (8, 40, 120)  # at each address of a process; more than a listener for few takes, at the most
 STORE_FAULTS = ("down", "slow", "loses-answers", "forgets", "rejects")
 
 
@@ -71,16 +75,32 @@
     "evacuate": (2, 6.0, 12.0, lambda rng, schedulers, guards: {"zone": rng.choice(ZONES)})}
 
 
+def _crowds(seed, seconds):
+    """Crowds have random numbers of their own, so that the other faults of a seed stay as they were."""
+    rng = random.Random(f"crowds {seed}")
+    faults, at = [], WARM_UP_S + rng.expovariate(1 / MEAN_CROWD_GAP_S)
+    while at < seconds - RECOVERY_S:
+        schedulers, guards = names(FLEET)
+        faults.append({"at": round(at, 3), "kind": "crowd", "for": round(rng.uniform(0.5, MAX_CUT_S), 3),
+                       "target": rng.choice(schedulers + guards), "form": rng.choice(sorted(FORMS)),
+                       "connections": rng.choice(CROWD_CONNECTIONS)})
+        at += rng.expovariate(1 / MEAN_CROWD_GAP_S)
+    return faults
+
+
 def draw(seed, seconds, kinds=None):
     """Returns the schedule of a seed. The same seed, length and kinds give the same schedule."""
     rng = random.Random(f"soak {seed}")
+    with_crowds = kinds is None or "crowd" in kinds
     kinds = [kind for kind in KINDS if kinds is None or kind in kinds]
     faults, at = [], WARM_UP_S + rng.expovariate(1 / MEAN_FAULT_GAP_S)
-    while at < seconds - RECOVERY_S:
+    while kinds and at < seconds - RECOVERY_S:
         kind = rng.choices(kinds, [KINDS[kind][0] for kind in kinds])[0]
         _, least_s, most_s, rest = KINDS[kind]
         faults.append({"at": round(at, 3), "kind": kind, "for": round(rng.uniform(least_s, most_s), 3), **rest(rng, *names(FLEET))})
         at += rng.expovariate(1 / MEAN_FAULT_GAP_S)
+    if with_crowds:
+        faults = sorted(faults + _crowds(seed, seconds), key=lambda fault: fault["at"])
     return {"seed": seed, "seconds": seconds, "jobsPerSecond": JOBS_PER_S, "fleet": FLEET, "jobs": [], "faults": faults}
 
 
