--- a/daemon/tests/clients/held_jobs_test.cpp
+++ b/daemon/tests/clients/held_jobs_test.cpp
@@ -35,7 +35,7 @@
     std::string steps = R"({"count":1,"cpu":100})";
     std::string earlier; // all steps before the next one but the first
     while (steps.size() + step.size() + earlier.size() + 2 * end.size() + JobBegin.size() <= TestLimits::BodyBytes) {
-        steps += step + earlier + end;
+        steps.append(step).append(earlier).append(end);
         earlier += ",0";
     }
     return steps;
@@ -52,7 +52,7 @@
     }
 };
 
-const std::array JobForms{
+const std::array jobForms{
     // Guards against bodies that are kept beside what is read from them, and lists that take more memory than their text.
     JobForm{"LongBodies", &stepsInRow},
     // Guards against tables of tasks that are a multiple of the body.
@@ -101,6 +101,6 @@
     }
 }
 
-INSTANTIATE_TEST_SUITE_P(Forms, HeldJobsTest, testing::ValuesIn(JobForms), [](const auto &test) { return test.param.name; });
+INSTANTIATE_TEST_SUITE_P(Forms, HeldJobsTest, testing::ValuesIn(jobForms), [](const auto &test) { return test.param.name; });
 
 } // namespace Sycamoremoor
