--- a/review/stand-in-3/fleet.py
+++ b/review/stand-in-3/fleet.py
@@ -243,15 +243,19 @@
             await self.announce()
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def announce(self):
-        self.sequence += 1
+    def report(self):
         body = {"service": SERVICE, "address": f"{self.ip}:{self.port}", "zone": self.guard["zone"], "version": "v1", "slots": 8,
                 "state": self.state, "coldRemainingMs": 0, "capacity": self.capacity, "labels": self.labels, "clockMs": self.clock(),
                 "sequence": self.sequence, "born": self.born}
         if self.remaining is not None:
             body["remainingMs"] = self.remaining
-        ip, port = self.guard["announcements"]
-        return await call(ip, port, "PUT", f"/sycamoremoor/instances/{self.id}", body, limit=1.0)
+        return body
+
+    async def announce(self):
+        self.sequence += 1
+        answer = await call(*self.guard["announcements"], "PUT", f"/sycamoremoor/instances/{self.id}", self.report(), limit=1.0)
+        self.fleet.heartbeats += 200 <= answer[0] < 300
+        return answer
 
     async def work(self):
         while self.alive:
@@ -398,7 +402,7 @@
         self.store, self.runners, self.processes = Store(), {}, {}
         self.live, self.starts, self.ends, self.overlaps = {}, [], [], []
         self.log_path = log_path or os.devnull
-        self.boots = 0
+        self.boots, self.heartbeats = 0, 0
         self.proxied = proxied  # schedulers reach guards through a proxy, side["proxy"]
         self.evacuate_ms = ""
 
