--- a/review/stand-in-3/fleet.py
+++ b/review/stand-in-3/fleet.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import socket
+import subprocess
 import sys
 import time
 import urllib.parse
@@ -525,7 +526,6 @@
     """One process of the project."""
 
     def __init__(self, fleet, name, arguments):
-        import subprocess
         self.fleet, self.name, self.arguments = fleet, name, arguments
         log = open(fleet.log_path, "ab")
         self.process = subprocess.Popen([BINARY, *arguments], stdout=log, stderr=log, stdin=subprocess.DEVNULL, cwd=ROOT)
@@ -552,9 +552,10 @@
     """Runs play(record, trouble) -> True if the rule held. Exits with 0, 1 if it was broken, 2 if the case could not run."""
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # the processes are ended then, too
     try:
         held = asyncio.run(asyncio.wait_for(play(record, trouble), 110))
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (Exception, KeyboardInterrupt) as error:  # an error of the script is no verdict
         record.write(f"cannot run: {error!r}")
         print(f"cannot run: {error!r}")
         sys.exit(2)
