Change: [review] Each case reads TROUBLE itself

Cause: only the stand-ins read it, so the folders of the cases did not show how the disruption is left out.

--- a/review/stand-in-3/fleet.py
+++ b/review/stand-in-3/fleet.py
@@ -548,10 +548,9 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def run_case(play, folder):
-    """Runs play(record, trouble) -> True if the rule held. Exits with 0, 1 if it was broken, 2 if the case could not run."""
+def run_case(play, folder, trouble):
+    """Runs play(record, trouble) -> True if the rule held; without trouble the disruption is left out. Exits with 0, 1 if it was broken, 2 if the case could not run."""
     record = Record(os.path.join(folder, "record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     signal.signal(signal.SIGTERM, signal.default_int_handler)  # the processes are ended then, too
     try:
         held = asyncio.run(asyncio.wait_for(play(record, trouble), 110))
